--- /dev/null
+++ b/apps/marjorambayctl/main.cpp
@@ -0,0 +1,2 @@
+/// Entry point of marjorambayctl.
+int main() { return 0; }
--- /dev/null
+++ b/apps/marjorambayd/main.cpp
@@ -0,0 +1,2 @@
+/// Entry point of marjorambayd.
+int main() { return 0; }
--- /dev/null
+++ b/packages/coordination/marjorambay/coordination.h
@@ -0,0 +1,21 @@
+/// What is decided: pure state machines that take typed events with the time
+/// in them, and return typed actions. No socket, no clock, no thread.
+///
+/// [SECTION] Index
+///   1. coordination/requests.h     values exchanged about requests
+///   2. coordination/origin.h       one caller's request, dispatched once
+///   3. coordination/arbiter.h      slots of one pool in one zone
+///   4. coordination/idempotency.h  intents of non-idempotent calls
+///   5. coordination/membership.h   live hosts, arbiters, spreading of signs
+///   6. coordination/config_sync.h  one configuration revision for all
+#ifndef MARJORAMBAY_COORDINATION_H
+#define MARJORAMBAY_COORDINATION_H
+
+#include "marjorambay/coordination/arbiter.h"
+#include "marjorambay/coordination/config_sync.h"
+#include "marjorambay/coordination/idempotency.h"
+#include "marjorambay/coordination/membership.h"
+#include "marjorambay/coordination/origin.h"
+#include "marjorambay/coordination/requests.h"
+
+#endif // MARJORAMBAY_COORDINATION_H
--- /dev/null
+++ b/packages/state/marjorambay/state/error.h
@@ -0,0 +1,146 @@
+/// The closed list of error kinds, the table of their answers, and Result.
+#ifndef MARJORAMBAY_STATE_ERROR_H
+#define MARJORAMBAY_STATE_ERROR_H
+
+#include "marjorambay/state/enum_names.h"
+#include "marjorambay/state/time.h"
+
+#include <array>
+#include <cassert>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+namespace marjorambay {
+
+enum class ErrorKind : std::uint8_t {
+  // What the caller sent.
+  BadRequest,
+  Unauthenticated,
+  UnknownRoute,
+  UnknownModel,
+  MissingIdempotencyKey,
+  IdempotencyKeyReused,
+  TooLarge,
+  RequestTimeout,
+  DeadlinePassed,
+  AccountQueueFull,
+  // What the fleet can't do now.
+  Overloaded,
+  NoTarget,
+  NotReady,
+  ShuttingDown,
+  PlatformUnavailable,
+  TooManyConnections,
+  // What happened after dispatch.
+  OutcomeUnknown,
+  TargetFailed,
+  AnswerCut,
+  AnswerTimeout,
+  CallerGone,
+  // What operators and processes meet.
+  BadSettings,
+  BadConfig,
+  Conflict,
+  NotFound,
+  LeaseLost,
+  StaleRevision,
+  RolloutTakenBack,
+  Timeout,
+  Internal,
+};
+
+template <>
+inline constexpr std::array
+    NamesOf<ErrorKind> = std::to_array<std::string_view>({
+        "bad_request",
+        "unauthenticated",
+        "unknown_route",
+        "unknown_model",
+        "missing_idempotency_key",
+        "idempotency_key_reused",
+        "too_large",
+        "request_timeout",
+        "deadline_passed",
+        "account_queue_full",
+        "overloaded",
+        "no_target",
+        "not_ready",
+        "shutting_down",
+        "platform_unavailable",
+        "too_many_connections",
+        "outcome_unknown",
+        "target_failed",
+        "answer_cut",
+        "answer_timeout",
+        "caller_gone",
+        "bad_settings",
+        "bad_config",
+        "conflict",
+        "not_found",
+        "lease_lost",
+        "stale_revision",
+        "rollout_taken_back",
+        "timeout",
+        "internal",
+    });
+inline constexpr std::size_t ErrorKindCount =
+    static_cast<std::size_t>(ErrorKind::Internal) + 1;
+static_assert(NamesOf<ErrorKind>.size() == ErrorKindCount);
+
+/// Whether the request may have had an effect at a target.
+enum class MayHaveRun : std::uint8_t { No, Maybe };
+
+/// Whether the caller should send the request again.
+enum class ComeBack : std::uint8_t {
+  Never,     ///< the same request will fail again
+  AfterWait, ///< send it again after Retry-After
+  NewKey,    ///< only after checking what the first one did
+};
+
+/// What one error kind means to a caller, and to the exit code of a program.
+struct ErrorAnswer {
+  ErrorKind Kind = ErrorKind::Internal;
+  int HttpStatus = 500;
+  MayHaveRun Ran = MayHaveRun::No;
+  ComeBack Retry = ComeBack::Never;
+  int ExitCode = 1; ///< of marjorambayctl and marjorambayd
+};
+
+/// Returns the row of the answer table for \p Kind.
+const ErrorAnswer &answerFor(ErrorKind Kind);
+
+/// One failure: its kind, words for a person, and when to come back.
+struct Error {
+  ErrorKind Kind = ErrorKind::Internal;
+  std::string Message{};             ///< says what to change; no prompt text
+  Duration RetryAfter = Duration(0); ///< 0: none given
+};
+
+/// Either a value or the error that stood in its way.
+template <typename T> using Result = std::variant<T, Error>;
+
+/// The value of a Result that carries none.
+using Done = std::monostate;
+
+template <typename T> bool ok(const Result<T> &Outcome) {
+  return Outcome.index() == 0;
+}
+template <typename T> T &value(Result<T> &Outcome) {
+  assert(ok(Outcome) && "value() of a Result that holds an Error");
+  return *std::get_if<0>(&Outcome);
+}
+template <typename T> const T &value(const Result<T> &Outcome) {
+  assert(ok(Outcome) && "value() of a Result that holds an Error");
+  return *std::get_if<0>(&Outcome);
+}
+template <typename T> const Error &error(const Result<T> &Outcome) {
+  assert(!ok(Outcome) && "error() of a Result that holds a value");
+  return *std::get_if<1>(&Outcome);
+}
+
+} // namespace marjorambay
+
+#endif // MARJORAMBAY_STATE_ERROR_H
--- /dev/null
+++ b/packages/state/marjorambay/state/ids.h
@@ -0,0 +1,79 @@
+/// Identifiers of everything the scheduler addresses, and how names become ids.
+#ifndef MARJORAMBAY_STATE_IDS_H
+#define MARJORAMBAY_STATE_IDS_H
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace marjorambay {
+
+// An id of a named thing is the 64-bit XXH3 hash of its name, so that every
+// process derives the same id without agreeing on one first. Configuration
+// with two names of one hash is rejected as a whole.
+enum class HostId : std::uint64_t {};
+enum class ZoneId : std::uint64_t {};    ///< availability zone
+enum class RegionId : std::uint64_t {};  ///< group of near availability zones
+enum class TargetId : std::uint64_t {};  ///< engine worker or plain service
+enum class PoolId : std::uint64_t {};    ///< targets that serve the same calls
+enum class AccountId : std::uint64_t {}; ///< client account
+enum class RouteId : std::uint64_t {};
+enum class ModelId : std::uint64_t {};
+enum class VersionId : std::uint64_t {}; ///< version of a pool's model
+enum class RolloutId : std::uint64_t {};
+
+/// Counts up within one incarnation of one host; see RequestKey.
+enum class RequestId : std::uint64_t {};
+
+/// One life of a process or a target; a restart draws a larger one. For hosts:
+/// start time in microseconds since the Unix epoch.
+enum class Incarnation : std::uint64_t {};
+
+/// Revision of the fleet configuration; only ever rises. 0: none yet.
+enum class Revision : std::uint64_t {};
+
+/// Rank of a tier: 0 is the highest, and is shed last.
+enum class TierRank : std::uint8_t {};
+
+inline constexpr std::size_t MaxTiers = 8;
+
+/// Returns the 64-bit XXH3 hash of \p Bytes.
+std::uint64_t hash64(std::string_view Bytes);
+
+/// Returns the id that belongs to \p Name.
+template <typename IdType> IdType idOf(std::string_view Name) {
+  return static_cast<IdType>(hash64(Name));
+}
+
+/// Returns the plain number within an id.
+template <typename IdType> constexpr auto number(IdType Id) {
+  return static_cast<std::underlying_type_t<IdType>>(Id);
+}
+
+/// A request, named uniquely across the fleet and across restarts.
+struct RequestKey {
+  HostId Origin{};          ///< entry host that holds the caller's connection
+  Incarnation OriginLife{}; ///< that host's incarnation
+  RequestId Id{};           ///< counts up within the incarnation
+
+  auto operator<=>(const RequestKey &) const = default;
+};
+
+/// Returns "origin-incarnation-id" in hexadecimal, as callers and logs see it.
+std::string formatKey(const RequestKey &Key);
+
+} // namespace marjorambay
+
+template <> struct std::hash<marjorambay::RequestKey> {
+  std::size_t operator()(const marjorambay::RequestKey &Key) const noexcept {
+    std::uint64_t Mixed = marjorambay::number(Key.Origin) ^
+                          (marjorambay::number(Key.OriginLife) * 31) ^
+                          (marjorambay::number(Key.Id) * 0x9E3779B97F4A7C15);
+    return static_cast<std::size_t>(Mixed ^ (Mixed >> 32));
+  }
+};
+
+#endif // MARJORAMBAY_STATE_IDS_H
--- /dev/null
+++ b/packages/state/src/error.cpp
@@ -0,0 +1,64 @@
+/// The table from error kind to answer.
+#include "marjorambay/state/error.h"
+
+namespace marjorambay {
+
+namespace {
+
+using enum ErrorKind;
+using enum ComeBack;
+
+constexpr MayHaveRun NotRun = MayHaveRun::No;
+constexpr MayHaveRun Perhaps = MayHaveRun::Maybe;
+
+// Exit codes: 1 failure, 2 usage, 3 bad input, 4 conflict, 5 unavailable,
+// 6 timed out, 7 taken back.
+constexpr auto Answers = std::to_array<ErrorAnswer>({
+    {BadRequest, 400, NotRun, Never, 3},
+    {Unauthenticated, 401, NotRun, Never, 3},
+    {UnknownRoute, 404, NotRun, Never, 3},
+    {UnknownModel, 404, NotRun, Never, 3},
+    {MissingIdempotencyKey, 400, NotRun, Never, 3},
+    {IdempotencyKeyReused, 422, NotRun, Never, 3},
+    {TooLarge, 413, NotRun, Never, 3},
+    {RequestTimeout, 408, NotRun, AfterWait, 6},
+    {DeadlinePassed, 504, NotRun, Never, 6},
+    {AccountQueueFull, 429, NotRun, AfterWait, 5},
+    {Overloaded, 503, NotRun, AfterWait, 5},
+    {NoTarget, 503, NotRun, AfterWait, 5},
+    {NotReady, 503, NotRun, AfterWait, 5},
+    {ShuttingDown, 503, NotRun, AfterWait, 5},
+    {PlatformUnavailable, 503, NotRun, AfterWait, 5},
+    {TooManyConnections, 503, NotRun, AfterWait, 5},
+    {OutcomeUnknown, 502, Perhaps, NewKey, 1},
+    {TargetFailed, 502, Perhaps, NewKey, 1},
+    {AnswerCut, 502, Perhaps, NewKey, 1},
+    {AnswerTimeout, 504, Perhaps, NewKey, 6},
+    {CallerGone, 499, Perhaps, Never, 1},
+    {BadSettings, 500, NotRun, Never, 3},
+    {BadConfig, 422, NotRun, Never, 3},
+    {Conflict, 409, NotRun, AfterWait, 4},
+    {NotFound, 404, NotRun, Never, 3},
+    {LeaseLost, 409, NotRun, AfterWait, 4},
+    {StaleRevision, 409, NotRun, AfterWait, 4},
+    {RolloutTakenBack, 409, NotRun, Never, 7},
+    {Timeout, 504, NotRun, AfterWait, 6},
+    {Internal, 500, Perhaps, NewKey, 1},
+});
+static_assert(Answers.size() == ErrorKindCount);
+
+constexpr bool rowsInOrder() {
+  for (std::size_t Row = 0; Row < Answers.size(); ++Row)
+    if (static_cast<std::size_t>(Answers[Row].Kind) != Row)
+      return false;
+  return true;
+}
+static_assert(rowsInOrder(), "answer table must follow the order of ErrorKind");
+
+} // namespace
+
+const ErrorAnswer &answerFor(ErrorKind Kind) {
+  return Answers[static_cast<std::size_t>(Kind)];
+}
+
+} // namespace marjorambay
--- /dev/null
+++ b/packages/transport/src/package.cpp
@@ -0,0 +1,2 @@
+/// Compiles the public header of the package on its own.
+#include "marjorambay/transport.h"
