--- /dev/null
+++ b/packages/protocol/src/platform_api.cpp
@@ -0,0 +1,74 @@
+/// The platform's object API.
+#include "marjorambay/protocol/platform_api.h"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+
+namespace marjorambay {
+
+namespace {
+
+using Json = nlohmann::json;
+
+std::string textIn(const Json &Root, const char *Name) {
+  const auto Found = Root.find(Name);
+  if (Found == Root.end() || !Found->is_string())
+    return "";
+  return Found->get<std::string>();
+}
+
+bool isNameCharacter(char Each) {
+  return (Each >= 'a' && Each <= 'z') || (Each >= '0' && Each <= '9') ||
+         Each == '.' || Each == '_' || Each == '-';
+}
+
+} // namespace
+
+bool isObjectName(std::string_view Name) {
+  char Last = '/';
+  for (const char Each : Name) {
+    if (Each == '/' && Last == '/')
+      return false;
+    if (Each != '/' && !isNameCharacter(Each))
+      return false;
+    Last = Each;
+  }
+  return Last != '/';
+}
+
+std::string objectPath(std::string_view Name) {
+  return "/v1/objects/" + std::string(Name);
+}
+
+std::string watchPath(std::string_view Name, std::uint64_t Above,
+                      Duration Wait) {
+  const auto WaitMs = std::chrono::duration_cast<milliseconds>(Wait).count();
+  return objectPath(Name) + "?watch=" + std::to_string(Above) +
+         "&wait_ms=" + std::to_string(WaitMs);
+}
+
+std::uint64_t parseObjectVersion(std::string_view Header) {
+  std::uint64_t Version = 0;
+  const char *End = Header.data() + Header.size();
+  const auto [At, Failure] = std::from_chars(Header.data(), End, Version);
+  return Failure == std::errc() && At == End ? Version : 0;
+}
+
+Result<std::vector<PlatformHost>> parseHosts(std::string_view Text) {
+  const Json Root = Json::parse(Text, nullptr, false);
+  const bool IsObject = !Root.is_discarded() && Root.is_object();
+  if (!IsObject || !Root.contains("hosts") || !Root["hosts"].is_array())
+    return Error{ErrorKind::PlatformUnavailable, "the host list is not JSON"};
+  std::vector<PlatformHost> Hosts;
+  for (const Json &Each : Root["hosts"]) {
+    if (!Each.is_object())
+      continue;
+    Hosts.push_back({textIn(Each, "name"), textIn(Each, "address"),
+                     textIn(Each, "zone"), textIn(Each, "region"),
+                     textIn(Each, "state") == "leaving"});
+  }
+  return Hosts;
+}
+
+} // namespace marjorambay
--- /dev/null
+++ b/packages/transport/marjorambay/transport/log.h
@@ -0,0 +1,36 @@
+/// Structured log lines through glog: one event per line, "event=NAME
+/// key=value ...". Callers never pass API keys, prompt or answer text.
+#ifndef MARJORAMBAY_TRANSPORT_LOG_H
+#define MARJORAMBAY_TRANSPORT_LOG_H
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace marjorambay {
+
+enum class LogLevel : std::uint8_t { Info, Warning, Error };
+
+/// Sends log lines to standard error.
+void startLogging(const char *ProgramName);
+
+/// One line, written when it goes out of scope.
+class LogLine {
+public:
+  explicit LogLine(std::string_view Event, LogLevel Level = LogLevel::Info);
+  ~LogLine();
+  LogLine(const LogLine &) = delete;
+  LogLine &operator=(const LogLine &) = delete;
+
+  /// Adds key=value; a value with blanks, quotes or "=" is quoted.
+  LogLine &with(std::string_view Key, std::string_view Value);
+  LogLine &with(std::string_view Key, std::int64_t Value);
+
+private:
+  std::string Line{};
+  LogLevel Level;
+};
+
+} // namespace marjorambay
+
+#endif // MARJORAMBAY_TRANSPORT_LOG_H
--- /dev/null
+++ b/packages/transport/src/event_loop.cpp
@@ -0,0 +1,76 @@
+/// The event loop on libevent.
+#include "marjorambay/transport/event_loop.h"
+
+#include <event2/event.h>
+
+#include <cassert>
+#include <chrono>
+#include <utility>
+
+namespace marjorambay {
+
+struct EventLoop::SignalHandler {
+  EventPtr Event{};
+  sigc::slot<void()> Handler{};
+};
+
+void EventDeleter::operator()(event *Event) const { event_free(Event); }
+
+EventLoop::EventLoop() : Base(event_base_new()) {
+  assert(Base && "libevent has no usable back end on this machine");
+  DeferredEvent.reset(event_new(
+      Base, -1, 0,
+      [](evutil_socket_t, short, void *Self) {
+        static_cast<EventLoop *>(Self)->runDeferred();
+      },
+      this));
+}
+
+EventLoop::~EventLoop() {
+  Signals.clear();
+  DeferredEvent.reset();
+  event_base_free(Base);
+}
+
+void EventLoop::run() { event_base_dispatch(Base); }
+
+void EventLoop::stop() { event_base_loopbreak(Base); }
+
+void EventLoop::defer(sigc::slot<void()> Work) {
+  if (Deferred.empty())
+    event_active(DeferredEvent.get(), EV_TIMEOUT, 0);
+  Deferred.push_back(std::move(Work));
+}
+
+void EventLoop::runDeferred() {
+  // What the work defers in turn belongs to the next round.
+  std::vector<sigc::slot<void()>> Round;
+  Round.swap(Deferred);
+  for (auto &Work : Round)
+    Work();
+}
+
+void EventLoop::onSignal(int Signal, sigc::slot<void()> Handler) {
+  auto Entry = std::make_unique<SignalHandler>();
+  Entry->Handler = std::move(Handler);
+  Entry->Event.reset(evsignal_new(
+      Base, Signal,
+      [](evutil_socket_t, short, void *Self) {
+        static_cast<SignalHandler *>(Self)->Handler();
+      },
+      Entry.get()));
+  event_add(Entry->Event.get(), nullptr);
+  Signals.push_back(std::move(Entry));
+}
+
+TimePoint EventLoop::now() const {
+  const auto Since = std::chrono::steady_clock::now().time_since_epoch();
+  return TimePoint(std::chrono::duration_cast<Duration>(Since));
+}
+
+WallTime EventLoop::wallNow() const {
+  const auto Since = std::chrono::system_clock::now().time_since_epoch();
+  return WallTime(std::chrono::duration_cast<Duration>(Since));
+}
+
+} // namespace marjorambay
