Add host settings, metrics, addresses and API key digests

Cause: the daemon needs checked settings before it binds anything, and histograms by tier, client account and target version from the first request. Histograms are a fixed-bucket statistic of Boost.Accumulators whose bounds include 0.08 s and 0.98 s, so that the shares under both targets are exact. Ruled out: the library's own density (its buckets move while it warms up, so hosts can't be added up) and extended P-square quantiles (not additive). Series are bounded at 2,000 per label kind, then counted under "other".

--- a/packages/state/marjorambay/state.h
+++ b/packages/state/marjorambay/state.h
@@ -6,15 +6,23 @@
 ///   3. enum_names.h    tables of enumerator names
 ///   4. error.h         error kinds, the table of their answers, Result<T>
 ///   5. fleet_config.h  the configuration that operators accept
+///   6. settings.h      settings of one entry host, from INI
+///   7. metrics.h       histograms and counters, Prometheus text
+///   8. address.h       IP number and port
+///   9. digest.h        SHA-256 of API keys
 ///
 /// This package includes none of the others and does no I/O.
 #ifndef MARJORAMBAY_STATE_H
 #define MARJORAMBAY_STATE_H
 
+#include "marjorambay/state/address.h"
+#include "marjorambay/state/digest.h"
 #include "marjorambay/state/enum_names.h"
 #include "marjorambay/state/error.h"
 #include "marjorambay/state/fleet_config.h"
 #include "marjorambay/state/ids.h"
+#include "marjorambay/state/metrics.h"
+#include "marjorambay/state/settings.h"
 #include "marjorambay/state/time.h"
 
 #endif // MARJORAMBAY_STATE_H
--- /dev/null
+++ b/packages/state/src/metrics.cpp
@@ -0,0 +1,198 @@
+/// Series of histograms and counters, and their Prometheus text.
+#include "marjorambay/state/metrics.h"
+
+#include "latency_histogram.h"
+
+#include <cmath>
+#include <sstream>
+#include <unordered_map>
+
+namespace marjorambay {
+
+namespace {
+
+using boost::accumulators::count;
+using boost::accumulators::sum;
+
+constexpr std::uint64_t OtherSeries = ~std::uint64_t{0};
+
+using SpanHistograms = std::array<LatencyHistogram, SpanCount>;
+
+struct LabelSeries {
+  std::unordered_map<std::uint64_t, SpanHistograms> ById{};
+  std::unordered_map<std::uint64_t, std::string> Names{};
+};
+
+template <typename EnumType> std::size_t index(EnumType Value) {
+  return static_cast<std::size_t>(Value);
+}
+
+SpanHistograms &findOrMake(LabelSeries &Series, std::uint64_t Id) {
+  const auto Found = Series.ById.find(Id);
+  if (Found != Series.ById.end())
+    return Found->second;
+  const bool Full = Series.ById.size() >= MaxSeriesPerLabel;
+  return Series.ById[Full ? OtherSeries : Id];
+}
+
+const LatencyHistogram *find(const LabelSeries &Series, Span What,
+                             std::uint64_t Id) {
+  const auto Found = Series.ById.find(Id);
+  return Found == Series.ById.end() ? nullptr : &Found->second[index(What)];
+}
+
+/// Quotes a label value as Prometheus wants it.
+std::string escaped(const std::string &Text) {
+  std::string Out;
+  for (const char C : Text) {
+    if (C == '"' || C == '\\')
+      Out += '\\';
+    Out += C == '\n' ? ' ' : C;
+  }
+  return Out;
+}
+
+std::string labelName(const LabelSeries &Series, std::uint64_t Id) {
+  if (Id == OtherSeries)
+    return "other";
+  const auto Found = Series.Names.find(Id);
+  if (Found != Series.Names.end())
+    return escaped(Found->second);
+  std::ostringstream Text;
+  Text << std::hex << Id;
+  return Text.str();
+}
+
+void printHistogram(std::ostream &Out, const std::string &Name,
+                    const std::string &Label,
+                    const LatencyHistogram &Histogram) {
+  if (count(Histogram) == 0)
+    return;
+  const BucketCounts &Counts = extract::bucket_counts(Histogram);
+  std::uint64_t Below = 0;
+  for (std::size_t Bucket = 0; Bucket < BucketBounds.size(); ++Bucket) {
+    Below += Counts[Bucket];
+    Out << Name << "_bucket{" << Label << ",le=\"" << BucketBounds[Bucket]
+        << "\"} " << Below << "\n";
+  }
+  const auto Total = count(Histogram);
+  Out << Name << "_bucket{" << Label << ",le=\"+Inf\"} " << Total << "\n"
+      << Name << "_sum{" << Label << "} " << sum(Histogram) << "\n"
+      << Name << "_count{" << Label << "} " << Total << "\n";
+}
+
+void printSpan(std::ostream &Out, Span What, LabelKind Kind,
+               const LabelSeries &Series) {
+  const std::string Name = "marjorambay_" + std::string(nameOf(Kind)) + "_" +
+                           std::string(nameOf(What)) + "_seconds";
+  Out << "# TYPE " << Name << " histogram\n";
+  for (const auto &[Id, Histograms] : Series.ById) {
+    const std::string Label =
+        std::string(nameOf(Kind)) + "=\"" + labelName(Series, Id) + "\"";
+    printHistogram(Out, Name, Label, Histograms[index(What)]);
+  }
+}
+
+} // namespace
+
+struct Metrics::State {
+  std::array<LabelSeries, LabelKindCount> Series{};
+  std::array<std::array<std::uint64_t, MaxTiers>, TierCountCount> ByTier{};
+  std::array<std::uint64_t, HostCountCount> ByHost{};
+
+  LabelSeries &of(LabelKind Kind) { return Series[index(Kind)]; }
+};
+
+Metrics::Metrics() : Data(std::make_unique<State>()) {}
+Metrics::~Metrics() = default;
+
+void Metrics::observe(Span What, const RequestLabels &Labels, Duration Value) {
+  const double Seconds = toSeconds(Value);
+  const auto Record = [&](LabelKind Kind, std::uint64_t Id) {
+    findOrMake(Data->of(Kind), Id)[index(What)](Seconds);
+  };
+  Record(LabelKind::Tier, number(Labels.Tier));
+  Record(LabelKind::Account, number(Labels.Account));
+  if (Labels.Version != VersionId{})
+    Record(LabelKind::Version, number(Labels.Version));
+}
+
+void Metrics::add(TierCount What, TierRank Tier, std::uint64_t Amount) {
+  const std::size_t Rank = std::min(index(Tier), MaxTiers - 1);
+  Data->ByTier[index(What)][Rank] += Amount;
+}
+
+void Metrics::add(HostCount What, std::uint64_t Amount) {
+  Data->ByHost[index(What)] += Amount;
+}
+
+std::uint64_t Metrics::count(TierCount What, TierRank Tier) const {
+  return Data->ByTier[index(What)][std::min(index(Tier), MaxTiers - 1)];
+}
+
+std::uint64_t Metrics::count(HostCount What) const {
+  return Data->ByHost[index(What)];
+}
+
+std::uint64_t Metrics::observations(Span What, LabelKind Kind,
+                                    std::uint64_t Id) const {
+  const auto *Histogram = find(Data->of(Kind), What, Id);
+  return Histogram == nullptr ? 0 : boost::accumulators::count(*Histogram);
+}
+
+Duration Metrics::quantile(Span What, LabelKind Kind, std::uint64_t Id,
+                           double Q) const {
+  const auto *Histogram = find(Data->of(Kind), What, Id);
+  if (Histogram == nullptr || boost::accumulators::count(*Histogram) == 0)
+    return Duration(0);
+  const auto Total =
+      static_cast<double>(boost::accumulators::count(*Histogram));
+  const auto Wanted = static_cast<std::uint64_t>(std::ceil(Q * Total));
+  const BucketCounts &Counts = extract::bucket_counts(*Histogram);
+  std::uint64_t Below = 0;
+  for (std::size_t Bucket = 0; Bucket < BucketBounds.size(); ++Bucket) {
+    Below += Counts[Bucket];
+    if (Below >= Wanted)
+      return fromSeconds(BucketBounds[Bucket]);
+  }
+  return Duration::max();
+}
+
+void Metrics::nameLabel(LabelKind Kind, std::uint64_t Id, std::string Name) {
+  auto &Names = Data->of(Kind).Names;
+  if (Names.size() < MaxSeriesPerLabel || Names.count(Id) > 0)
+    Names[Id] = std::move(Name);
+}
+
+std::size_t Metrics::seriesCount() const {
+  std::size_t Total = 0;
+  for (const LabelSeries &Series : Data->Series)
+    Total += Series.ById.size();
+  return Total;
+}
+
+std::string Metrics::prometheusText() const {
+  std::ostringstream Out;
+  for (std::size_t What = 0; What < HostCountCount; ++What) {
+    const auto Name = nameOf(static_cast<HostCount>(What));
+    Out << "# TYPE marjorambay_" << Name << "_total counter\n"
+        << "marjorambay_" << Name << "_total " << Data->ByHost[What] << "\n";
+  }
+  const LabelSeries &Tiers = Data->of(LabelKind::Tier);
+  for (std::size_t What = 0; What < TierCountCount; ++What) {
+    const auto Name = nameOf(static_cast<TierCount>(What));
+    Out << "# TYPE marjorambay_" << Name << "_total counter\n";
+    for (std::size_t Rank = 0; Rank < MaxTiers; ++Rank)
+      if (Tiers.Names.count(Rank) > 0 || Data->ByTier[What][Rank] > 0)
+        Out << "marjorambay_" << Name << "_total{tier=\""
+            << labelName(Tiers, Rank) << "\"} " << Data->ByTier[What][Rank]
+            << "\n";
+  }
+  for (std::size_t Kind = 0; Kind < LabelKindCount; ++Kind)
+    for (std::size_t What = 0; What < SpanCount; ++What)
+      printSpan(Out, static_cast<Span>(What), static_cast<LabelKind>(Kind),
+                Data->Series[Kind]);
+  return Out.str();
+}
+
+} // namespace marjorambay
--- /dev/null
+++ b/packages/state/tests/metrics_test.cpp
@@ -0,0 +1,61 @@
+/// Tests of histograms and counters.
+#include "marjorambay/state/metrics.h"
+
+#include <doctest/doctest.h>
+
+namespace marjorambay {
+namespace {
+
+bool contains(const std::string &Text, const std::string &Part) {
+  return Text.find(Part) != std::string::npos;
+}
+
+TEST_CASE("a host records what its requests took") {
+  Metrics Recorded;
+  const RequestLabels Labels{TierRank{0}, AccountId{7}, VersionId{9}};
+  for (int Count = 0; Count < 95; ++Count)
+    Recorded.observe(Span::FirstToken, Labels, milliseconds(100));
+  for (int Count = 0; Count < 5; ++Count)
+    Recorded.observe(Span::FirstToken, Labels, milliseconds(3000));
+
+  SUBCASE("by tier, account and version") {
+    CHECK(Recorded.seriesCount() == 3);
+    CHECK(Recorded.observations(Span::FirstToken, LabelKind::Account, 7) ==
+          100);
+    CHECK(Recorded.observations(Span::FirstToken, LabelKind::Version, 9) ==
+          100);
+    CHECK(Recorded.observations(Span::Total, LabelKind::Tier, 0) == 0);
+  }
+  SUBCASE("with quantiles that the bucket bounds") {
+    const auto At = [&](double Q) {
+      return Recorded.quantile(Span::FirstToken, LabelKind::Tier, 0, Q);
+    };
+    CHECK(At(0.5) == milliseconds(150));
+    CHECK(At(0.95) == milliseconds(150));
+    CHECK(At(0.96) == seconds(4));
+  }
+  SUBCASE("and shows them as text, under names") {
+    Recorded.nameLabel(LabelKind::Tier, 0, "gold");
+    Recorded.add(TierCount::Shed, TierRank{0}, 3);
+    Recorded.add(HostCount::PlatformReads);
+    const std::string Text = Recorded.prometheusText();
+    CHECK(contains(Text, "marjorambay_tier_first_token_seconds_bucket{"
+                         "tier=\"gold\",le=\"0.98\"} 95\n"));
+    CHECK(contains(Text, "marjorambay_tier_first_token_seconds_count{"
+                         "tier=\"gold\"} 100\n"));
+    CHECK(contains(Text, "marjorambay_shed_requests_total{tier=\"gold\"} 3\n"));
+    CHECK(contains(Text, "marjorambay_platform_reads_total 1\n"));
+  }
+}
+
+TEST_CASE("the number of series is bounded") {
+  Metrics Recorded;
+  for (std::uint64_t Account = 0; Account < 3 * MaxSeriesPerLabel; ++Account)
+    Recorded.observe(Span::Total, {TierRank{0}, AccountId{Account}, {}},
+                     milliseconds(1));
+  CHECK(Recorded.seriesCount() <= MaxSeriesPerLabel + 2);
+  CHECK(contains(Recorded.prometheusText(), "account=\"other\""));
+}
+
+} // namespace
+} // namespace marjorambay
