Check a configuration as a whole and index it by ids

Change: problemsOf() names every broken rule with its entry (names and their hashes, references, IP addresses, ranks, ranges, exceptions with reason and author); ConfigIndex finds accounts by API key hash, routes by longest prefix and targets by pool and zone, and explains each value in force. Of several exceptions the narrowest scope wins: pool, zone, host, route, account, target. Ruled out: stopping at the first problem, which makes an operator try again and again.

--- /dev/null
+++ b/packages/state/tests/config_test.cpp
@@ -0,0 +1,148 @@
+/// Tests of the rules of a configuration and of its index.
+#include "marjorambay/state/config_index.h"
+#include "marjorambay/state/config_rules.h"
+
+#include <doctest/doctest.h>
+
+namespace marjorambay {
+namespace {
+
+FleetConfig goodConfig() {
+  FleetConfig Config;
+  Config.Rev = Revision(3);
+  Config.Tiers = {{"sheet", TierRank(0)}, {"bulk", TierRank(1)}};
+  Config.Accounts = {{"himal", std::string(64, 'a'), "sheet"},
+                     {"breton", std::string(64, 'b'), "bulk"}};
+  Config.Pools = {{"models", PoolKind::Model, "v1", {"small"}},
+                  {"ballots", PoolKind::Service}};
+  Config.Targets = {{"w1", "127.0.0.1:24001", "models", "z1", "v1"},
+                    {"w2", "127.0.0.1:24002", "models", "z2", "v1"},
+                    {"w3", "127.0.0.1:24003", "models", "z1", "v1"}};
+  Config.Routes = {{"chat", "/v1/", RouteKind::ChatCompletions, "models"},
+                   {"vote", "/v1/vote", RouteKind::OnceCall, "ballots"}};
+  Config.Exceptions = {{ScopeKind::Zone, "z1", "target_fill_seconds", "4",
+                        "old engines", "anna"},
+                       {ScopeKind::Target, "w3", "target_fill_seconds", "1",
+                        "shares its memory", "yann"}};
+  return Config;
+}
+
+/// Returns the only problem of \p Config.
+std::string problemOf(const FleetConfig &Config) {
+  const auto Problems = problemsOf(Config);
+  REQUIRE(Problems.size() == 1);
+  return Problems[0];
+}
+
+TEST_CASE("a configuration is checked as a whole") {
+  FleetConfig Config = goodConfig();
+  REQUIRE(ok(checkFleetConfig(Config)));
+
+  SUBCASE("two entries of one name") {
+    Config.Tiers.push_back({"sheet", TierRank(2)});
+    CHECK(problemOf(Config) == "tier \"sheet\": there are two of this name");
+  }
+  SUBCASE("two tiers of one rank") {
+    Config.Tiers[1].Rank = TierRank(0);
+    CHECK(problemOf(Config) == "tier \"bulk\": another tier has this rank");
+  }
+  SUBCASE("a reference to nothing") {
+    Config.Accounts[0].Tier = "gold";
+    CHECK(problemOf(Config) == "account \"himal\": there is no tier \"gold\"");
+  }
+  SUBCASE("an address that is a host name") {
+    Config.Targets[0].Address = "worker-1:8000";
+    CHECK(problemOf(Config) ==
+          "target \"w1\": address must be an IP number with a port");
+  }
+  SUBCASE("a route whose kind does not fit its pool") {
+    Config.Routes[1].Pool = "models";
+    CHECK(problemsOf(Config).size() == 1);
+  }
+  SUBCASE("an API key that isn't hashed") {
+    Config.Accounts[0].ApiKeyHash = "secret";
+    CHECK(problemOf(Config).find("64 lower-case hex digits") !=
+          std::string::npos);
+  }
+  SUBCASE("an exception without a reason") {
+    Config.Exceptions[0].Reason = "  ";
+    CHECK(problemOf(Config) == "exception \"zone z1 target_fill_seconds\": "
+                               "needs a written reason");
+  }
+  SUBCASE("an exception without an author") {
+    Config.Exceptions[0].Author.clear();
+    CHECK(problemsOf(Config).size() == 1);
+  }
+  SUBCASE("an exception for a key that is not known") {
+    Config.Exceptions[0].Key = "fill";
+    CHECK(problemOf(Config) == "exception \"zone z1 fill\": unknown key");
+  }
+  SUBCASE("an exception whose value is out of range") {
+    Config.Exceptions[0].Value = "-1";
+    CHECK(problemOf(Config) == "exception \"zone z1 target_fill_seconds\": "
+                               "must be from 0.01 to 3600");
+  }
+  SUBCASE("an exception for a target that is not there") {
+    Config.Exceptions[1].ScopeName = "w9";
+    CHECK(problemsOf(Config).size() == 1);
+  }
+  SUBCASE("a default out of range") {
+    Config.Defaults.CanaryShareCap = 0.9;
+    CHECK(problemOf(Config) == "defaults.canary_share_cap: must be from 0 to "
+                               "0.5");
+  }
+  SUBCASE("many problems are cut short in the message") {
+    for (auto &Target : Config.Targets)
+      Target.Address = Target.Pool = "";
+    const auto Checked = checkFleetConfig(Config);
+    REQUIRE(!ok(Checked));
+    CHECK(error(Checked).Message.find("more") != std::string::npos);
+  }
+}
+
+TEST_CASE("addresses are IP numbers with a port") {
+  CHECK(isIpAddressWithPort("10.0.0.1:80"));
+  CHECK(isIpAddressWithPort("[fd00::1]:80"));
+  CHECK_FALSE(isIpAddressWithPort("10.0.0.1"));
+  CHECK_FALSE(isIpAddressWithPort("10.0.0.1:0"));
+  CHECK_FALSE(isIpAddressWithPort("10.0.0.1:70000"));
+  CHECK_FALSE(isIpAddressWithPort("fd00::1:80"));
+  CHECK_FALSE(isIpAddressWithPort("localhost:80"));
+}
+
+TEST_CASE("an accepted configuration is indexed") {
+  const ConfigIndex Index(goodConfig());
+
+  SUBCASE("entries are found by id") {
+    REQUIRE(Index.account(idOf<AccountId>("himal")));
+    CHECK(Index.accountByKeyHash(std::string(64, 'b'))->Name == "breton");
+    CHECK(Index.accountByKeyHash("none") == nullptr);
+    CHECK(Index.poolOfModel(idOf<ModelId>("small"))->Name == "models");
+    CHECK(Index.target(idOf<TargetId>("w2"))->Zone == "z2");
+  }
+  SUBCASE("the longest path prefix wins") {
+    CHECK(Index.routeForPath("/v1/chat/completions")->Name == "chat");
+    CHECK(Index.routeForPath("/v1/vote/7")->Name == "vote");
+    CHECK(Index.routeForPath("/other") == nullptr);
+  }
+  SUBCASE("targets are found by pool and zone") {
+    const auto Pool = idOf<PoolId>("models");
+    CHECK(Index.targets(Pool, idOf<ZoneId>("z1")).size() == 2);
+    CHECK(Index.targets(Pool, idOf<ZoneId>("z9")).empty());
+    CHECK(Index.zonesOfPool(Pool).size() == 2);
+  }
+  SUBCASE("the narrowest exception holds, with its reason") {
+    CHECK(Index.effective({}).TargetFillSeconds == 2.0);
+    CHECK(Index.effective({.Zone = "z1"}).TargetFillSeconds == 4.0);
+    const Place Worker{.Zone = "z1", .Target = "w3"};
+    CHECK(Index.effective(Worker).TargetFillSeconds == 1.0);
+    for (const EffectiveValue &Value : Index.explain(Worker)) {
+      CHECK(Value.IsException == (Value.Key == "target_fill_seconds"));
+      if (Value.IsException)
+        CHECK(Value.Reason == "shares its memory");
+    }
+  }
+}
+
+} // namespace
+} // namespace marjorambay
