Add the origin's state machine

Cause: the daemon needs one place that decides each dispatch. A request is dispatched once; only a dispatch that provably did not run is tried again, under a retry budget per client account. Late and doubled grants are given back, time-outs come from a heap, and a share of the last known slots serves while no arbiter answers. origin.h gains Attempt on dispatch events, NotAfter on Dispatch, Pool on SlotGranted, LocalTargetsChanged, AccountLimitChanged and ReportProgress; all with defaults.

--- a/packages/coordination/marjorambay/coordination/idempotency.h
+++ b/packages/coordination/marjorambay/coordination/idempotency.h
@@ -56,7 +56,12 @@
   WriteVerdict Verdict = WriteVerdict::Unknown;
   ObjectVersion Version = 0; ///< the new one, when it stood
 };
-struct IntentLogTicked {};
+/// Time passed; sent at least every 10 ms while work is pending.
+struct IntentLogTicked {
+  /// Time since the Unix epoch. Stamps intents, so that every holder agrees on
+  /// their age within the hosts' clock error.
+  WallTime Wall{};
+};
 
 using IntentLogEvent = std::variant<IntentRequested, OutcomeReported,
                                     ObjectRead, ObjectWritten, IntentLogTicked>;
--- a/packages/coordination/marjorambay/coordination/origin.h
+++ b/packages/coordination/marjorambay/coordination/origin.h
@@ -7,14 +7,22 @@
 #ifndef MARJORAMBAY_COORDINATION_ORIGIN_H
 #define MARJORAMBAY_COORDINATION_ORIGIN_H
 
+#include "marjorambay/coordination/arbiter.h"
+#include "marjorambay/coordination/local_share.h"
 #include "marjorambay/coordination/requests.h"
+#include "marjorambay/coordination/retry_budget.h"
 #include "marjorambay/state/enum_names.h"
 #include "marjorambay/state/error.h"
 #include "marjorambay/state/fleet_config.h"
 
 #include <array>
+#include <concepts>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <string_view>
+#include <unordered_map>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -59,13 +67,19 @@
   Duration TimeLeft{};        ///< to the caller's deadline
   KeyHash Key{};              ///< of OnceCall requests
   std::uint64_t BodyHash = 0; ///< of OnceCall requests
+  /// Every target of the pool applies an idempotency key once by itself, so
+  /// that the call may run although its intent can't be recorded.
+  bool TargetsDeduplicate = false;
 };
+/// A OnceCall that was dispatched goes on without its caller, so that its
+/// outcome gets recorded; no action for the caller follows.
 struct CallerLeft {
   RequestId Id{};
 };
 struct SlotGranted {
   RequestId Id{};
   TargetId Target{};
+  PoolId Pool{}; ///< to release the slot when the request is gone
 };
 struct SlotRefused {
   RequestId Id{};
@@ -78,17 +92,20 @@
 /// No byte had left when the connection failed: provably not run.
 struct DispatchNotSent {
   RequestId Id{};
+  std::uint32_t Attempt = 0; ///< of the Dispatch that failed; 0: not told
 };
 /// The target refused before running: status 503 with "Not-Run: true", or 429.
 struct TargetDeclined {
   RequestId Id{};
   Duration RetryAfter{};
-  bool Leaving = false; ///< the target said that it is shutting down
+  bool Leaving = false;      ///< the target said that it is shutting down
+  std::uint32_t Attempt = 0; ///< of the Dispatch that was declined; 0: not told
 };
 /// Bytes of an answer arrived; Tokens counts stream events with text.
 struct AnswerProgressed {
   RequestId Id{};
   std::uint32_t Tokens = 0;
+  std::uint32_t Attempt = 0; ///< of the Dispatch it answers; 0: not told
 };
 /// The answer is whole: its length, last chunk or done mark was seen.
 struct AnswerCompleted {
@@ -97,10 +114,12 @@
   std::uint32_t PromptTokens = 0; ///< as the target counted; 0: not told
   std::uint32_t CachedTokens = 0;
   std::uint32_t OutputTokens = 0;
+  std::uint32_t Attempt = 0; ///< of the Dispatch it answers; 0: not told
 };
 /// The connection broke, or the stream ended without its done mark.
 struct AnswerBroken {
   RequestId Id{};
+  std::uint32_t Attempt = 0; ///< of the Dispatch it answers; 0: not told
 };
 /// What the intent record says of a OnceCall's key.
 enum class IntentVerdict : std::uint8_t {
@@ -120,6 +139,18 @@
   PoolId Pool{};
   bool Reachable = true;
 };
+/// A pool's targets as last known, for the time without an arbiter.
+struct LocalTargetsChanged {
+  PoolId Pool{};
+  std::vector<TargetInfo> Targets{};
+  std::uint32_t HostsInZone = 1; ///< live entry hosts that share the targets
+};
+/// Limit of requests that one account may have waiting at this host.
+struct AccountLimitChanged {
+  AccountId Account{};
+  std::uint32_t MaxQueued = 1000;
+};
+/// Time passed; sent at least every 10 ms while wakeAt() is due.
 struct OriginTicked {};
 /// Stop taking new requests, finish those in progress.
 struct DrainStarted {};
@@ -128,7 +159,8 @@
     std::variant<CallerRequested, CallerLeft, SlotGranted, SlotRefused,
                  SlotPreempted, DispatchNotSent, TargetDeclined,
                  AnswerProgressed, AnswerCompleted, AnswerBroken, IntentSettled,
-                 ArbiterMoved, OriginTicked, DrainStarted>;
+                 ArbiterMoved, LocalTargetsChanged, AccountLimitChanged,
+                 OriginTicked, DrainStarted>;
 
 // ---- Actions ----------------------------------------------------------------
 
@@ -165,6 +197,16 @@
 struct Dispatch {
   RequestId Id{};
   TargetId Target{};
+  std::uint32_t Attempt = 1; ///< given back with every event about it
+  /// The first byte must not be written later, but DispatchNotSent reported: a
+  /// process that was frozen may wake after its idempotency key was forgotten.
+  TimePoint NotAfter{};
+};
+/// Tells the arbiter how far a dispatched request is; at most once a second.
+struct ReportProgress {
+  PoolId Pool{};
+  RequestId Id{};
+  std::uint32_t OutputTokens = 0;
 };
 /// Closes the target's stream; no more of it reaches any caller.
 struct CancelDispatch {
@@ -194,9 +236,159 @@
 using OriginAction =
     std::variant<RequestSlot, CancelSlotRequest, ReleaseSlot, RecordIntent,
                  RecordOutcome, Dispatch, CancelDispatch, FailCaller,
-                 FinishCaller, ReplayOutcome, ReportTargetSign>;
+                 FinishCaller, ReplayOutcome, ReportTargetSign, ReportProgress>;
 using OriginActions = std::vector<OriginAction>;
 
+// ---- State machine ----------------------------------------------------------
+
+/// A source of random numbers in [0, 1), for jitter.
+template <typename Source>
+concept RandomSource = requires(Source Draw) {
+  { Draw() } -> std::convertible_to<double>;
+};
+
+struct OriginSettings {
+  HostId Self{};
+  Incarnation Life{};
+  Duration MaxDeadline = minutes(30);      ///< longer ones are cut to this
+  Duration DispatchTimeout = seconds(30);  ///< silence of a target before a cut
+  Duration ReservationResend = seconds(1); ///< first wait; doubles each time
+  Duration RetryDelay = milliseconds(10);  ///< before attempt 2; doubles
+  Duration RetryAfterDefault =
+      seconds(1);                ///< told when nothing better is known
+  Duration Retention = hours(1); ///< of idempotency keys
+  std::uint32_t MaxQueuedPerAccount = 1000;
+  std::uint32_t DefaultOutputTokens = 256; ///< guess before any is learned
+  std::uint32_t MaxAttempts = 4;           ///< dispatches, all but one not run
+  RetryBudgetSettings Retries{};
+};
+
+/// What inspect shows of one request.
+struct RequestView {
+  RequestId Id{};
+  RequestState State = RequestState::Received;
+  AccountId Account{};
+  TierRank Tier{};
+  PoolId Pool{};
+  TargetId Target{};
+  std::uint32_t Attempt = 0;
+  Duration TimeLeft{};
+};
+
+/// Holds the requests of the callers that are connected to this entry host.
+class Origin {
+public:
+  template <RandomSource Source>
+  Origin(const OriginSettings &Settings, Source Jitter)
+      : Settings(Settings), Jitter(std::move(Jitter)) {}
+
+  OriginActions step(const OriginEvent &Event, TimePoint Now);
+
+  /// Requests in progress, those without a caller included.
+  std::size_t size() const { return Requests.size(); }
+  /// No request is in progress; a draining host may stop.
+  bool idle() const { return Requests.empty(); }
+  bool draining() const { return Draining; }
+  /// When OriginTicked is needed next; TimePoint::max() for never.
+  TimePoint wakeAt() const;
+  std::vector<RequestView> requests(TimePoint Now) const;
+  /// Slots of \p Pool that dispatched requests hold, for a new arbiter.
+  std::vector<HeldGrant> heldGrants(PoolId Pool, TimePoint Now) const;
+  /// Requests of \p Pool that wait for a slot.
+  std::size_t queued(PoolId Pool) const;
+
+private:
+  struct Request {
+    CallerRequested Call{};
+    RequestState State = RequestState::Received;
+    TargetId Target{};
+    std::uint32_t Attempt = 0;
+    std::uint32_t Resends = 0;
+    std::uint32_t OutputTokens = 0;
+    bool CallerGone = false;
+    bool FromLocalShare = false;
+    bool IntentHeld = false; ///< the key is recorded, or may be
+    TimePoint Deadline{};
+    TimePoint SendSlotRequestAt{}; ///< while Queued
+    TimePoint DispatchedAt{};
+    TimePoint FirstTokenAt{};
+    TimePoint HeardAt{};        ///< last byte of the target
+    TimePoint ProgressToldAt{}; ///< last ReportProgress
+    TimePoint WakeAt{};         ///< entry of Wakes that counts
+  };
+  struct PoolState {
+    bool ArbiterReachable = true;
+    LocalShare Share{};
+  };
+  struct Account {
+    std::uint32_t Queued = 0;
+    std::uint32_t MaxQueued = 0; ///< 0: the default
+    RetryBudget Retries{};
+  };
+  /// Time when a request needs a look; stale unless it equals Request::WakeAt.
+  struct Wake {
+    TimePoint At{};
+    RequestId Id{};
+    bool operator<(const Wake &Other) const { return At > Other.At; }
+  };
+
+  void on(const CallerRequested &Event);
+  void on(const CallerLeft &Event);
+  void on(const SlotGranted &Event);
+  void on(const SlotRefused &Event);
+  void on(const SlotPreempted &Event);
+  void on(const DispatchNotSent &Event);
+  void on(const TargetDeclined &Event);
+  void on(const AnswerProgressed &Event);
+  void on(const AnswerCompleted &Event);
+  void on(const AnswerBroken &Event);
+  void on(const IntentSettled &Event);
+  void on(const ArbiterMoved &Event);
+  void on(const LocalTargetsChanged &Event);
+  void on(const AccountLimitChanged &Event);
+  void on(const OriginTicked &Event);
+  void on(const DrainStarted &Event);
+
+  Request *find(RequestId Id);
+  Request *findDispatched(RequestId Id, std::uint32_t Attempt);
+  bool hasRoom(const CallerRequested &Call);
+  void refuse(RequestId Id, ErrorKind Kind);
+  void enqueue(Request &Held);
+  void sendSlotRequest(Request &Held);
+  void dispatch(Request &Held, TargetId Target);
+  void retry(Request &Held, Duration Wait);
+  void abandonIntent(const Request &Held);
+  void giveBackSlot(Request &Held, UsageEnd End);
+  void recordOutcome(const Request &Held, int HttpStatus);
+  void failWaiting(Request &Held, ErrorKind Kind, Duration RetryAfter);
+  void failDispatched(Request &Held, ErrorKind Kind, UsageEnd End);
+  void finish(RequestId Id);
+  void leaveQueue(Request &Held);
+  void serveFromLocalShare(PoolId Pool);
+  void wake(Request &Held);
+  void schedule(Request &Held);
+  void forgetAbandoned();
+  Reservation reservationOf(const Request &Held, TimePoint At) const;
+  std::uint32_t expectedOutput(const CallerRequested &Call) const;
+  void learnOutput(const CallerRequested &Call, std::uint32_t Tokens);
+
+  OriginSettings Settings;
+  std::function<double()> Jitter;
+  std::unordered_map<RequestId, Request> Requests{};
+  std::map<PoolId, PoolState> Pools{};
+  std::unordered_map<AccountId, Account> Accounts{};
+  std::unordered_map<std::uint64_t, double> LearnedOutput{};
+  /// Keys of requests that ended before any dispatch while their intent was
+  /// being recorded: a late Fresh releases the key.
+  std::unordered_map<RequestId, KeyHash> Abandoned{};
+  std::vector<std::pair<TimePoint, RequestId>> AbandonedUntil{};
+  std::vector<Wake> Wakes{}; ///< binary heap, earliest first
+  bool Draining = false;
+  // Of the step that runs.
+  OriginActions Actions{};
+  TimePoint Now{};
+};
+
 } // namespace marjorambay
 
 #endif // MARJORAMBAY_COORDINATION_ORIGIN_H
