--- /dev/null
+++ b/apps/marjorambayd/peer_codec.cpp
@@ -0,0 +1,346 @@
+/// Peer messages on protobuf.
+#include "peer_codec.h"
+
+#include "marjorambay/protocol/peer.pb.h"
+
+#include <optional>
+#include <utility>
+
+namespace marjorambay {
+
+namespace {
+
+// ---- Values -----------------------------------------------------------------
+
+void put(const RequestKey &Key, peer::RequestKey *Out) {
+  Out->set_origin(number(Key.Origin));
+  Out->set_origin_life(number(Key.OriginLife));
+  Out->set_id(number(Key.Id));
+}
+
+RequestKey take(const peer::RequestKey &In) {
+  return {HostId{In.origin()}, Incarnation{In.origin_life()},
+          RequestId{In.id()}};
+}
+
+void put(const KeyHash &Key, peer::KeyHash *Out) {
+  Out->set_high(Key.High);
+  Out->set_low(Key.Low);
+}
+
+KeyHash take(const peer::KeyHash &In) { return {In.high(), In.low()}; }
+
+void put(const Reservation &Request, peer::Reservation *Out) {
+  put(Request.Key, Out->mutable_key());
+  Out->set_account(number(Request.Account));
+  Out->set_tier(number(Request.Tier));
+  Out->set_pool(number(Request.Pool));
+  Out->set_model(number(Request.Model));
+  Out->set_version(number(Request.Version));
+  Out->set_prompt_tokens(Request.Cost.Prompt);
+  Out->set_output_tokens(Request.Cost.Output);
+  Out->set_prefix_hash(Request.PrefixHash);
+  Out->set_remaining_us(Request.Remaining.count());
+}
+
+Reservation take(const peer::Reservation &In) {
+  Reservation Request;
+  Request.Key = take(In.key());
+  Request.Account = AccountId{In.account()};
+  Request.Tier = TierRank{static_cast<std::uint8_t>(In.tier())};
+  Request.Pool = PoolId{In.pool()};
+  Request.Model = ModelId{In.model()};
+  Request.Version = VersionId{In.version()};
+  Request.Cost = {In.prompt_tokens(), In.output_tokens()};
+  Request.PrefixHash = In.prefix_hash();
+  Request.Remaining = Duration(In.remaining_us());
+  return Request;
+}
+
+void put(const Usage &Used, peer::Usage *Out) {
+  Out->set_end(static_cast<std::uint32_t>(Used.End));
+  Out->set_prompt_tokens(Used.PromptTokens);
+  Out->set_cached_tokens(Used.CachedTokens);
+  Out->set_output_tokens(Used.OutputTokens);
+  Out->set_to_first_token_us(Used.ToFirstToken.count());
+  Out->set_total_us(Used.Total.count());
+}
+
+Usage take(const peer::Usage &In) {
+  Usage Used;
+  Used.End = In.end() <= static_cast<std::uint32_t>(UsageEnd::Cancelled)
+                 ? static_cast<UsageEnd>(In.end())
+                 : UsageEnd::Failed;
+  Used.PromptTokens = In.prompt_tokens();
+  Used.CachedTokens = In.cached_tokens();
+  Used.OutputTokens = In.output_tokens();
+  Used.ToFirstToken = Duration(In.to_first_token_us());
+  Used.Total = Duration(In.total_us());
+  return Used;
+}
+
+void put(const HostInfo &Host, peer::Host *Out) {
+  Out->set_id(number(Host.Id));
+  Out->set_address(Host.Address);
+  Out->set_zone(number(Host.Zone));
+  Out->set_region(number(Host.Region));
+}
+
+HostInfo take(const peer::Host &In) {
+  return {HostId{In.id()}, In.address(), ZoneId{In.zone()},
+          RegionId{In.region()}};
+}
+
+// ---- Origin to arbiter ------------------------------------------------------
+
+void putEvent(const SlotRequested &Event, peer::Message *Out) {
+  put(Event.Request, Out->mutable_reserve());
+}
+void putEvent(const SlotRequestCancelled &Event, peer::Message *Out) {
+  put(Event.Key, Out->mutable_cancel()->mutable_key());
+}
+void putEvent(const SlotReleased &Event, peer::Message *Out) {
+  put(Event.Key, Out->mutable_release()->mutable_key());
+  put(Event.Used, Out->mutable_release()->mutable_used());
+}
+void putEvent(const SlotProgressed &Event, peer::Message *Out) {
+  put(Event.Key, Out->mutable_progress()->mutable_key());
+  Out->mutable_progress()->set_output_tokens(Event.OutputTokens);
+}
+void putEvent(const GrantsReported &Event, peer::Message *Out) {
+  peer::GrantsReport *Report = Out->mutable_grants_report();
+  for (const HeldGrant &Grant : Event.Grants) {
+    peer::HeldGrant *Each = Report->add_grants();
+    put(Grant.Request, Each->mutable_request());
+    Each->set_target(number(Grant.Target));
+  }
+}
+void putEvent(const TargetLeft &Event, peer::Message *Out) {
+  Out->mutable_target_sign()->set_target(number(Event.Target));
+  Out->mutable_target_sign()->set_leaving(true);
+}
+void putEvent(const TargetRefused &Event, peer::Message *Out) {
+  Out->mutable_target_sign()->set_target(number(Event.Target));
+}
+template <typename LocalEvent>
+void putEvent(const LocalEvent &, peer::Message *) {
+  assert(false && "this event never leaves the arbiter's host");
+}
+
+GrantsReported takeGrants(const peer::GrantsReport &In) {
+  GrantsReported Report;
+  for (const peer::HeldGrant &Each : In.grants())
+    Report.Grants.push_back({take(Each.request()), TargetId{Each.target()}});
+  return Report;
+}
+
+ArbiterEvent takeSign(const peer::TargetSign &In) {
+  if (In.leaving())
+    return TargetLeft{TargetId{In.target()}};
+  return TargetRefused{TargetId{In.target()}};
+}
+
+// ---- Arbiter to origin ------------------------------------------------------
+
+void putAction(const GrantSlot &Action, peer::Message *Out) {
+  put(Action.Key, Out->mutable_grant()->mutable_key());
+  Out->mutable_grant()->set_target(number(Action.Target));
+}
+void putAction(const RefuseSlot &Action, peer::Message *Out) {
+  peer::Refuse *Refusal = Out->mutable_refuse();
+  put(Action.Key, Refusal->mutable_key());
+  Refusal->set_kind(static_cast<std::uint32_t>(Action.Kind));
+  Refusal->set_retry_after_us(Action.RetryAfter.count());
+}
+void putAction(const PreemptSlot &Action, peer::Message *Out) {
+  put(Action.Key, Out->mutable_preempt()->mutable_key());
+}
+
+RefuseSlot takeRefusal(const peer::Refuse &In) {
+  RefuseSlot Refusal;
+  Refusal.Key = take(In.key());
+  if (In.kind() < ErrorKindCount)
+    Refusal.Kind = static_cast<ErrorKind>(In.kind());
+  Refusal.RetryAfter = Duration(In.retry_after_us());
+  return Refusal;
+}
+
+// ---- Messages ---------------------------------------------------------------
+
+void putMessage(const ArbiterMessage &Message, peer::Message *Out) {
+  Out->set_pool(number(Message.Pool));
+  std::visit([Out](const auto &Event) { putEvent(Event, Out); }, Message.Event);
+}
+void putMessage(const OriginMessage &Message, peer::Message *Out) {
+  Out->set_pool(number(Message.Pool));
+  std::visit([Out](const auto &Action) { putAction(Action, Out); },
+             Message.Action);
+}
+void putMessage(const Heartbeat &Beat, peer::Message *Out) {
+  peer::Heartbeat *To = Out->mutable_heartbeat();
+  put(Beat.Sender, To->mutable_sender());
+  To->set_sequence(Beat.Sequence);
+  To->set_config_revision(number(Beat.ConfigRevision));
+  To->set_draining(Beat.Draining);
+  for (const LeavingTarget &Sign : Beat.Leaving) {
+    peer::Leaving *Each = To->add_leaving();
+    Each->set_target(number(Sign.Target));
+    Each->set_life(number(Sign.Life));
+  }
+  for (const TrippedVersion &Trip : Beat.Tripped) {
+    peer::Trip *Each = To->add_tripped();
+    Each->set_rollout(number(Trip.Rollout));
+    Each->set_version(number(Trip.Version));
+  }
+  for (const HostInfo &Host : Beat.Known)
+    put(Host, To->add_known());
+}
+void putMessage(const ConfigFetch &Fetch, peer::Message *Out) {
+  Out->mutable_config_fetch()->set_at_least(number(Fetch.AtLeast));
+}
+void putMessage(const ConfigReply &Reply, peer::Message *Out) {
+  Out->mutable_config_reply()->set_revision(number(Reply.Rev));
+  Out->mutable_config_reply()->set_document(Reply.Document);
+}
+void putMessage(const IntentRequested &Event, peer::Message *Out) {
+  peer::IntentRequest *To = Out->mutable_intent_request();
+  put(Event.Request, To->mutable_request());
+  put(Event.Key, To->mutable_key());
+  To->set_body_hash(Event.BodyHash);
+  To->set_time_left_us(Event.TimeLeft.count());
+}
+void putMessage(const AnswerIntent &Answer, peer::Message *Out) {
+  peer::IntentAnswer *To = Out->mutable_intent_answer();
+  put(Answer.Request, To->mutable_request());
+  To->set_verdict(static_cast<std::uint32_t>(Answer.Verdict));
+  To->set_applied_status(Answer.AppliedStatus);
+}
+void putMessage(const OutcomeReported &Event, peer::Message *Out) {
+  peer::Outcome *To = Out->mutable_outcome();
+  put(Event.Request, To->mutable_request());
+  put(Event.Key, To->mutable_key());
+  To->set_released(Event.Released);
+  To->set_http_status(Event.HttpStatus);
+}
+
+Heartbeat takeHeartbeat(const peer::Heartbeat &In, const PeerSender &Sender) {
+  Heartbeat Beat;
+  Beat.Sender = take(In.sender());
+  Beat.Life = Sender.Life;
+  Beat.Sequence = In.sequence();
+  Beat.ConfigRevision = Revision{In.config_revision()};
+  Beat.Draining = In.draining();
+  for (const peer::Leaving &Each : In.leaving())
+    Beat.Leaving.push_back({TargetId{Each.target()}, Incarnation{Each.life()}});
+  for (const peer::Trip &Each : In.tripped())
+    Beat.Tripped.push_back(
+        {RolloutId{Each.rollout()}, VersionId{Each.version()}});
+  for (const peer::Host &Each : In.known())
+    Beat.Known.push_back(take(Each));
+  return Beat;
+}
+
+IntentVerdict takeVerdict(std::uint32_t Number) {
+  if (Number > static_cast<std::uint32_t>(IntentVerdict::Unavailable))
+    return IntentVerdict::Unavailable;
+  return static_cast<IntentVerdict>(Number);
+}
+
+std::optional<PeerMessage> takeMessage(const peer::Message &In,
+                                       const PeerSender &Sender) {
+  const PoolId Pool{In.pool()};
+  switch (In.body_case()) {
+  case peer::Message::kReserve:
+    return ArbiterMessage{Pool, SlotRequested{take(In.reserve())}};
+  case peer::Message::kCancel:
+    return ArbiterMessage{Pool, SlotRequestCancelled{take(In.cancel().key())}};
+  case peer::Message::kRelease:
+    return ArbiterMessage{Pool, SlotReleased{take(In.release().key()),
+                                             take(In.release().used())}};
+  case peer::Message::kProgress:
+    return ArbiterMessage{Pool, SlotProgressed{take(In.progress().key()),
+                                               In.progress().output_tokens()}};
+  case peer::Message::kGrantsReport: {
+    GrantsReported Report = takeGrants(In.grants_report());
+    Report.Origin = Sender.Id;
+    Report.OriginLife = Sender.Life;
+    return ArbiterMessage{Pool, std::move(Report)};
+  }
+  case peer::Message::kTargetSign:
+    return ArbiterMessage{Pool, takeSign(In.target_sign())};
+  case peer::Message::kGrant:
+    return OriginMessage{
+        Pool, GrantSlot{take(In.grant().key()), TargetId{In.grant().target()}}};
+  case peer::Message::kRefuse:
+    return OriginMessage{Pool, takeRefusal(In.refuse())};
+  case peer::Message::kPreempt:
+    return OriginMessage{Pool, PreemptSlot{take(In.preempt().key())}};
+  case peer::Message::kHeartbeat:
+    return takeHeartbeat(In.heartbeat(), Sender);
+  case peer::Message::kConfigFetch:
+    return ConfigFetch{Revision{In.config_fetch().at_least()}};
+  case peer::Message::kConfigReply:
+    return ConfigReply{Revision{In.config_reply().revision()},
+                       In.config_reply().document()};
+  case peer::Message::kIntentRequest:
+    return IntentRequested{take(In.intent_request().request()),
+                           take(In.intent_request().key()),
+                           In.intent_request().body_hash(),
+                           Duration(In.intent_request().time_left_us())};
+  case peer::Message::kIntentAnswer:
+    return AnswerIntent{take(In.intent_answer().request()),
+                        takeVerdict(In.intent_answer().verdict()),
+                        In.intent_answer().applied_status()};
+  case peer::Message::kOutcome:
+    return OutcomeReported{take(In.outcome().request()),
+                           take(In.outcome().key()), In.outcome().released(),
+                           In.outcome().http_status()};
+  case peer::Message::BODY_NOT_SET:
+    return std::nullopt;
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+struct EnvelopeWriter::State {
+  peer::Envelope Envelope{};
+};
+
+EnvelopeWriter::EnvelopeWriter() : Data(std::make_unique<State>()) {}
+EnvelopeWriter::~EnvelopeWriter() = default;
+EnvelopeWriter::EnvelopeWriter(EnvelopeWriter &&) noexcept = default;
+EnvelopeWriter &EnvelopeWriter::operator=(EnvelopeWriter &&) noexcept = default;
+
+void EnvelopeWriter::add(const PeerMessage &Message) {
+  peer::Message *Out = Data->Envelope.add_messages();
+  std::visit([Out](const auto &Known) { putMessage(Known, Out); }, Message);
+}
+
+bool EnvelopeWriter::empty() const {
+  return Data->Envelope.messages_size() == 0;
+}
+
+std::string EnvelopeWriter::print(const PeerSender &Sender) {
+  Data->Envelope.set_sender(number(Sender.Id));
+  Data->Envelope.set_sender_life(number(Sender.Life));
+  Data->Envelope.set_sender_address(Sender.Address);
+  std::string Bytes = Data->Envelope.SerializeAsString();
+  Data->Envelope.Clear();
+  return Bytes;
+}
+
+Result<ReceivedEnvelope> parseEnvelope(std::string_view Bytes) {
+  peer::Envelope In;
+  if (!In.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())))
+    return Error{ErrorKind::BadRequest, "a peer sent a malformed envelope"};
+  ReceivedEnvelope Out;
+  Out.Sender = {HostId{In.sender()}, Incarnation{In.sender_life()},
+                In.sender_address()};
+  for (const peer::Message &Each : In.messages())
+    if (auto Message = takeMessage(Each, Out.Sender))
+      Out.Messages.push_back(std::move(*Message));
+  return Out;
+}
+
+} // namespace marjorambay
--- /dev/null
+++ b/apps/marjorambayd/tests/peer_codec_test.cpp
@@ -0,0 +1,150 @@
+/// Tests of the codec between peer messages and protobuf.
+#include "peer_codec.h"
+
+#include <doctest/doctest.h>
+
+using namespace marjorambay;
+
+namespace {
+
+const PeerSender Sender{HostId{7}, Incarnation{70}, "127.0.0.1:8081"};
+
+/// Sends one message through the codec.
+template <typename Kind> Kind echo(const Kind &Message) {
+  EnvelopeWriter Writer;
+  Writer.add(Message);
+  const auto Read = parseEnvelope(Writer.print(Sender));
+  REQUIRE(ok(Read));
+  REQUIRE(value(Read).Messages.size() == 1);
+  const Kind *Same = std::get_if<Kind>(&value(Read).Messages.front());
+  REQUIRE(Same);
+  return *Same;
+}
+
+template <typename Event> Event echoEvent(const Event &Sent) {
+  const auto Message = echo(ArbiterMessage{PoolId{5}, Sent});
+  CHECK(Message.Pool == PoolId{5});
+  const Event *Same = std::get_if<Event>(&Message.Event);
+  REQUIRE(Same);
+  return *Same;
+}
+
+template <typename Action> Action echoAction(const Action &Sent) {
+  const auto Message = echo(OriginMessage{PoolId{5}, Sent});
+  const Action *Same = std::get_if<Action>(&Message.Action);
+  REQUIRE(Same);
+  return *Same;
+}
+
+const RequestKey Key{HostId{1}, Incarnation{2}, RequestId{3}};
+
+Reservation someReservation() {
+  Reservation Request;
+  Request.Key = Key;
+  Request.Account = AccountId{4};
+  Request.Tier = TierRank{1};
+  Request.Pool = PoolId{5};
+  Request.Model = ModelId{6};
+  Request.Version = VersionId{8};
+  Request.Cost = {1000, 20};
+  Request.PrefixHash = ~0ULL;
+  Request.Remaining = seconds(9);
+  return Request;
+}
+
+} // namespace
+
+TEST_CASE("an origin and an arbiter understand each other") {
+  SUBCASE("a reservation keeps every field") {
+    const Reservation Read =
+        echoEvent(SlotRequested{someReservation()}).Request;
+    CHECK(Read.Key == Key);
+    CHECK(Read.Account == AccountId{4});
+    CHECK(Read.Tier == TierRank{1});
+    CHECK(Read.Model == ModelId{6});
+    CHECK(Read.Version == VersionId{8});
+    CHECK(Read.Cost.Prompt == 1000);
+    CHECK(Read.Cost.Output == 20);
+    CHECK(Read.PrefixHash == ~0ULL);
+    CHECK(Read.Remaining == seconds(9));
+  }
+  SUBCASE("it is cancelled, granted, preempted or refused by its key") {
+    CHECK(echoEvent(SlotRequestCancelled{Key}).Key == Key);
+    CHECK(echoAction(GrantSlot{Key, TargetId{9}}).Target == TargetId{9});
+    CHECK(echoAction(PreemptSlot{Key}).Key == Key);
+    const auto Refusal =
+        echoAction(RefuseSlot{Key, ErrorKind::NoTarget, seconds(2)});
+    CHECK(Refusal.Kind == ErrorKind::NoTarget);
+    CHECK(Refusal.RetryAfter == seconds(2));
+  }
+  SUBCASE("a release tells what was used") {
+    const Usage Sent{UsageEnd::Failed, 10, 20, 30, seconds(1), seconds(2)};
+    const Usage Read = echoEvent(SlotReleased{Key, Sent}).Used;
+    CHECK(Read.End == UsageEnd::Failed);
+    CHECK(Read.PromptTokens == 10);
+    CHECK(Read.CachedTokens == 20);
+    CHECK(Read.OutputTokens == 30);
+    CHECK(Read.ToFirstToken == seconds(1));
+    CHECK(Read.Total == seconds(2));
+  }
+  SUBCASE("grants in flight are reported in the name of the sender") {
+    GrantsReported Sent;
+    Sent.Grants = {{someReservation(), TargetId{9}}};
+    const auto Read = echoEvent(Sent);
+    CHECK(Read.Origin == Sender.Id);
+    CHECK(Read.OriginLife == Sender.Life);
+    REQUIRE(Read.Grants.size() == 1);
+    CHECK(Read.Grants[0].Target == TargetId{9});
+  }
+  SUBCASE("signs of a target are told apart") {
+    CHECK(echoEvent(TargetLeft{TargetId{9}}).Target == TargetId{9});
+    CHECK(echoEvent(TargetRefused{TargetId{9}}).Target == TargetId{9});
+  }
+}
+
+TEST_CASE("a heartbeat carries what spreads") {
+  Heartbeat Sent;
+  Sent.Sender = {HostId{7}, "127.0.0.1:8081", ZoneId{1}, RegionId{2}};
+  Sent.Sequence = 12;
+  Sent.ConfigRevision = Revision{13};
+  Sent.Draining = true;
+  Sent.Leaving = {{TargetId{9}, Incarnation{4}}};
+  Sent.Tripped = {{RolloutId{5}, VersionId{6}}};
+  Sent.Known = {{HostId{8}, "127.0.0.1:8082", ZoneId{1}, RegionId{2}}};
+  const Heartbeat Read = echo(Sent);
+  CHECK(Read.Life == Sender.Life);
+  CHECK(Read.Sender.Address == Sent.Sender.Address);
+  CHECK(Read.Sequence == 12);
+  CHECK(Read.ConfigRevision == Revision{13});
+  CHECK(Read.Draining);
+  CHECK(Read.Leaving.at(0).Life == Incarnation{4});
+  CHECK(Read.Tripped.at(0).Version == VersionId{6});
+  CHECK(Read.Known.at(0).Id == HostId{8});
+}
+
+TEST_CASE("an intent travels to its holder and back") {
+  const auto Asked = echo(IntentRequested{Key, {1, 2}, 3, seconds(4)});
+  CHECK(Asked.Key == KeyHash{1, 2});
+  CHECK(Asked.BodyHash == 3);
+  CHECK(Asked.TimeLeft == seconds(4));
+  const auto Answered = echo(AnswerIntent{Key, IntentVerdict::Applied, 201});
+  CHECK(Answered.Verdict == IntentVerdict::Applied);
+  CHECK(Answered.AppliedStatus == 201);
+  const auto Ended = echo(OutcomeReported{Key, {1, 2}, true, 200});
+  CHECK(Ended.Released);
+  CHECK(Ended.HttpStatus == 200);
+}
+
+TEST_CASE("one envelope carries several messages, and bad bytes carry none") {
+  EnvelopeWriter Writer;
+  CHECK(Writer.empty());
+  Writer.add(ConfigFetch{Revision{3}});
+  Writer.add(ConfigReply{Revision{4}, "{}"});
+  const std::string Bytes = Writer.print(Sender);
+  CHECK(Writer.empty());
+  const auto Read = parseEnvelope(Bytes);
+  REQUIRE(ok(Read));
+  CHECK(value(Read).Messages.size() == 2);
+  CHECK(value(Read).Sender.Address == Sender.Address);
+  CHECK_FALSE(ok(parseEnvelope("not protobuf at all")));
+}
