--- a/packages/coordination/marjorambay/coordination/origin.h
+++ b/packages/coordination/marjorambay/coordination/origin.h
@@ -51,6 +51,16 @@
   auto operator<=>(const KeyHash &) const = default;
 };
 
+} // namespace marjorambay
+
+template <> struct std::hash<marjorambay::KeyHash> {
+  std::size_t operator()(const marjorambay::KeyHash &Key) const noexcept {
+    return static_cast<std::size_t>(Key.Low); // both halves are hashes
+  }
+};
+
+namespace marjorambay {
+
 // ---- Events -----------------------------------------------------------------
 
 struct CallerRequested {
