Add class Arbiter: tiers, fair queue, target choice, takeover

Cause: the daemon needs a policy that decides on the slots of a pool.

The events moved to arbiter_events.h, which arbiter.h includes. Contract extended, all with defaults: ServingVersionChanged (a version that is neither the serving one nor named by VersionShareChanged gets nothing), TargetInfo::Life, TargetLeft::Life (a leaving sign ends only with a later life, or once the target is unlisted), TokenCost::MaxOutput (the caller's limit, an upper bound for the learned length).

--- a/packages/coordination/marjorambay/coordination/arbiter.h
+++ b/packages/coordination/marjorambay/coordination/arbiter.h
@@ -1,140 +1,115 @@
-/// Events and actions of the arbiter, which grants slots of one pool in one
-/// availability zone.
+/// The arbiter of one pool in one availability zone: admits reservations,
+/// queues them by tier, account and deadline, and grants each a slot.
 ///
-/// An arbiter queues reservations and grants each a slot at a named target. It
-/// never sees a body and never dispatches, so that its death or duplication
-/// can delay a request, but can't run one twice.
+/// [SECTION] Index
+///   1. arbiter_events.h  what goes in and comes out
+///   2. fair_queue.h      tiers, accounts, deadlines
+///   3. target_table.h    slots in flight, choice of a target
+///   4. target_model.h    speed of one target, its limit
+///   5. load_history.h    late load reports
+///   6. cost_model.h      lengths of answers
+///   7. version_share.h   caps on versions under rollout
+///   8. Arbiter           composes these
 #ifndef MARJORAMBAY_COORDINATION_ARBITER_H
 #define MARJORAMBAY_COORDINATION_ARBITER_H
 
-#include "marjorambay/coordination/requests.h"
-#include "marjorambay/state/error.h"
+#include "marjorambay/coordination/arbiter_events.h"
+#include "marjorambay/coordination/cost_model.h"
+#include "marjorambay/coordination/fair_queue.h"
+#include "marjorambay/coordination/target_table.h"
+#include "marjorambay/coordination/version_share.h"
 
-#include <concepts>
+#include <array>
 #include <cstdint>
-#include <variant>
-#include <vector>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <unordered_set>
 
 namespace marjorambay {
 
-/// What an arbiter needs to know of a target.
-struct TargetInfo {
-  TargetId Id{};
-  PoolId Pool{};
-  ZoneId Zone{};
-  VersionId Version{};
-  double TokensPerSecond = 1000;       ///< first guess of decode speed
-  std::uint32_t MaxTokensInFlight = 0; ///< 0: learned from its speed
-  std::uint32_t MaxRequestsInFlight = 32;
-  bool Leaving = false;
+struct ArbiterSettings {
+  double PromptTokenWeight = 0.1; ///< cost of a prompt token, in decode tokens
+  std::size_t MaxQueued = 20'000; ///< reservations; bounds the memory
+  Duration ShedHold = milliseconds(250); ///< lower tiers wait after a shed
+  Duration ReleaseGrace = seconds(30); ///< after a deadline, for lost releases
+  Duration TakeoverPatience = seconds(10); ///< for reports of origins
+  Duration NoTargetRetry = seconds(1);     ///< Retry-After without targets
+  TargetTableSettings Targets{};
 };
 
-// ---- Events -----------------------------------------------------------------
-
-/// The pool's targets, whole; a target that is absent gets no new work.
-struct TargetsChanged {
-  std::vector<TargetInfo> Targets{};
-};
-/// Weights by account; accounts that are absent have weight 1.
-struct AccountWeightChanged {
-  AccountId Account{};
-  double Weight = 1.0;
-};
-struct SlotRequested {
-  Reservation Request{};
-};
-/// The caller left or the origin gave up. Unknown keys are ignored.
-struct SlotRequestCancelled {
-  RequestKey Key{};
-};
-struct SlotReleased {
-  RequestKey Key{};
-  Usage Used{};
-};
-/// Tokens that a dispatched request has produced so far; speeds up the
-/// detection of a target that slows down. Sent at most once a second.
-struct SlotProgressed {
-  RequestKey Key{};
-  std::uint32_t OutputTokens = 0;
-};
-/// A target's own load report; arrives late.
-struct LoadReported {
-  TargetId Target{};
-  Duration Age{}; ///< time since the target wrote it
-  std::uint32_t RequestsInFlight = 0;
-  std::uint32_t TokensInFlight = 0;
-  std::uint32_t CacheTokensFree = 0;
-};
-/// First sign from any source that a target is going away. Never undone for
-/// the same incarnation.
-struct TargetLeft {
-  TargetId Target{};
-};
-/// A target refused a connection or answered "unavailable"; back off from it.
-struct TargetRefused {
-  TargetId Target{};
-};
-/// A version's fault has shown: no new work for it, for good.
-struct VersionTripped {
-  VersionId Version{};
+/// What an arbiter holds, for `inspect` and metrics.
+struct ArbiterView {
+  std::array<std::size_t, MaxTiers> Queued{};
+  std::size_t InFlight = 0;
+  std::size_t OriginsAwaited = 0;
+  double Capacity = 0; ///< decode tokens a second
 };
-/// Share of new requests that may go to a version under rollout, 0 to 1.
-struct VersionShareChanged {
-  VersionId Version{};
-  double Share = 0;
-};
-/// An origin's slots in flight, told to an arbiter that has just taken over.
-struct GrantsReported {
-  HostId Origin{};
-  Incarnation OriginLife{};
-  std::vector<HeldGrant> Grants{};
-};
-/// An origin died or restarted: its queued reservations are dropped, and its
-/// grants decay once their expected duration is over.
-struct OriginLost {
-  HostId Origin{};
-  Incarnation UpTo{}; ///< lives up to this one are gone
-};
-/// Origins that must report before a new arbiter grants freely.
-struct TakeoverStarted {
-  std::vector<HostId> Origins{};
-};
-struct ArbiterTicked {};
 
-using ArbiterEvent =
-    std::variant<TargetsChanged, AccountWeightChanged, SlotRequested,
-                 SlotRequestCancelled, SlotReleased, SlotProgressed,
-                 LoadReported, TargetLeft, TargetRefused, VersionTripped,
-                 VersionShareChanged, GrantsReported, OriginLost,
-                 TakeoverStarted, ArbiterTicked>;
+/// Decides on the slots of one pool in one availability zone.
+class Arbiter {
+public:
+  explicit Arbiter(ArbiterSettings Given = {})
+      : Settings(Given), Targets(Given.Targets) {}
 
-// ---- Actions ----------------------------------------------------------------
+  /// Applies \p Event. Ticks should come every 50 to 250 ms.
+  ArbiterActions step(const ArbiterEvent &Event, TimePoint Now);
 
-struct GrantSlot {
-  RequestKey Key{};
-  TargetId Target{};
-};
-/// Given up on a reservation; the caller is told at once.
-struct RefuseSlot {
-  RequestKey Key{};
-  ErrorKind Kind = ErrorKind::Overloaded;
-  Duration RetryAfter{};
-};
-/// Asks the origin to break off a running stream of a lower tier.
-struct PreemptSlot {
-  RequestKey Key{};
-};
+  ArbiterView view(TimePoint Now) const;
+  const TargetTable &targets() const { return Targets; }
 
-using ArbiterAction = std::variant<GrantSlot, RefuseSlot, PreemptSlot>;
-using ArbiterActions = std::vector<ArbiterAction>;
+private:
+  void apply(const TargetsChanged &Event, TimePoint Now);
+  void apply(const AccountWeightChanged &Event, TimePoint Now);
+  void apply(const SlotRequested &Event, TimePoint Now);
+  void apply(const SlotRequestCancelled &Event, TimePoint Now);
+  void apply(const SlotReleased &Event, TimePoint Now);
+  void apply(const SlotProgressed &Event, TimePoint Now);
+  void apply(const LoadReported &Event, TimePoint Now);
+  void apply(const TargetLeft &Event, TimePoint Now);
+  void apply(const TargetRefused &Event, TimePoint Now);
+  void apply(const VersionTripped &Event, TimePoint Now);
+  void apply(const VersionShareChanged &Event, TimePoint Now);
+  void apply(const ServingVersionChanged &Event, TimePoint Now);
+  void apply(const GrantsReported &Event, TimePoint Now);
+  void apply(const OriginLost &Event, TimePoint Now);
+  void apply(const TakeoverStarted &Event, TimePoint Now);
+  void apply(const ArbiterTicked &Event, TimePoint Now);
 
-/// A policy that decides on the slots of one pool in one availability zone.
-template <typename Policy>
-concept SlotPolicy = requires(Policy P, const ArbiterEvent &Event,
-                              TimePoint Now) {
-  { P.step(Event, Now) } -> std::same_as<ArbiterActions>;
+  double workOf(const TokenCost &Cost) const;
+  Waiting waitingFor(const Reservation &Request, TimePoint Now);
+  std::optional<RefuseSlot> refusalFor(const Waiting &Entry, TimePoint Now);
+  double expectedWait(const Waiting &Entry, TimePoint Now) const;
+  Duration spread(Duration RetryAfter, const RequestKey &Key) const;
+  void refuse(const Waiting &Entry, ErrorKind Kind, Duration RetryAfter,
+              TimePoint Now);
+  void refuseOverdue(TimePoint Now);
+  void refuseUnservable(TimePoint Now);
+  void grantWhatFits(TimePoint Now);
+  bool grantOne(TierRank Tier, TimePoint Now);
+  void grant(const Waiting &Entry, const TargetChoice &Choice, TimePoint Now);
+  bool heldBack(TierRank Tier, TimePoint Now) const;
+  bool takingOver(TimePoint Now) const;
+  void hold(const Slot &Held);
+  void unscheduleForget(const Slot &Held);
+  std::optional<Slot> drop(const RequestKey &Key, TimePoint Now);
+
+  ArbiterSettings Settings;
+  FairQueue Queue{};
+  TargetTable Targets;
+  CostModel Costs{};
+  VersionShare Shares{};
+  std::unordered_map<RequestKey, Slot> Slots{};
+  std::multimap<TimePoint, RequestKey> ByForgetAt{};
+  std::array<TimePoint, MaxTiers> LastShed{};
+  std::unordered_set<HostId> Awaited{}; ///< origins that have yet to report
+  TimePoint TakeoverUntil{};
+  bool RoomMayExist = true; ///< false: a search since the last change failed
+  ArbiterActions Pending{};
 };
 
+static_assert(SlotPolicy<Arbiter>);
+
 } // namespace marjorambay
 
 #endif // MARJORAMBAY_COORDINATION_ARBITER_H
--- a/packages/coordination/marjorambay/coordination/requests.h
+++ b/packages/coordination/marjorambay/coordination/requests.h
@@ -12,8 +12,9 @@
 /// Work that a request is expected to cause. Service calls count as one output
 /// token.
 struct TokenCost {
-  std::uint32_t Prompt = 0; ///< tokens of the prompt, known on arrival
-  std::uint32_t Output = 1; ///< tokens of the answer, learned per route
+  std::uint32_t Prompt = 0;    ///< tokens of the prompt, known on arrival
+  std::uint32_t Output = 1;    ///< tokens of the answer, learned per route
+  std::uint32_t MaxOutput = 0; ///< the caller's limit; 0: none given
 };
 
 /// A claim on a slot at some target of a pool. Carries no body: the origin
--- /dev/null
+++ b/packages/coordination/marjorambay/coordination/target_table.h
@@ -0,0 +1,131 @@
+/// The targets of a pool: their slots in flight, and the choice between them.
+#ifndef MARJORAMBAY_COORDINATION_TARGET_TABLE_H
+#define MARJORAMBAY_COORDINATION_TARGET_TABLE_H
+
+#include "marjorambay/coordination/arbiter_events.h"
+#include "marjorambay/coordination/fair_queue.h"
+#include "marjorambay/coordination/load_history.h"
+#include "marjorambay/coordination/target_model.h"
+#include "marjorambay/coordination/version_share.h"
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace marjorambay {
+
+/// A slot that an origin holds at a target.
+struct Slot {
+  Reservation Request{};
+  TokenCost Cost{};
+  double Work = 0; ///< charged to the account, in decode tokens
+  TargetId Target{};
+  VersionId Version{};
+  TimePoint Granted{};
+  TimePoint Deadline{};
+  TimePoint ForgetAt{};     ///< no release is expected after this
+  double PromptAhead = 0;   ///< uncached tokens that were before it
+  double Streams = 0;       ///< at the target when it was granted
+  std::uint32_t Tokens = 0; ///< at the last progress
+  TimePoint TokensAt{};     ///< of the last progress, or epoch
+};
+
+/// What the choice of a target came to.
+struct TargetChoice {
+  TargetId Target{};
+  double FinishSeconds = 0; ///< expected, from now
+};
+
+struct TargetTableSettings {
+  Duration FillTime = seconds(2); ///< work beyond a full batch, if it has any
+  Duration FirstBackOff = milliseconds(200); ///< after a refusal
+  Duration LongestBackOff = seconds(5);
+  double TakeoverFraction = 0.125; ///< of a limit, before origins report
+  std::size_t MaxPrefixes = 4096;  ///< remembered for cache affinity
+};
+
+/// All targets of one pool.
+class TargetTable {
+public:
+  explicit TargetTable(TargetTableSettings Given = {}) : Settings(Given) {}
+
+  void setTargets(const std::vector<TargetInfo> &Targets);
+  void markLeft(TargetId Target, Incarnation Life);
+  void markRefused(TargetId Target, TimePoint Now);
+  void mergeReport(const LoadReported &Report, TimePoint Now);
+
+  /// Returns whether some target may serve \p Version (0: any), now or after a
+  /// back-off.
+  bool anyFor(VersionId Version, const VersionShare &Shares) const;
+
+  /// Returns the target with the least expected finish that has room and is
+  /// expected to meet the deadline. A target that likely caches the prompt's
+  /// head is preferred only if it meets the deadline without that.
+  std::optional<TargetChoice> choose(const Waiting &Entry,
+                                     const VersionShare &Shares, bool Takeover,
+                                     TimePoint Now) const;
+
+  /// Counts from here on what is granted before all origins have reported.
+  void startTakeover();
+
+  /// Counts a slot that was granted, or that an origin reports. \p Takeover:
+  /// granted before all origins have reported.
+  void occupy(Slot &Held, bool Takeover, TimePoint Now);
+
+  void vacate(const Slot &Held, TimePoint Now);
+
+  void learnProgress(Slot &Held, std::uint32_t Tokens, TimePoint Now);
+  void learnRelease(const Slot &Held, const Usage &Used, TimePoint Now);
+
+  /// Returns the seconds that \p Cost takes on the fastest available target
+  /// while it serves nothing else.
+  double fastestSeconds(const TokenCost &Cost, TimePoint Now) const;
+
+  /// Returns the seconds that \p Cost takes on \p Target as it is now.
+  double expectedSeconds(TargetId Target, const TokenCost &Cost,
+                         TimePoint Now) const;
+
+  /// Returns the decode tokens a second of all available targets, each at its
+  /// limit.
+  double capacity(const VersionShare &Shares, TimePoint Now) const;
+
+  std::uint32_t inFlight(TargetId Target) const;
+  std::uint32_t limit(TargetId Target, TimePoint Now) const;
+
+private:
+  struct Entry {
+    TargetInfo Info{};
+    bool Listed = false;
+    bool Left = false;
+    Incarnation LeftLife{};
+    TargetModel Model{};
+    std::uint32_t InFlight = 0;
+    std::uint64_t TokensInFlight = 0;
+    std::uint32_t SinceTakeover = 0; ///< granted here before origins reported
+    TimePoint PrefillUntil{};        ///< prompts granted so far are done then
+    TimePoint BackOffUntil{};
+    std::uint32_t Refusals = 0; ///< in a row
+    LoadHistory History{};
+  };
+
+  bool available(const Entry &Each, const VersionShare &Shares) const;
+  bool hasRoom(const Entry &Each, bool Takeover, TimePoint Now) const;
+  double promptAhead(const Entry &Each, TimePoint Now) const;
+  double streams(const Entry &Each, TimePoint Now) const;
+  double finishSeconds(const Entry &Each, const TokenCost &Cost,
+                       TimePoint Now) const;
+  const Entry *find(TargetId Target) const;
+  void rememberPrefix(std::uint64_t Prefix, TargetId Target);
+
+  TargetTableSettings Settings;
+  std::vector<Entry> Entries{};
+  std::unordered_map<TargetId, std::size_t> Places{};
+  std::unordered_map<std::uint64_t, TargetId> Prefixes{};
+  std::vector<std::uint64_t> PrefixRing{}; ///< evicted in order of insertion
+  std::size_t NextPrefix = 0;
+};
+
+} // namespace marjorambay
+
+#endif // MARJORAMBAY_COORDINATION_TARGET_TABLE_H
--- /dev/null
+++ b/packages/coordination/src/target_table.cpp
@@ -0,0 +1,280 @@
+/// Least expected finish among the targets that have room.
+#include "marjorambay/coordination/target_table.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace marjorambay {
+
+namespace {
+
+constexpr double PrefixCachedShare = 0.5; // of a prompt, guessed for a hit
+constexpr double DueBonus = 1e6;          // seconds; beats any finish
+
+} // namespace
+
+const TargetTable::Entry *TargetTable::find(TargetId Target) const {
+  const auto Found = Places.find(Target);
+  return Found == Places.end() ? nullptr : &Entries[Found->second];
+}
+
+void TargetTable::setTargets(const std::vector<TargetInfo> &Targets) {
+  for (Entry &Each : Entries)
+    Each.Listed = false;
+  for (const TargetInfo &Info : Targets) {
+    const auto [Place, New] = Places.emplace(Info.Id, Entries.size());
+    if (New)
+      Entries.emplace_back();
+    Entry &Each = Entries[Place->second];
+    const bool Restarted = Info.Life > Each.LeftLife;
+    if (Each.Left && Restarted && number(Each.LeftLife) != 0)
+      Each.Left = false;
+    Each.Info = Info;
+    Each.Listed = true;
+    Each.Model.configure(Info.TokensPerSecond, Info.MaxRequestsInFlight);
+  }
+  for (Entry &Each : Entries)
+    Each.Left = Each.Left && Each.Listed;
+}
+
+void TargetTable::markLeft(TargetId Target, Incarnation Life) {
+  const auto Found = Places.find(Target);
+  if (Found == Places.end())
+    return;
+  Entry &Each = Entries[Found->second];
+  const bool Past = number(Life) != 0 && Life < Each.Info.Life;
+  if (Past)
+    return;
+  Each.Left = true;
+  Each.LeftLife = std::max(Life, Each.Info.Life);
+}
+
+void TargetTable::markRefused(TargetId Target, TimePoint Now) {
+  const auto Found = Places.find(Target);
+  if (Found == Places.end())
+    return;
+  Entry &Each = Entries[Found->second];
+  if (Now < Each.BackOffUntil)
+    return; // requests that were on their way together count once
+  const std::uint32_t Doublings = std::min(Each.Refusals, 8U);
+  const Duration Wait = Settings.FirstBackOff * (1U << Doublings);
+  Each.BackOffUntil = Now + std::min(Wait, Settings.LongestBackOff);
+  ++Each.Refusals;
+}
+
+void TargetTable::mergeReport(const LoadReported &Report, TimePoint Now) {
+  const auto Found = Places.find(Report.Target);
+  if (Found == Places.end())
+    return;
+  Entries[Found->second].History.merge(Report.RequestsInFlight,
+                                       Now - Report.Age);
+}
+
+bool TargetTable::available(const Entry &Each,
+                            const VersionShare &Shares) const {
+  return Each.Listed && !Each.Left && !Each.Info.Leaving &&
+         !Shares.tripped(Each.Info.Version);
+}
+
+bool TargetTable::anyFor(VersionId Version, const VersionShare &Shares) const {
+  return std::any_of(Entries.begin(), Entries.end(), [&](const Entry &Each) {
+    return available(Each, Shares) &&
+           (number(Version) == 0 || Each.Info.Version == Version);
+  });
+}
+
+double TargetTable::promptAhead(const Entry &Each, TimePoint Now) const {
+  if (Each.PrefillUntil <= Now)
+    return 0;
+  return toSeconds(Each.PrefillUntil - Now) / Each.Model.prefillSeconds();
+}
+
+double TargetTable::streams(const Entry &Each, TimePoint Now) const {
+  return Each.InFlight + Each.History.others(Now);
+}
+
+bool TargetTable::hasRoom(const Entry &Each, bool Takeover,
+                          TimePoint Now) const {
+  if (Now < Each.BackOffUntil)
+    return false;
+  const std::uint32_t Limit = Each.Model.requestLimit(Now);
+  if (streams(Each, Now) + 1 > Limit + 0.5)
+    return false;
+  const std::uint32_t MaxTokens = Each.Info.MaxTokensInFlight;
+  if (MaxTokens != 0 && Each.TokensInFlight >= MaxTokens)
+    return false;
+  return !Takeover ||
+         Each.SinceTakeover + 1 <= Limit * Settings.TakeoverFraction;
+}
+
+double TargetTable::finishSeconds(const Entry &Each, const TokenCost &Cost,
+                                  TimePoint Now) const {
+  return Each.Model.totalSeconds(Cost, promptAhead(Each, Now),
+                                 streams(Each, Now) + 1, Now);
+}
+
+std::optional<TargetChoice> TargetTable::choose(const Waiting &Entry,
+                                                const VersionShare &Shares,
+                                                bool Takeover,
+                                                TimePoint Now) const {
+  const double Left = toSeconds(Entry.Deadline - Now);
+  const VersionId Wanted = Entry.Request.Version;
+  const auto Hint = Prefixes.find(Entry.Request.PrefixHash);
+  std::optional<TargetChoice> Best;
+  double BestScore = std::numeric_limits<double>::infinity();
+  for (const auto &Each : Entries) {
+    if (!available(Each, Shares) || !hasRoom(Each, Takeover, Now))
+      continue;
+    if (number(Wanted) != 0 && Each.Info.Version != Wanted)
+      continue;
+    if (!Shares.allows(Each.Info.Version))
+      continue;
+    const double Finish = finishSeconds(Each, Entry.Cost, Now);
+    if (Finish > Left)
+      continue;
+    double Score = Finish;
+    if (Hint != Prefixes.end() && Hint->second == Each.Info.Id)
+      Score -=
+          PrefixCachedShare * Entry.Cost.Prompt * Each.Model.prefillSeconds();
+    if (Shares.due(Each.Info.Version))
+      Score -= DueBonus;
+    if (Score >= BestScore)
+      continue;
+    BestScore = Score;
+    Best = TargetChoice{Each.Info.Id, Finish};
+  }
+  return Best;
+}
+
+void TargetTable::rememberPrefix(std::uint64_t Prefix, TargetId Target) {
+  if (Prefix == 0)
+    return;
+  const bool New = Prefixes.insert_or_assign(Prefix, Target).second;
+  if (!New)
+    return;
+  if (PrefixRing.size() < Settings.MaxPrefixes) {
+    PrefixRing.push_back(Prefix);
+    return;
+  }
+  Prefixes.erase(PrefixRing[NextPrefix]);
+  PrefixRing[NextPrefix] = Prefix;
+  NextPrefix = (NextPrefix + 1) % PrefixRing.size();
+}
+
+void TargetTable::startTakeover() {
+  for (Entry &Each : Entries)
+    Each.SinceTakeover = 0;
+}
+
+void TargetTable::occupy(Slot &Held, bool Takeover, TimePoint Now) {
+  const auto [Place, New] = Places.emplace(Held.Target, Entries.size());
+  if (New) { // an origin reports a slot at a target that is not listed yet
+    Entries.emplace_back();
+    Entries.back().Info.Id = Held.Target;
+  }
+  Entry &Each = Entries[Place->second];
+  Held.Version = Each.Info.Version;
+  Held.PromptAhead = promptAhead(Each, Now);
+  const Duration Prefill =
+      fromSeconds(Held.Cost.Prompt * Each.Model.prefillSeconds());
+  Each.PrefillUntil = std::max(Each.PrefillUntil, Now) + Prefill;
+  ++Each.InFlight;
+  Each.SinceTakeover += Takeover ? 1 : 0;
+  Each.TokensInFlight += Held.Cost.Prompt + Held.Cost.Output;
+  Held.Streams = streams(Each, Now);
+  Each.History.note(Each.InFlight, Now);
+  rememberPrefix(Held.Request.PrefixHash, Held.Target);
+}
+
+void TargetTable::vacate(const Slot &Held, TimePoint Now) {
+  const auto Found = Places.find(Held.Target);
+  if (Found == Places.end())
+    return;
+  Entry &Each = Entries[Found->second];
+  const std::uint64_t Tokens = Held.Cost.Prompt + Held.Cost.Output;
+  Each.InFlight -= std::min(Each.InFlight, 1U);
+  Each.TokensInFlight -= std::min(Each.TokensInFlight, Tokens);
+  Each.History.note(Each.InFlight, Now);
+}
+
+void TargetTable::learnProgress(Slot &Held, std::uint32_t Tokens,
+                                TimePoint Now) {
+  const auto Found = Places.find(Held.Target);
+  if (Found == Places.end() || Tokens <= Held.Tokens)
+    return;
+  Entry &Each = Entries[Found->second];
+  Each.Refusals = 0;
+  if (Held.Tokens != 0)
+    Each.Model.learnDecode(Tokens - Held.Tokens, Now - Held.TokensAt,
+                           streams(Each, Now), Now);
+  Held.Tokens = Tokens;
+  Held.TokensAt = Now;
+}
+
+void TargetTable::learnRelease(const Slot &Held, const Usage &Used,
+                               TimePoint Now) {
+  const auto Found = Places.find(Held.Target);
+  if (Found == Places.end() || Used.End != UsageEnd::Complete)
+    return;
+  Entry &Each = Entries[Found->second];
+  Each.Refusals = 0;
+  const std::uint32_t Uncached =
+      Used.PromptTokens - std::min(Used.PromptTokens, Used.CachedTokens);
+  Each.Model.learnPrefill(Uncached,
+                          static_cast<std::uint32_t>(Held.PromptAhead),
+                          Used.ToFirstToken, Now);
+  const double Streams = (Held.Streams + streams(Each, Now)) / 2;
+  if (Held.Tokens != 0 && Used.OutputTokens > Held.Tokens) {
+    Each.Model.learnDecode(Used.OutputTokens - Held.Tokens, Now - Held.TokensAt,
+                           Streams, Now);
+    return;
+  }
+  if (Used.OutputTokens > 1 && Held.Tokens == 0)
+    Each.Model.learnDecode(Used.OutputTokens - 1,
+                           Used.Total - Used.ToFirstToken, Streams, Now);
+}
+
+double TargetTable::fastestSeconds(const TokenCost &Cost, TimePoint Now) const {
+  double Fastest = std::numeric_limits<double>::infinity();
+  for (const Entry &Each : Entries) {
+    if (!Each.Listed || Each.Left || Each.Info.Leaving)
+      continue;
+    // Before anything is learned, a lone stream may be as fast as a batch.
+    const double Alone =
+        Each.Model.learned()
+            ? Each.Model.totalSeconds(Cost, 0, 1, Now)
+            : Cost.Output / std::max(1.0, Each.Info.TokensPerSecond);
+    Fastest = std::min(Fastest, Alone);
+  }
+  return std::isinf(Fastest) ? 0.0 : Fastest;
+}
+
+double TargetTable::expectedSeconds(TargetId Target, const TokenCost &Cost,
+                                    TimePoint Now) const {
+  const Entry *Each = find(Target);
+  return Each == nullptr ? 0.0 : finishSeconds(*Each, Cost, Now);
+}
+
+double TargetTable::capacity(const VersionShare &Shares, TimePoint Now) const {
+  double Sum = 0;
+  for (const Entry &Each : Entries) {
+    if (!available(Each, Shares) || Now < Each.BackOffUntil ||
+        !Shares.open(Each.Info.Version))
+      continue;
+    Sum += Each.Model.throughput(Each.Model.requestLimit(Now), Now);
+  }
+  return Sum;
+}
+
+std::uint32_t TargetTable::inFlight(TargetId Target) const {
+  const Entry *Each = find(Target);
+  return Each == nullptr ? 0 : Each->InFlight;
+}
+
+std::uint32_t TargetTable::limit(TargetId Target, TimePoint Now) const {
+  const Entry *Each = find(Target);
+  return Each == nullptr ? 0 : Each->Model.requestLimit(Now);
+}
+
+} // namespace marjorambay
--- /dev/null
+++ b/packages/coordination/src/version_share.cpp
@@ -0,0 +1,68 @@
+/// Integer credits for versions under rollout.
+#include "marjorambay/coordination/version_share.h"
+
+#include <algorithm>
+
+namespace marjorambay {
+
+namespace {
+
+constexpr std::uint64_t Million = 1'000'000;
+
+// Two requests: a version whose targets were busy when its turn came may use
+// that turn later, but can't save up for a burst.
+constexpr std::uint64_t MaxCredit = 2 * Million;
+
+} // namespace
+
+void VersionShare::setShare(VersionId Version, double Share) {
+  const double Bounded = std::clamp(Share, 0.0, 1.0);
+  Rollouts[Version].PartsPerMillion =
+      static_cast<std::uint64_t>(Bounded * Million + 1e-6);
+}
+
+bool VersionShare::open(VersionId Version) const {
+  const auto Found = Rollouts.find(Version);
+  if (Found == Rollouts.end())
+    return !Serving || *Serving == Version;
+  return Found->second.PartsPerMillion >= Million;
+}
+
+bool VersionShare::allows(VersionId Version) const {
+  if (tripped(Version))
+    return false;
+  const auto Found = Rollouts.find(Version);
+  if (Found == Rollouts.end())
+    return !Serving || *Serving == Version;
+  const Rollout &Cap = Found->second;
+  if (Cap.PartsPerMillion == 0)
+    return false;
+  if (Cap.PartsPerMillion >= Million)
+    return true;
+  if (Cap.Credit + Cap.PartsPerMillion < Million)
+    return false;
+  const std::uint64_t Slots = (InFlight + 1) * Cap.PartsPerMillion / Million;
+  return Cap.InFlight < std::max<std::uint64_t>(1, Slots);
+}
+
+void VersionShare::count(VersionId Version) {
+  ++InFlight;
+  for (auto &[Id, Cap] : Rollouts) {
+    Cap.Credit += Cap.PartsPerMillion;
+    if (Id == Version) {
+      Cap.Credit -= std::min(Cap.Credit, Million);
+      ++Cap.InFlight;
+    }
+    Cap.Credit = std::min(Cap.Credit, MaxCredit);
+  }
+}
+
+void VersionShare::countEnd(VersionId Version) {
+  InFlight -= std::min<std::uint64_t>(InFlight, 1);
+  const auto Found = Rollouts.find(Version);
+  if (Found != Rollouts.end())
+    Found->second.InFlight -=
+        std::min<std::uint64_t>(Found->second.InFlight, 1);
+}
+
+} // namespace marjorambay
