Add membership: heartbeats, suspicion, links and spreading of signs

Cause: the daemon needs live hosts, arbiters and signs; a full mesh of 330 daemons does not fit 16 KB/s. Change: heartbeats to all hosts of the own zone, one link a round beyond it in a shuffled rotation over zones, hearsay with ages that add up over hops (no common clock), signs and trips sent only while a 64-bit digest differs. arbiterOf() is rendezvous hashing over live hosts that do not drain. Ruled out: vector clocks and a list of acknowledgements per sign, which grow with the fleet. Heartbeat gains SignsDigest, Hop and KnownHost entries; new events TargetLifeSeen and TargetsConfigured; new action LocalPauseSeen.

--- /dev/null
+++ b/packages/coordination/src/membership.cpp
@@ -0,0 +1,651 @@
+/// Heartbeats, suspicion and loss, and the spreading of signs.
+#include "marjorambay/coordination/membership.h"
+
+#include "marjorambay/coordination/rendezvous.h"
+
+#include <algorithm>
+
+namespace marjorambay {
+
+namespace {
+
+/// Key of the configuration watcher's choice; distinct from any pool's.
+constexpr std::uint64_t WatcherKey = 0xC0F1;
+constexpr Duration UrgentInterval = milliseconds(200);
+constexpr std::size_t MaxRecentSigns = 64;
+constexpr std::size_t MaxJoinReply = 32; ///< zone mates told to a new host
+constexpr std::size_t FirstProbes = 16;  ///< hosts tried by the first tick
+
+std::uint64_t digestOf(const LeavingTarget &Sign) {
+  const std::uint64_t Life = number(Sign.Life) * 2 + (Sign.Back ? 1 : 0);
+  return mixBits(number(Sign.Target) ^ mixBits(Life + 1));
+}
+
+std::uint64_t digestOf(const TrippedVersion &Trip) {
+  return mixBits(number(Trip.Rollout) ^ mixBits(number(Trip.Version) + 2));
+}
+
+/// Whether \p New says more of a target's life than \p Old.
+bool overrides(const LeavingTarget &New, const LeavingTarget &Old) {
+  if (New.Life != Old.Life)
+    return New.Life > Old.Life;
+  return Old.Back && !New.Back;
+}
+
+} // namespace
+
+template <RandomSource Random>
+BasicMembership<Random>::BasicMembership(MembershipSettings Wanted,
+                                         Random Numbers)
+    : Settings(std::move(Wanted)), Source(Numbers) {
+  for (const HostInfo &Seed : Settings.Seeds)
+    offerCandidate(Seed);
+}
+
+template <RandomSource Random>
+MembershipActions BasicMembership<Random>::step(const MembershipEvent &Event,
+                                                TimePoint Now) {
+  Out.clear();
+  std::visit([&](const auto &Kind) { on(Kind, Now); }, Event);
+  return std::move(Out);
+}
+
+// ---- What is asked ----------------------------------------------------------
+
+template <RandomSource Random>
+HostId BasicMembership<Random>::arbiterOf(PoolId Pool) const {
+  return chooseIn(Settings.Self.Zone, number(Pool)).value_or(Settings.Self.Id);
+}
+
+template <RandomSource Random>
+std::optional<HostId> BasicMembership<Random>::arbiterOf(PoolId Pool,
+                                                         ZoneId Zone) const {
+  return chooseIn(Zone, number(Pool));
+}
+
+template <RandomSource Random>
+bool BasicMembership<Random>::watchesConfig() const {
+  return chooseIn(Settings.Self.Zone, WatcherKey) == Settings.Self.Id;
+}
+
+template <RandomSource Random>
+const Member *BasicMembership<Random>::member(HostId Id) const {
+  const auto Found = Members.find(Id);
+  return Found == Members.end() ? nullptr : &Found->second;
+}
+
+template <RandomSource Random>
+bool BasicMembership<Random>::isLeaving(TargetId Target) const {
+  const auto Found = Signs.find(Target);
+  return Found != Signs.end() && !Found->second.Back;
+}
+
+template <RandomSource Random>
+bool BasicMembership<Random>::isTripped(RolloutId Rollout,
+                                        VersionId Version) const {
+  return std::any_of(Trips.begin(), Trips.end(), [&](const auto &Trip) {
+    return Trip.Rollout == Rollout && Trip.Version == Version;
+  });
+}
+
+template <RandomSource Random>
+std::optional<HostId>
+BasicMembership<Random>::chooseIn(ZoneId Zone, std::uint64_t Key) const {
+  if (const auto Chosen = chooseIn(Zone, Key, /*AlsoDraining=*/false))
+    return Chosen;
+  return chooseIn(Zone, Key, /*AlsoDraining=*/true);
+}
+
+template <RandomSource Random>
+std::optional<HostId>
+BasicMembership<Random>::chooseIn(ZoneId Zone, std::uint64_t Key,
+                                  bool AlsoDraining) const {
+  RendezvousChoice<HostId> Choice(Key);
+  if (Zone == Settings.Self.Zone && (AlsoDraining || !Draining))
+    Choice.consider(Settings.Self.Id);
+  for (const auto &[Id, Peer] : Members)
+    if (Peer.Host.Zone == Zone && Peer.State == HostState::Live &&
+        (AlsoDraining || !Peer.Draining))
+      Choice.consider(Id);
+  if (!Choice.found())
+    return std::nullopt;
+  return Choice.best();
+}
+
+// ---- Heartbeats that arrive -------------------------------------------------
+
+template <RandomSource Random>
+void BasicMembership<Random>::on(const HeartbeatReceived &Event,
+                                 TimePoint Now) {
+  const Heartbeat &Beat = Event.Beat;
+  if (isSelf(Beat.Sender.Id))
+    return;
+  const Admission Admitted = admitSender(Beat, Now);
+  if (Admitted == Admission::Refused)
+    return;
+  learnSigns(Beat);
+  learnKnown(Beat.Known, Now);
+  if (Beat.ConfigRevision > ConfigRevision)
+    Out.emplace_back(NewerRevisionSeen{Beat.Sender.Id, Beat.ConfigRevision});
+  answerIfBehind(Beat, Admitted == Admission::Joined, Now);
+}
+
+template <RandomSource Random>
+auto BasicMembership<Random>::admitSender(const Heartbeat &Beat, TimePoint Now)
+    -> Admission {
+  const HostId Id = Beat.Sender.Id;
+  const auto Found = Members.find(Id);
+  if (Found == Members.end() && Members.size() >= Settings.MaxHosts)
+    return Admission::Refused;
+  Member &Peer = Members[Id];
+  const bool SameLife = Peer.Life == Beat.Life;
+  if (Peer.Life > Beat.Life || (SameLife && Beat.Sequence <= Peer.Sequence))
+    return Admission::Refused; // an older life, a duplicate, or out of order
+  const bool Joined = Found == Members.end() || !SameLife || !Peer.Heard ||
+                      Peer.State == HostState::Lost;
+  const bool ViewChanges =
+      Joined || Peer.State != HostState::Live || Peer.Draining != Beat.Draining;
+  if (Joined)
+    joinSender(Peer, Beat, Now);
+  Peer.Host = Beat.Sender;
+  Peer.Sequence = Beat.Sequence;
+  Peer.State = HostState::Live;
+  Peer.Draining = Beat.Draining;
+  Peer.ConfigRevision = Beat.ConfigRevision;
+  Peer.SignsDigest = Beat.SignsDigest;
+  Peer.LastHeard = Now;
+  Candidates.erase(Id);
+  if (!inOwnZone(Peer.Host))
+    Relays.push_back(Id);
+  else if (ViewChanges)
+    Out.emplace_back(ZoneViewChanged{});
+  return Joined ? Admission::Joined : Admission::Known;
+}
+
+template <RandomSource Random>
+void BasicMembership<Random>::joinSender(Member &Peer, const Heartbeat &Beat,
+                                         TimePoint /*Now*/) {
+  const bool Replaces = number(Peer.Life) != 0 && Peer.Life != Beat.Life;
+  if (Replaces && Peer.State != HostState::Lost)
+    Out.emplace_back(HostLost{Beat.Sender.Id, Peer.Life});
+  const bool Announced =
+      Peer.Life == Beat.Life && Peer.State != HostState::Lost && !Peer.Heard;
+  Peer.Life = Beat.Life;
+  Peer.Heard = true;
+  if (!Announced)
+    Out.emplace_back(HostJoined{Beat.Sender, Beat.Life});
+}
+
+template <RandomSource Random>
+void BasicMembership<Random>::learnSigns(const Heartbeat &Beat) {
+  for (const LeavingTarget &Sign : Beat.Leaving)
+    learnSign(Sign);
+  for (const TrippedVersion &Trip : Beat.Tripped)
+    learnTrip(Trip);
+}
+
+template <RandomSource Random>
+void BasicMembership<Random>::learnKnown(const std::vector<KnownHost> &Known,
+                                         TimePoint Now) {
+  for (const KnownHost &Entry : Known) {
+    if (isSelf(Entry.Host.Id))
+      continue;
+    if (inOwnZone(Entry.Host))
+      offerCandidate(Entry.Host); // believed once it is heard itself
+    else
+      learnRemote(Entry, Now);
+  }
+}
+
+template <RandomSource Random>
+void BasicMembership<Random>::learnRemote(const KnownHost &Known,
+                                          TimePoint Now) {
+  const TimePoint Heard = Now - std::max(Known.Age, Duration(0));
+  if (Known.Age >= Settings.RemoteLostAfter)
+    return;
+  const auto Found = Members.find(Known.Host.Id);
+  if (Found == Members.end() && Members.size() >= Settings.MaxHosts)
+    return;
+  Member &Peer = Members[Known.Host.Id];
+  const bool NewLife = Known.Life > Peer.Life;
+  if (Known.Life < Peer.Life || (!NewLife && Heard <= Peer.LastHeard))
+    return;
+  if (NewLife && number(Peer.Life) != 0 && Peer.State != HostState::Lost)
+    Out.emplace_back(HostLost{Known.Host.Id, Peer.Life});
+  if (NewLife || Peer.State == HostState::Lost)
+    Out.emplace_back(HostJoined{Known.Host, Known.Life});
+  if (NewLife)
+    Peer = Member{.Host = Known.Host, .Life = Known.Life};
+  Peer.Host = Known.Host;
+  Peer.State = HostState::Live;
+  Peer.Draining = Known.Draining;
+  Peer.LastHeard = Heard;
+  Candidates.erase(Known.Host.Id);
+}
+
+template <RandomSource Random>
+void BasicMembership<Random>::offerCandidate(const HostInfo &Host) {
+  if (isSelf(Host.Id) || Candidates.size() >= Settings.MaxHosts)
+    return;
+  const Member *Peer = member(Host.Id);
+  if (!Peer || Peer->State == HostState::Lost)
+    Candidates[Host.Id] = Host;
+}
+
+/// Answers a new host with its zone's hosts, and a link from a host that lacks
+/// what this one has. Hop bounds an exchange to three heartbeats.
+template <RandomSource Random>
+void BasicMembership<Random>::answerIfBehind(const Heartbeat &Beat, bool Joined,
+                                             TimePoint Now) {
+  constexpr std::uint8_t LastHop = 2;
+  if (Beat.Hop >= LastHop)
+    return;
+  const bool Differs = Beat.SignsDigest != SignsDigest;
+  const bool Behind = Differs || Beat.ConfigRevision < ConfigRevision;
+  const bool IsLink = !inOwnZone(Beat.Sender);
+  if (!(Joined && Beat.Hop == 0) && !(IsLink && Behind))
+    return;
+  Heartbeat Answer = composeHeartbeat();
+  Answer.Hop = Beat.Hop + 1;
+  if (Differs)
+    addSigns(Answer);
+  if (Joined)
+    addZoneMates(Answer, MaxJoinReply, Now);
+  send(Beat.Sender, std::move(Answer));
+}
+
+// ---- Signs and trips --------------------------------------------------------
+
+template <RandomSource Random>
+bool BasicMembership<Random>::learnSign(const LeavingTarget &Heard) {
+  LeavingTarget Sign = Heard;
+  const auto Life = Lives.find(Sign.Target);
+  if (Life != Lives.end() && number(Sign.Life) == 0)
+    Sign.Life = Life->second;
+  if (Configured && !Configured->contains(Sign.Target))
+    return false; // sent again once the entry is known here
+  const auto Found = Signs.find(Sign.Target);
+  if (Found != Signs.end() && !overrides(Sign, Found->second))
+    return false;
+  eraseSign(Sign.Target);
+  Signs[Sign.Target] = Sign;
+  SignsDigest ^= digestOf(Sign);
+  if (RecentSigns.size() == MaxRecentSigns)
+    RecentSigns.erase(RecentSigns.begin());
+  RecentSigns.push_back(Sign.Target);
+  HasNews = true;
+  Out.emplace_back(LearnedLeaving{Sign});
+  return true;
+}
+
+template <RandomSource Random>
+void BasicMembership<Random>::eraseSign(TargetId Target) {
+  const auto Found = Signs.find(Target);
+  if (Found == Signs.end())
+    return;
+  SignsDigest ^= digestOf(Found->second);
+  Signs.erase(Found);
+  std::erase(RecentSigns, Target);
+}
+
+template <RandomSource Random>
+bool BasicMembership<Random>::learnTrip(const TrippedVersion &Trip) {
+  const auto Older = [](const auto &Left, const auto &Right) {
+    return std::tie(Left.Begun, Left.Rollout, Left.Version) <
+           std::tie(Right.Begun, Right.Rollout, Right.Version);
+  };
+  if (Trips.contains(Trip))
+    return false;
+  if (Trips.size() >= Settings.MaxTrips) {
+    const auto Oldest = std::min_element(Trips.begin(), Trips.end(), Older);
+    if (Older(Trip, *Oldest))
+      return false;
+    SignsDigest ^= digestOf(*Oldest);
+    Trips.erase(Oldest);
+  }
+  Trips.insert(Trip);
+  SignsDigest ^= digestOf(Trip);
+  HasNews = true;
+  Out.emplace_back(LearnedTrip{Trip});
+  return true;
+}
+
+template <RandomSource Random>
+void BasicMembership<Random>::on(const TargetSignSeen &Event,
+                                 TimePoint /*Now*/) {
+  LeavingTarget Sign = Event.Sign;
+  const auto Known = Signs.find(Sign.Target);
+  if (number(Sign.Life) == 0 && Known != Signs.end())
+    Sign.Life = Known->second.Life;
+  learnSign(Sign);
+}
+
+template <RandomSource Random>
+void BasicMembership<Random>::on(const TargetLifeSeen &Event,
+                                 TimePoint /*Now*/) {
+  Incarnation &Life = Lives[Event.Target];
+  Life = std::max(Life, Event.Life);
+  const auto Found = Signs.find(Event.Target);
+  if (Found == Signs.end() || Found->second.Life >= Life)
+    return;
+  // A sign without a life was meant for the first life that shows after it.
+  const bool WasUnknown = number(Found->second.Life) == 0;
+  learnSign({Event.Target, Life, /*Back=*/!WasUnknown});
+}
+
+template <RandomSource Random>
+void BasicMembership<Random>::on(const TargetsConfigured &Event,
+                                 TimePoint /*Now*/) {
+  Configured.emplace(Event.Targets.begin(), Event.Targets.end());
+  std::vector<TargetId> Gone;
+  for (const auto &[Target, Sign] : Signs)
+    if (!Configured->contains(Target))
+      Gone.push_back(Target);
+  for (TargetId Target : Gone)
+    eraseSign(Target);
+  std::erase_if(Lives, [&](const auto &Entry) {
+    return !Configured->contains(Entry.first);
+  });
+}
+
+template <RandomSource Random>
+void BasicMembership<Random>::on(const VersionFaultSeen &Event,
+                                 TimePoint /*Now*/) {
+  learnTrip(Event.Trip);
+}
+
+template <RandomSource Random>
+void BasicMembership<Random>::on(const RevisionAdopted &Event,
+                                 TimePoint /*Now*/) {
+  if (Event.ConfigRevision <= ConfigRevision)
+    return;
+  ConfigRevision = Event.ConfigRevision;
+  HasNews = true;
+}
+
+template <RandomSource Random>
+void BasicMembership<Random>::on(const DrainBegun & /*Event*/,
+                                 TimePoint /*Now*/) {
+  Draining = true;
+  HasNews = true;
+  Out.emplace_back(ZoneViewChanged{});
+}
+
+template <RandomSource Random>
+void BasicMembership<Random>::on(const HostListRead &Event, TimePoint /*Now*/) {
+  Candidates.clear(); // the list lags: it names whom to try, and no more
+  for (const HostInfo &Seed : Settings.Seeds)
+    offerCandidate(Seed);
+  for (const HostInfo &Host : Event.Live)
+    offerCandidate(Host);
+}
+
+// ---- The passing of time ----------------------------------------------------
+
+template <RandomSource Random>
+void BasicMembership<Random>::on(const MembershipTicked & /*Event*/,
+                                 TimePoint Now) {
+  if (!LastTick) {
+    NextHeartbeat = Now;
+    probe(FirstProbes, Now);
+  }
+  noticePause(Now);
+  LastTick = Now;
+  judgeSilence(Now);
+  if (Now >= NextHeartbeat)
+    return heartbeatRound(Now);
+  if (HasNews && Now >= NextUrgent)
+    spreadNews(Now);
+}
+
+/// Silence counts only while this host runs: after a pause the others get their
+/// whole time again before they are judged.
+template <RandomSource Random>
+void BasicMembership<Random>::noticePause(TimePoint Now) {
+  if (!LastTick)
+    return;
+  const Duration Gap = Now - *LastTick;
+  if (Gap <= 2 * Settings.HeartbeatInterval)
+    return;
+  for (auto &[Id, Peer] : Members)
+    Peer.LastHeard = std::min(Peer.LastHeard + Gap, Now);
+  Out.emplace_back(LocalPauseSeen{Gap});
+}
+
+template <RandomSource Random>
+Duration BasicMembership<Random>::heartbeatInterval() const {
+  const Duration Paced = Duration(seconds(1)) *
+                         static_cast<std::int64_t>(zonePeerCount()) /
+                         Settings.MaxZoneHeartbeatsPerSecond;
+  return std::max(Settings.HeartbeatInterval, Paced);
+}
+
+template <RandomSource Random>
+std::size_t BasicMembership<Random>::zonePeerCount() const {
+  const auto IsPeer = [&](const auto &Entry) {
+    return inOwnZone(Entry.second.Host) &&
+           Entry.second.State != HostState::Lost;
+  };
+  return static_cast<std::size_t>(
+      std::count_if(Members.begin(), Members.end(), IsPeer));
+}
+
+template <RandomSource Random>
+void BasicMembership<Random>::judgeSilence(TimePoint Now) {
+  for (auto &[Id, Peer] : Members) {
+    const Duration Silence = Now - Peer.LastHeard;
+    if (Peer.State == HostState::Lost)
+      continue;
+    if (inOwnZone(Peer.Host))
+      judgeZoneMate(Peer, Silence);
+    else if (Silence >= Settings.RemoteLostAfter)
+      setState(Peer, HostState::Lost);
+  }
+  std::erase_if(Members, [&](const auto &Entry) {
+    return Entry.second.State == HostState::Lost &&
+           Now - Entry.second.LastHeard >= Settings.ForgetAfter;
+  });
+}
+
+template <RandomSource Random>
+void BasicMembership<Random>::judgeZoneMate(Member &Peer, Duration Silence) {
+  const Duration Interval = heartbeatInterval();
+  if (Silence >= Interval * Settings.MissedToLose)
+    return setState(Peer, HostState::Lost);
+  if (Silence >= Interval * Settings.MissedToSuspect)
+    setState(Peer, HostState::Suspect);
+}
+
+template <RandomSource Random>
+void BasicMembership<Random>::setState(Member &Peer, HostState State) {
+  if (Peer.State == State)
+    return;
+  Peer.State = State;
+  if (State == HostState::Lost)
+    Out.emplace_back(HostLost{Peer.Host.Id, Peer.Life});
+  if (inOwnZone(Peer.Host))
+    Out.emplace_back(ZoneViewChanged{});
+}
+
+template <RandomSource Random>
+void BasicMembership<Random>::heartbeatRound(TimePoint Now) {
+  const Duration Interval = heartbeatInterval();
+  NextHeartbeat = std::max(NextHeartbeat + Interval, Now + Interval / 2);
+  heartbeatZone(Now, /*OnlyBehind=*/false);
+  heartbeatLinks(Settings.LinksPerInterval, Now);
+  probe(Settings.ProbesPerInterval, Now);
+  Relays.clear();
+  if (HasNews && Now >= NextUrgent)
+    spreadNews(Now);
+}
+
+/// Sends what is new at once, and only to hosts that don't have it yet.
+template <RandomSource Random>
+void BasicMembership<Random>::spreadNews(TimePoint Now) {
+  HasNews = false;
+  NextUrgent = Now + UrgentInterval;
+  heartbeatZone(Now, /*OnlyBehind=*/true);
+  heartbeatLinks(Settings.UrgentLinks, Now);
+}
+
+template <RandomSource Random>
+bool BasicMembership<Random>::isBehind(const Member &Peer) const {
+  return Peer.SignsDigest != SignsDigest ||
+         Peer.ConfigRevision < ConfigRevision || Draining;
+}
+
+template <RandomSource Random>
+void BasicMembership<Random>::heartbeatZone(TimePoint Now, bool OnlyBehind) {
+  for (const auto &[Id, Peer] : Members) {
+    if (!inOwnZone(Peer.Host) || Peer.State == HostState::Lost)
+      continue;
+    if (OnlyBehind && !isBehind(Peer))
+      continue;
+    Heartbeat Beat = composeHeartbeat();
+    if (Peer.SignsDigest != SignsDigest)
+      addSigns(Beat);
+    addRelays(Beat, Now);
+    send(Peer.Host, std::move(Beat));
+  }
+}
+
+template <RandomSource Random>
+void BasicMembership<Random>::heartbeatLinks(std::uint32_t Count,
+                                             TimePoint Now) {
+  for (std::uint32_t Link = 0; Link < Count; ++Link) {
+    const Member *Peer = drawLink();
+    if (!Peer)
+      return;
+    Heartbeat Beat = composeHeartbeat();
+    if (Peer->SignsDigest != SignsDigest)
+      addSigns(Beat);
+    addZoneMates(Beat, Settings.KnownPerLink, Now);
+    send(Peer->Host, std::move(Beat));
+  }
+}
+
+/// Draws a live host of the next zone in a shuffled rotation over all zones, so
+/// that no zone waits longer than one round.
+template <RandomSource Random>
+const Member *BasicMembership<Random>::drawLink() {
+  if (LinkOrder.empty())
+    refillLinkOrder();
+  if (LinkOrder.empty())
+    return nullptr;
+  const ZoneId Zone = LinkOrder.back();
+  LinkOrder.pop_back();
+  const Member *Chosen = nullptr;
+  std::size_t Seen = 0;
+  for (const auto &[Id, Peer] : Members) {
+    if (Peer.Host.Zone != Zone || Peer.State != HostState::Live)
+      continue;
+    if (drawBelow(Source, ++Seen) == 0)
+      Chosen = &Peer;
+  }
+  return Chosen;
+}
+
+template <RandomSource Random> void BasicMembership<Random>::refillLinkOrder() {
+  std::set<ZoneId> Zones;
+  for (const auto &[Id, Peer] : Members)
+    if (!inOwnZone(Peer.Host) && Peer.State == HostState::Live)
+      Zones.insert(Peer.Host.Zone);
+  LinkOrder.assign(Zones.begin(), Zones.end());
+  for (std::size_t Left = LinkOrder.size(); Left > 1; --Left)
+    std::swap(LinkOrder[Left - 1], LinkOrder[drawBelow(Source, Left)]);
+}
+
+/// Tries hosts that are named but not heard, and lost ones: this is how a new
+/// host joins, and how the sides of a cut find each other again.
+template <RandomSource Random>
+void BasicMembership<Random>::probe(std::size_t Count, TimePoint Now) {
+  std::vector<HostInfo> Silent;
+  for (const auto &[Id, Host] : Candidates)
+    Silent.push_back(Host);
+  for (const auto &[Id, Peer] : Members)
+    if (Peer.State == HostState::Lost && !Candidates.contains(Id))
+      Silent.push_back(Peer.Host);
+  for (; Count > 0 && !Silent.empty(); --Count) {
+    std::swap(Silent[drawBelow(Source, Silent.size())], Silent.back());
+    Heartbeat Beat = composeHeartbeat();
+    addZoneMates(Beat, Settings.KnownPerLink, Now);
+    send(Silent.back(), std::move(Beat));
+    Silent.pop_back();
+  }
+}
+
+// ---- Heartbeats that leave --------------------------------------------------
+
+template <RandomSource Random>
+Heartbeat BasicMembership<Random>::composeHeartbeat() const {
+  Heartbeat Beat;
+  Beat.Sender = Settings.Self;
+  Beat.Life = Settings.Life;
+  Beat.ConfigRevision = ConfigRevision;
+  Beat.Draining = Draining;
+  Beat.SignsDigest = SignsDigest;
+  return Beat;
+}
+
+/// Adds the newest signs, and then others in rotation, up to the bound.
+template <RandomSource Random>
+void BasicMembership<Random>::addSigns(Heartbeat &Beat) {
+  const std::size_t Room = Settings.MaxSignsPerHeartbeat;
+  Beat.Tripped.assign(Trips.begin(), Trips.end());
+  if (Signs.size() <= Room) {
+    for (const auto &[Target, Sign] : Signs)
+      Beat.Leaving.push_back(Sign);
+    return;
+  }
+  for (std::size_t Back = 0; Back < RecentSigns.size() && Back < Room / 4;
+       ++Back)
+    Beat.Leaving.push_back(Signs[RecentSigns[RecentSigns.size() - 1 - Back]]);
+  auto Next = std::next(Signs.begin(),
+                        static_cast<std::ptrdiff_t>(SignCursor % Signs.size()));
+  while (Beat.Leaving.size() < Room) {
+    Beat.Leaving.push_back(Next->second);
+    ++SignCursor;
+    if (++Next == Signs.end())
+      Next = Signs.begin();
+  }
+}
+
+/// Adds remote hosts that were heard since the last round, the latest first.
+template <RandomSource Random>
+void BasicMembership<Random>::addRelays(Heartbeat &Beat, TimePoint Now) const {
+  for (std::size_t Back = 0;
+       Back < Relays.size() && Back < Settings.KnownPerHeartbeat; ++Back) {
+    const Member *Peer = member(Relays[Relays.size() - 1 - Back]);
+    if (Peer && Peer->State == HostState::Live)
+      Beat.Known.push_back(
+          {Peer->Host, Peer->Life, Now - Peer->LastHeard, Peer->Draining});
+  }
+}
+
+/// Adds hosts of the own zone, in rotation.
+template <RandomSource Random>
+void BasicMembership<Random>::addZoneMates(Heartbeat &Beat, std::size_t Count,
+                                           TimePoint Now) {
+  auto Next = Members.upper_bound(KnownCursor);
+  for (std::size_t Seen = 0; Seen < Members.size() && Count > 0; ++Seen) {
+    if (Next == Members.end())
+      Next = Members.begin();
+    const auto &[Id, Peer] = *Next++;
+    if (!inOwnZone(Peer.Host) || Peer.State != HostState::Live)
+      continue;
+    Beat.Known.push_back(
+        {Peer.Host, Peer.Life, Now - Peer.LastHeard, Peer.Draining});
+    KnownCursor = Id;
+    --Count;
+  }
+}
+
+template <RandomSource Random>
+void BasicMembership<Random>::send(const HostInfo &To, Heartbeat Beat) {
+  Beat.Sequence = ++Sequence;
+  Out.emplace_back(SendHeartbeat{To, std::move(Beat)});
+}
+
+template class BasicMembership<SplitMix64>;
+
+} // namespace marjorambay
--- /dev/null
+++ b/packages/state/marjorambay/state/random.h
@@ -0,0 +1,48 @@
+/// Random numbers as the core sees them: drawn from a source that is passed in.
+#ifndef MARJORAMBAY_STATE_RANDOM_H
+#define MARJORAMBAY_STATE_RANDOM_H
+
+#include <concepts>
+#include <cstddef>
+#include <cstdint>
+
+namespace marjorambay {
+
+/// A source of 64 random bits at a time.
+template <typename Source>
+concept RandomSource = requires(Source Random) {
+  { Random.next() } -> std::same_as<std::uint64_t>;
+};
+
+/// Spreads the bits of \p Value over all 64; the finalizer of SplitMix64.
+constexpr std::uint64_t mixBits(std::uint64_t Value) {
+  Value = (Value ^ (Value >> 30)) * 0xBF58476D1CE4E5B9;
+  Value = (Value ^ (Value >> 27)) * 0x94D049BB133111EB;
+  return Value ^ (Value >> 31);
+}
+
+/// Small generator for choices, not for secrets. The same seed gives the same
+/// numbers on every machine.
+class SplitMix64 {
+public:
+  explicit constexpr SplitMix64(std::uint64_t Seed) : State(Seed) {}
+
+  constexpr std::uint64_t next() {
+    State += 0x9E3779B97F4A7C15;
+    return mixBits(State);
+  }
+
+private:
+  std::uint64_t State;
+};
+static_assert(RandomSource<SplitMix64>);
+
+/// Draws a number below \p Bound, which must not be 0.
+template <RandomSource Source>
+std::size_t drawBelow(Source &Random, std::size_t Bound) {
+  return static_cast<std::size_t>(Random.next() % Bound);
+}
+
+} // namespace marjorambay
+
+#endif // MARJORAMBAY_STATE_RANDOM_H
