Carry the members' digests, hops and hearsay; name the jitter source

Ruled out: one concept for both; the origin needs a fraction, tests pass a lambda. The origin's is now JitterSource. marjorambayd_tests pass.

--- a/apps/marjorambayd/peer_codec.cpp
+++ b/apps/marjorambayd/peer_codec.cpp
@@ -91,6 +91,18 @@
           RegionId{In.region()}};
 }
 
+void put(const KnownHost &Known, peer::KnownHost *Out) {
+  put(Known.Host, Out->mutable_host());
+  Out->set_life(number(Known.Life));
+  Out->set_age_us(Known.Age.count());
+  Out->set_draining(Known.Draining);
+}
+
+KnownHost take(const peer::KnownHost &In) {
+  return {take(In.host()), Incarnation{In.life()}, Duration(In.age_us()),
+          In.draining()};
+}
+
 // ---- Origin to arbiter ------------------------------------------------------
 
 void putEvent(const SlotRequested &Event, peer::Message *Out) {
@@ -118,6 +130,7 @@
 void putEvent(const TargetLeft &Event, peer::Message *Out) {
   Out->mutable_target_sign()->set_target(number(Event.Target));
   Out->mutable_target_sign()->set_leaving(true);
+  Out->mutable_target_sign()->set_life(number(Event.Life));
 }
 void putEvent(const TargetRefused &Event, peer::Message *Out) {
   Out->mutable_target_sign()->set_target(number(Event.Target));
@@ -136,7 +149,7 @@
 
 ArbiterEvent takeSign(const peer::TargetSign &In) {
   if (In.leaving())
-    return TargetLeft{TargetId{In.target()}};
+    return TargetLeft{TargetId{In.target()}, Incarnation{In.life()}};
   return TargetRefused{TargetId{In.target()}};
 }
 
@@ -182,17 +195,21 @@
   To->set_sequence(Beat.Sequence);
   To->set_config_revision(number(Beat.ConfigRevision));
   To->set_draining(Beat.Draining);
+  To->set_signs_digest(Beat.SignsDigest);
+  To->set_hop(Beat.Hop);
   for (const LeavingTarget &Sign : Beat.Leaving) {
     peer::Leaving *Each = To->add_leaving();
     Each->set_target(number(Sign.Target));
     Each->set_life(number(Sign.Life));
+    Each->set_back(Sign.Back);
   }
   for (const TrippedVersion &Trip : Beat.Tripped) {
     peer::Trip *Each = To->add_tripped();
     Each->set_rollout(number(Trip.Rollout));
     Each->set_version(number(Trip.Version));
+    Each->set_begun_us(Trip.Begun.time_since_epoch().count());
   }
-  for (const HostInfo &Host : Beat.Known)
+  for (const KnownHost &Host : Beat.Known)
     put(Host, To->add_known());
 }
 void putMessage(const ConfigFetch &Fetch, peer::Message *Out) {
@@ -230,12 +247,16 @@
   Beat.Sequence = In.sequence();
   Beat.ConfigRevision = Revision{In.config_revision()};
   Beat.Draining = In.draining();
+  Beat.SignsDigest = In.signs_digest();
+  Beat.Hop = static_cast<std::uint8_t>(In.hop());
   for (const peer::Leaving &Each : In.leaving())
-    Beat.Leaving.push_back({TargetId{Each.target()}, Incarnation{Each.life()}});
+    Beat.Leaving.push_back(
+        {TargetId{Each.target()}, Incarnation{Each.life()}, Each.back()});
   for (const peer::Trip &Each : In.tripped())
-    Beat.Tripped.push_back(
-        {RolloutId{Each.rollout()}, VersionId{Each.version()}});
-  for (const peer::Host &Each : In.known())
+    Beat.Tripped.push_back({RolloutId{Each.rollout()},
+                            VersionId{Each.version()},
+                            WallTime(Duration(Each.begun_us()))});
+  for (const peer::KnownHost &Each : In.known())
     Beat.Known.push_back(take(Each));
   return Beat;
 }
--- a/apps/marjorambayd/tests/peer_codec_test.cpp
+++ b/apps/marjorambayd/tests/peer_codec_test.cpp
@@ -108,18 +108,27 @@
   Sent.Sequence = 12;
   Sent.ConfigRevision = Revision{13};
   Sent.Draining = true;
-  Sent.Leaving = {{TargetId{9}, Incarnation{4}}};
-  Sent.Tripped = {{RolloutId{5}, VersionId{6}}};
-  Sent.Known = {{HostId{8}, "127.0.0.1:8082", ZoneId{1}, RegionId{2}}};
+  Sent.SignsDigest = ~0ULL;
+  Sent.Hop = 2;
+  Sent.Leaving = {{TargetId{9}, Incarnation{4}, true}};
+  Sent.Tripped = {{RolloutId{5}, VersionId{6}, WallTime(seconds(7))}};
+  const HostInfo Other{HostId{8}, "127.0.0.1:8082", ZoneId{1}, RegionId{2}};
+  Sent.Known = {{Other, Incarnation{80}, seconds(3), true}};
   const Heartbeat Read = echo(Sent);
   CHECK(Read.Life == Sender.Life);
   CHECK(Read.Sender.Address == Sent.Sender.Address);
   CHECK(Read.Sequence == 12);
   CHECK(Read.ConfigRevision == Revision{13});
   CHECK(Read.Draining);
-  CHECK(Read.Leaving.at(0).Life == Incarnation{4});
-  CHECK(Read.Tripped.at(0).Version == VersionId{6});
-  CHECK(Read.Known.at(0).Id == HostId{8});
+  CHECK(Read.SignsDigest == ~0ULL);
+  CHECK(Read.Hop == 2);
+  CHECK(Read.Leaving == Sent.Leaving);
+  CHECK(Read.Tripped == Sent.Tripped);
+  REQUIRE(Read.Known.size() == 1);
+  CHECK(Read.Known[0].Host.Id == HostId{8});
+  CHECK(Read.Known[0].Life == Incarnation{80});
+  CHECK(Read.Known[0].Age == seconds(3));
+  CHECK(Read.Known[0].Draining);
 }
 
 TEST_CASE("an intent travels to its holder and back") {
--- a/packages/coordination/marjorambay/coordination/origin.h
+++ b/packages/coordination/marjorambay/coordination/origin.h
@@ -253,7 +253,7 @@
 
 /// A source of random numbers in [0, 1), for jitter.
 template <typename Source>
-concept RandomSource = requires(Source Draw) {
+concept JitterSource = requires(Source Draw) {
   { Draw() } -> std::convertible_to<double>;
 };
 
@@ -288,7 +288,7 @@
 /// Holds the requests of the callers that are connected to this entry host.
 class Origin {
 public:
-  template <RandomSource Source>
+  template <JitterSource Source>
   Origin(const OriginSettings &Settings, Source Jitter)
       : Settings(Settings), Jitter(std::move(Jitter)) {}
 
