--- a/packages/coordination/marjorambay/coordination/intent_codec.h
+++ b/packages/coordination/marjorambay/coordination/intent_codec.h
@@ -3,7 +3,7 @@
 /// A segment is a header, batches in the order of their writes, and the 64-bit
 /// XXH3 hash of all before it. Batches are only ever added, so that a reader of
 /// any version sees a prefix of the final segment. An intent takes 33 bytes,
-/// an outcome 27, a batch 38, header and checksum 34.
+/// an outcome 27, a batch 36, header and checksum 30.
 #ifndef MARJORAMBAY_COORDINATION_INTENT_CODEC_H
 #define MARJORAMBAY_COORDINATION_INTENT_CODEC_H
 
