Draw the origin's jitter from state/random.h

The fleet part has a RandomSource concept of the same name over 64 bits; two concepts of one name don't build together. The origin takes that one, and random.h gains drawFraction.

--- a/packages/coordination/marjorambay/coordination/local_share.h
+++ b/packages/coordination/marjorambay/coordination/local_share.h
@@ -6,7 +6,7 @@
 #ifndef MARJORAMBAY_COORDINATION_LOCAL_SHARE_H
 #define MARJORAMBAY_COORDINATION_LOCAL_SHARE_H
 
-#include "marjorambay/coordination/arbiter.h"
+#include "marjorambay/coordination/arbiter_events.h"
 
 #include <cstdint>
 #include <map>
--- a/packages/coordination/marjorambay/coordination/origin.h
+++ b/packages/coordination/marjorambay/coordination/origin.h
@@ -7,16 +7,16 @@
 #ifndef MARJORAMBAY_COORDINATION_ORIGIN_H
 #define MARJORAMBAY_COORDINATION_ORIGIN_H
 
-#include "marjorambay/coordination/arbiter.h"
+#include "marjorambay/coordination/arbiter_events.h"
 #include "marjorambay/coordination/local_share.h"
 #include "marjorambay/coordination/requests.h"
 #include "marjorambay/coordination/retry_budget.h"
 #include "marjorambay/state/enum_names.h"
 #include "marjorambay/state/error.h"
 #include "marjorambay/state/fleet_config.h"
+#include "marjorambay/state/random.h"
 
 #include <array>
-#include <concepts>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -251,12 +251,6 @@
 
 // ---- State machine ----------------------------------------------------------
 
-/// A source of random numbers in [0, 1), for jitter.
-template <typename Source>
-concept RandomSource = requires(Source Draw) {
-  { Draw() } -> std::convertible_to<double>;
-};
-
 struct OriginSettings {
   HostId Self{};
   Incarnation Life{};
@@ -288,9 +282,11 @@
 /// Holds the requests of the callers that are connected to this entry host.
 class Origin {
 public:
+  /// \p Random spreads retries over time.
   template <RandomSource Source>
-  Origin(const OriginSettings &Settings, Source Jitter)
-      : Settings(Settings), Jitter(std::move(Jitter)) {}
+  Origin(const OriginSettings &Settings, Source Random)
+      : Settings(Settings),
+        Jitter([Random]() mutable { return drawFraction(Random); }) {}
 
   OriginActions step(const OriginEvent &Event, TimePoint Now);
 
@@ -383,7 +379,7 @@
   void learnOutput(const CallerRequested &Call, std::uint32_t Tokens);
 
   OriginSettings Settings;
-  std::function<double()> Jitter;
+  std::function<double()> Jitter; ///< draws from [0, 1)
   std::unordered_map<RequestId, Request> Requests{};
   std::map<PoolId, PoolState> Pools{};
   std::unordered_map<AccountId, Account> Accounts{};
--- a/packages/state/marjorambay/state/random.h
+++ b/packages/state/marjorambay/state/random.h
@@ -43,6 +43,11 @@
   return static_cast<std::size_t>(Random.next() % Bound);
 }
 
+/// Draws a number in [0, 1).
+template <RandomSource Source> double drawFraction(Source &Random) {
+  return static_cast<double>(Random.next() >> 11) * 0x1p-53;
+}
+
 } // namespace marjorambay
 
 #endif // MARJORAMBAY_STATE_RANDOM_H
