--- /dev/null
+++ b/bench/policy_bench/workload.cpp
@@ -0,0 +1,151 @@
+/// Scenarios and the drawing of arrivals.
+#include "workload.h"
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+
+namespace marjorambay::bench {
+
+namespace {
+
+constexpr TierRank Top{0};
+constexpr TierRank Middle{1};
+constexpr TierRank Bottom{2};
+
+// Three generations of accelerators; the share of a step that does not depend
+// on the batch differs between them.
+std::vector<EngineSpec> modelEngines() {
+  std::vector<EngineSpec> Engines;
+  for (int Index = 0; Index < 20; ++Index) {
+    EngineSpec Spec;
+    Spec.Id = idOf<TargetId>("worker-" + std::to_string(Index));
+    const int Generation = Index % 3;
+    Spec.TokensPerSecond = Generation == 0   ? 600
+                           : Generation == 1 ? 1200
+                                             : 2400;
+    Spec.Width = Generation == 0 ? 16 : Generation == 1 ? 24 : 32;
+    Spec.FixedShare = Generation == 0 ? 0.3 : Generation == 1 ? 0.4 : 0.6;
+    Engines.push_back(Spec);
+  }
+  return Engines;
+}
+
+// A plain service is an engine whose every answer is one token.
+std::vector<EngineSpec> serviceEngines() {
+  std::vector<EngineSpec> Engines;
+  for (int Index = 0; Index < 5; ++Index) {
+    EngineSpec Spec;
+    Spec.Id = idOf<TargetId>("service-" + std::to_string(Index));
+    Spec.TokensPerSecond = Index < 2 ? 100 : 200;
+    Spec.Width = 8;
+    Engines.push_back(Spec);
+  }
+  return Engines;
+}
+
+Scenario common(std::string Name, std::vector<EngineSpec> Engines) {
+  Scenario What;
+  What.Name = std::move(Name);
+  What.Engines = std::move(Engines);
+  What.AccountShares = {0.40, 0.30, 0.22, 0.06, 0.02};
+  What.Phases = {{seconds(0), 0.7},
+                 {seconds(15), 2.0},
+                 {seconds(50), 0.7},
+                 {seconds(70), 2.0}};
+  What.Length = seconds(90);
+  What.SlowEngine = 2;
+  What.SlowFrom = seconds(25);
+  What.SlowUntil = seconds(60);
+  return What;
+}
+
+Scenario consortium() {
+  Scenario What = common("consortium", modelEngines());
+  What.Calls = {{"confirmation", Top, 0.10, 30, 12, seconds(3)},
+                {"sheet", Top, 0.15, 1500, 300, seconds(20)},
+                {"tariff", Middle, 0.35, 600, 200, seconds(20)},
+                {"bulletin", Bottom, 0.40, 3000, 1200, seconds(60)}};
+  return What;
+}
+
+Scenario cineclubs() {
+  Scenario What = common("cineclubs", modelEngines());
+  What.Calls = {{"tally", Top, 0.20, 400, 40, seconds(5)},
+                {"reply", Middle, 0.30, 300, 120, seconds(15)},
+                {"petition", Middle, 0.20, 6000, 500, seconds(45)},
+                {"tagging", Bottom, 0.30, 2000, 60, seconds(60)}};
+  return What;
+}
+
+Scenario services(std::string Name) {
+  Scenario What = common(std::move(Name), serviceEngines());
+  What.Calls = {{"lodge", Top, 0.4, 0, 1, seconds(2)},
+                {"look-up", Bottom, 0.6, 0, 1, seconds(2)}};
+  return What;
+}
+
+double workOf(const CallClass &Call, const Scenario &What) {
+  return Call.Output + Call.Prompt / What.Engines.front().PrefillFactor;
+}
+
+double loadAt(const Scenario &What, Duration At) {
+  double Load = 0;
+  for (const LoadPhase &Phase : What.Phases)
+    if (Phase.From <= At)
+      Load = Phase.Load;
+  return Load;
+}
+
+// Lengths vary by a factor of about two either way around their mean.
+std::uint32_t drawLength(std::uint32_t Mean, std::mt19937_64 &Random) {
+  constexpr double Sigma = 0.5;
+  if (Mean <= 1)
+    return Mean;
+  std::lognormal_distribution<double> Draw(-Sigma * Sigma / 2, Sigma);
+  const double Length = std::min(4.0, Draw(Random)) * Mean;
+  return static_cast<std::uint32_t>(std::max(1.0, Length));
+}
+
+} // namespace
+
+std::vector<Scenario> allScenarios() {
+  return {consortium(), cineclubs(), services("services")};
+}
+
+std::vector<Arrival> drawArrivals(const Scenario &What, std::uint64_t Seed) {
+  std::mt19937_64 Random(Seed);
+  double Capacity = 0;
+  for (const EngineSpec &Spec : What.Engines)
+    Capacity += Spec.TokensPerSecond;
+  std::vector<Arrival> Arrivals;
+  std::discrete_distribution<std::uint32_t> Account(What.AccountShares.begin(),
+                                                    What.AccountShares.end());
+  std::uniform_int_distribution<std::uint32_t> Origin(0, What.Origins - 1);
+  std::uniform_int_distribution<std::uint64_t> Prefix(1, 40);
+  for (const CallClass &Call : What.Calls) {
+    double At = 0;
+    while (true) {
+      const double Load = loadAt(What, fromSeconds(At));
+      const double Rate = Load * Capacity * Call.WorkShare / workOf(Call, What);
+      At += std::exponential_distribution<double>(Rate)(Random);
+      if (fromSeconds(At) >= What.Length)
+        break;
+      Arrival Next;
+      Next.At = fromSeconds(At);
+      Next.Origin = Origin(Random);
+      Next.Account = Account(Random);
+      Next.Tier = Call.Tier;
+      Next.Prompt = drawLength(Call.Prompt, Random);
+      Next.Output = drawLength(Call.Output, Random);
+      Next.Prefix = Call.Prompt >= 1000 ? Prefix(Random) : 0;
+      Next.Deadline = Call.Deadline;
+      Arrivals.push_back(Next);
+    }
+  }
+  std::sort(Arrivals.begin(), Arrivals.end(),
+            [](const Arrival &A, const Arrival &B) { return A.At < B.At; });
+  return Arrivals;
+}
+
+} // namespace marjorambay::bench
