--- a/tests/standins/engine_standin/main.cpp
+++ b/tests/standins/engine_standin/main.cpp
@@ -13,7 +13,6 @@
 #include "standins/support/http_server.h"
 #include "standins/support/options.h"
 
-#include <cmath>
 #include <set>
 
 using namespace marjorambay::standins;
--- a/tests/standins/engine_standin/prefix_cache.h
+++ b/tests/standins/engine_standin/prefix_cache.h
@@ -24,7 +24,7 @@
 
   /// Returns how many leading tokens of \p Prompt are held, and holds them all.
   std::uint32_t lookUpAndInsert(const std::string &Prompt) {
-    constexpr std::size_t BlockBytes = BlockTokens * BytesPerToken;
+    constexpr std::size_t BlockBytes = std::size_t(BlockTokens) * BytesPerToken;
     std::uint32_t Hits = 0;
     bool Unbroken = true;
     for (std::size_t End = BlockBytes; End <= Prompt.size();
--- a/tests/standins/load_client/main.cpp
+++ b/tests/standins/load_client/main.cpp
@@ -16,6 +16,7 @@
   std::string Kind{};                   ///< completion, chat or call
   std::string Path{};
   std::string Version{};
+  std::string Model{};
   std::string KeyPrefix{};   ///< of idempotency keys; "": none are sent
   std::uint64_t KeyUses = 1; ///< calls with the same key, one after the other
   std::uint64_t Count = 0;
@@ -132,11 +133,11 @@
           .dump();
     const std::uint64_t Prefix =
         Wanted.Prefixes == 0 ? Index : Index % Wanted.Prefixes;
-    std::string Prompt = "Summarise sheet " + std::to_string(Prefix) + " ";
+    std::string Prompt = "Summary " + std::to_string(Prefix) + " ";
     Prompt.resize(std::max<std::size_t>(Prompt.size(), Wanted.PromptBytes),
                   'x');
     Prompt += " " + markerOf(Index);
-    Json Body = {{"model", "sheet"},
+    Json Body = {{"model", Wanted.Model},
                  {"max_tokens", Wanted.MaxTokens},
                  {"stream", Wanted.Streamed}};
     if (Wanted.Kind == "chat")
@@ -176,7 +177,7 @@
         Events.base(), nullptr, Text.substr(0, Colon).c_str(),
         static_cast<std::uint16_t>(std::stoi(Text.substr(Colon + 1))));
     const timeval Wait = {Wanted.TimeoutMs / 1000,
-                          Wanted.TimeoutMs % 1000 * 1000};
+                          Wanted.TimeoutMs % 1000 * 1000L};
     evhttp_connection_set_timeout_tv(Line, &Wait);
     return Line;
   }
@@ -343,6 +344,7 @@
   Wanted.Kind = Given.text("kind");
   Wanted.Path = Given.text("path");
   Wanted.Version = Given.text("version");
+  Wanted.Model = Given.text("model");
   Wanted.KeyPrefix = Given.text("key-prefix");
   Wanted.KeyUses = std::max<std::uint64_t>(1, Number("key-uses"));
   Wanted.Count = Number("count");
@@ -375,6 +377,7 @@
        {"count", "1", "calls"},
        {"concurrency", "10000", "calls at the same time"},
        {"rate", "0", "calls/s; 0: as fast as the concurrency lets"},
+       {"model", "small", "model that is asked for"},
        {"prompt-bytes", "100", "bytes of a prompt"},
        {"prefixes", "0", "different beginnings of prompts, 0: all differ"},
        {"max-tokens", "16", "tokens of an answer"},
--- a/tests/standins/load_client/results.h
+++ b/tests/standins/load_client/results.h
@@ -7,6 +7,7 @@
 #include "marjorambay/state/enum_names.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <string>
 #include <vector>
@@ -75,7 +76,7 @@
   std::sort(Values.begin(), Values.end());
   const auto At = [&](double Share) {
     const auto Rank = Share * static_cast<double>(Values.size() - 1);
-    return Values[static_cast<std::size_t>(Rank + 0.5)];
+    return Values[static_cast<std::size_t>(std::lround(Rank))];
   };
   return {{"p50", At(0.5)},
           {"p90", At(0.9)},
