Let HTTP views copy their end-to-end headers

Cause: calls to plain services are relayed with the caller's own headers, and the views gave only single ones. Ruled out: handing evhttp's list to the app. Change: endToEndHeaders() on both views, without the headers of one hop and without Host and Content-Length, which each message gets anew.

--- a/packages/transport/marjorambay/transport/http_client.h
+++ b/packages/transport/marjorambay/transport/http_client.h
@@ -35,6 +35,8 @@
 
   /// Value of a header, any case; empty when absent.
   std::string_view header(const char *Name) const;
+  /// All headers but those that concern one connection only.
+  HttpHeaders endToEndHeaders() const;
 };
 
 struct HttpCall {
--- a/packages/transport/marjorambay/transport/http_server.h
+++ b/packages/transport/marjorambay/transport/http_server.h
@@ -56,6 +56,8 @@
 
   /// Value of a header, any case; empty when absent.
   std::string_view header(const char *Name) const;
+  /// All headers but those that concern one connection only.
+  HttpHeaders endToEndHeaders() const;
 };
 
 /// Answers callers. Every exchange ends by answer(), endAnswer(), cut() or the
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -1,6 +1,8 @@
 /// The HTTP client on evhttp.
 #include "marjorambay/transport/http_client.h"
 
+#include "http_headers.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -15,11 +17,6 @@
 
 namespace {
 
-timeval toTimeval(Duration Time) {
-  const auto Whole = std::chrono::duration_cast<seconds>(Time);
-  return {Whole.count(), (Time - Whole).count()};
-}
-
 evhttp_cmd_type commandOf(std::string_view Method) {
   if (Method == "POST")
     return EVHTTP_REQ_POST;
@@ -50,6 +47,11 @@
   return Value ? std::string_view(Value) : std::string_view();
 }
 
+HttpHeaders HttpAnswerView::endToEndHeaders() const {
+  return Raw ? copyEndToEnd(evhttp_request_get_input_headers(Raw))
+             : HttpHeaders{};
+}
+
 struct HttpClient::Call {
   HttpClient *Owner = nullptr;
   CallId Id{};
--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -1,6 +1,8 @@
 /// The HTTP server on evhttp.
 #include "marjorambay/transport/http_server.h"
 
+#include "http_headers.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -22,11 +24,6 @@
 /// Connections above the limit that still get an answer that says so.
 constexpr std::size_t AnsweredOverLimit = 64;
 
-timeval toTimeval(Duration Time) {
-  const auto Whole = std::chrono::duration_cast<seconds>(Time);
-  return {Whole.count(), (Time - Whole).count()};
-}
-
 /// Returns the inode of an open socket, or 0.
 std::uint64_t inodeOf(int Fd) {
   struct stat Status {};
@@ -82,6 +79,10 @@
   return Value ? std::string_view(Value) : std::string_view();
 }
 
+HttpHeaders HttpRequestView::endToEndHeaders() const {
+  return copyEndToEnd(evhttp_request_get_input_headers(Raw));
+}
+
 HttpServer::HttpServer(EventLoop &Loop, TimerService &Timers,
                        HttpServerLimits Limits)
     : Loop(Loop), Limits(Limits), Http(evhttp_new(Loop.base())),
