Arbiter: give up heads that no target can answer in time, foresee higher tiers

A trace of the queue showed engines idle (5 requests in flight, 689 of tier 1 waiting): the most urgent entry of each account could meet its deadline on no target as loaded, but had not passed its latest start, which was reckoned for an idle engine; it blocked its tier and, tiers being strict, all lower ones.

Ruled out: lost grants (requests in flight agreed with the engines'), too low a capacity estimate (19,000 to 22,000 of 27,000 tokens/s), ShedHold.

Change: an entry that no target, busy or not, is expected to answer in time is refused when it comes to the head; the latest start assumes a full batch; the wait of a lower tier counts the work that higher tiers keep offering (WorkRates).

--- a/bench/policy_bench/engine_fake.h
+++ b/bench/policy_bench/engine_fake.h
@@ -23,6 +23,7 @@
   double FixedShare = 0.4;       ///< of a full step, whatever the batch holds
   double PrefillFactor = 10;     ///< prefill speed over decode speed
   std::size_t CachedPrefixes = 16;
+  bool Batches = true; ///< false: a plain service, whose calls run apart
 };
 
 /// One request as an engine sees it.
@@ -66,7 +67,9 @@
           List->erase(At);
           return Gone;
         }
-    return {};
+    EngineJob None;
+    None.Output = 0;
+    return None;
   }
 
   const EngineJob *find(std::uint64_t Id) const {
@@ -79,6 +82,28 @@
 private:
   static constexpr std::uint32_t ChunkTokens = 512; // prefilled in one step
 
+  /// Runs each call of a plain service on its own.
+  void startCalls() {
+    while (Running.size() < Spec.Width && !Waiting.empty()) {
+      const EngineJob Job = Waiting.front();
+      Waiting.pop_front();
+      Running.push_back(Job);
+      const double Jitter = std::uniform_real_distribution(0.5, 1.5)(Noise);
+      const double Call = Spec.Width / Spec.TokensPerSecond * Slowdown * Jitter;
+      Clock.after(fromSeconds(Call), [this, Id = Job.Id] { endCall(Id); });
+    }
+  }
+
+  void endCall(std::uint64_t Id) {
+    EngineJob Done = cancel(Id);
+    if (Done.Output == 0)
+      return;
+    Done.Produced = 1;
+    FirstToken(Done);
+    LastToken(Done);
+    startCalls();
+  }
+
   void admit() {
     while (Running.size() < Spec.Width && !Waiting.empty()) {
       EngineJob Job = Waiting.front();
@@ -105,6 +130,8 @@
 
   /// Plans one step over the present batch, and ends it when its time is over.
   void startStep() {
+    if (!Spec.Batches)
+      return startCalls();
     if (Stepping)
       return;
     admit();
--- a/bench/policy_bench/main.cpp
+++ b/bench/policy_bench/main.cpp
@@ -99,6 +99,8 @@
   }
   printRow("in time, all tiers, requests", Seeds,
            [](const RunResult &Run) { return Run.inTime(); });
+  printRow("work in time, 1000 tokens", Seeds,
+           [](const RunResult &Run) { return Run.WorkInTime / 1000; });
   printRow("smallest account in time, %", Seeds, [](const RunResult &Run) {
     return percent(Run.SmallestInTime, Run.SmallestArrived);
   });
@@ -110,6 +112,13 @@
   printRow("wasted prefill, % of all", Seeds, [](const RunResult &Run) {
     return percent(Run.WastedPrefill, Run.Prefill);
   });
+  for (std::size_t Rank = 0; Rank < 3; ++Rank) {
+    const std::string Name =
+        "  of it tier " + std::to_string(Rank) + ", 1000 tokens";
+    printRow(Name.c_str(), Seeds, [Rank](const RunResult &Run) {
+      return static_cast<double>(Run.WastedByTier[Rank]) / 1000;
+    });
+  }
   printRow("preempted requests", Seeds,
            [](const RunResult &Run) { return Run.Preempted; });
   printRow("grants while a higher tier waited", Seeds,
--- a/bench/policy_bench/simulation.h
+++ b/bench/policy_bench/simulation.h
@@ -30,6 +30,8 @@
   Duration SmallestWait{}; ///< longest wait for a slot of the smallest account
   std::uint64_t SmallestArrived = 0;
   std::uint64_t SmallestInTime = 0;
+  std::array<std::uint64_t, MaxTiers> WastedByTier{};
+  double WorkInTime = 0; ///< decode tokens, prompts at a tenth
   std::uint64_t inTime() const {
     std::uint64_t Sum = 0;
     for (const std::uint64_t Each : InTime)
@@ -157,15 +159,16 @@
     const Request &Each = Requests[Index];
     const EngineJob Done =
         Engines[Each.Engine].cancel(jobOf(Index, Each.Attempt));
-    waste(Done);
+    waste(Index, Done);
     Usage Used;
     Used.End = UsageEnd::Cancelled;
     Used.OutputTokens = Done.Produced;
     tell(SlotReleased{keyOf(Index), Used});
   }
 
-  void waste(const EngineJob &Done) {
+  void waste(std::size_t Index, const EngineJob &Done) {
     Result.Prefill += Done.Prefilled;
+    Result.WastedByTier[number(Arrivals[Index].Tier)] += Done.Prefilled;
     Result.WastedPrefill += Done.Prefilled;
   }
 
@@ -214,11 +217,12 @@
     const std::size_t Index = indexOf(Job.Id);
     Request &Each = Requests[Index];
     if (Each.State != Phase::Running || jobOf(Index, Each.Attempt) != Job.Id) {
-      waste(Job);
+      waste(Index, Job);
       return;
     }
     Each.State = Phase::Ended;
     Result.Prefill += Job.Prefilled;
+    Result.WorkInTime += Job.Output + 0.1 * Job.Prompt;
     ++Result.InTime[number(Arrivals[Index].Tier)];
     Result.SmallestInTime += isSmallest(Index) ? 1 : 0;
     Usage Used;
--- a/bench/policy_bench/workload.cpp
+++ b/bench/policy_bench/workload.cpp
@@ -39,6 +39,7 @@
     Spec.Id = idOf<TargetId>("service-" + std::to_string(Index));
     Spec.TokensPerSecond = Index < 2 ? 100 : 200;
     Spec.Width = 8;
+    Spec.Batches = false;
     Engines.push_back(Spec);
   }
   return Engines;
--- a/packages/coordination/marjorambay/coordination/arbiter.h
+++ b/packages/coordination/marjorambay/coordination/arbiter.h
@@ -9,7 +9,8 @@
 ///   5. load_history.h    late load reports
 ///   6. cost_model.h      lengths of answers
 ///   7. version_share.h   caps on versions under rollout
-///   8. Arbiter           composes these
+///   8. work_rate.h       work that arrives in each tier
+///   9. Arbiter           composes these
 #ifndef MARJORAMBAY_COORDINATION_ARBITER_H
 #define MARJORAMBAY_COORDINATION_ARBITER_H
 
@@ -18,6 +19,7 @@
 #include "marjorambay/coordination/fair_queue.h"
 #include "marjorambay/coordination/target_table.h"
 #include "marjorambay/coordination/version_share.h"
+#include "marjorambay/coordination/work_rate.h"
 
 #include <array>
 #include <cstdint>
@@ -78,15 +80,18 @@
 
   double workOf(const TokenCost &Cost) const;
   Waiting waitingFor(const Reservation &Request, TimePoint Now);
+  bool hopeless(const Waiting &Entry, TimePoint Now) const;
   std::optional<RefuseSlot> refusalFor(const Waiting &Entry, TimePoint Now);
+  double capacityFor(TierRank Tier, TimePoint Now) const;
   double expectedWait(const Waiting &Entry, TimePoint Now) const;
   Duration spread(Duration RetryAfter, const RequestKey &Key) const;
   void refuse(const Waiting &Entry, ErrorKind Kind, Duration RetryAfter,
               TimePoint Now);
+  void giveUp(const RequestKey &Key, TimePoint Now);
   void refuseOverdue(TimePoint Now);
   void refuseUnservable(TimePoint Now);
   void grantWhatFits(TimePoint Now);
-  bool grantOne(TierRank Tier, TimePoint Now);
+  bool serveOne(TierRank Tier, TimePoint Now);
   void grant(const Waiting &Entry, const TargetChoice &Choice, TimePoint Now);
   bool heldBack(TierRank Tier, TimePoint Now) const;
   bool takingOver(TimePoint Now) const;
@@ -99,6 +104,7 @@
   TargetTable Targets;
   CostModel Costs{};
   VersionShare Shares{};
+  WorkRates Arriving{}; ///< offered work, whether admitted or not
   std::unordered_map<RequestKey, Slot> Slots{};
   std::multimap<TimePoint, RequestKey> ByForgetAt{};
   std::array<TimePoint, MaxTiers> LastShed{};
--- a/packages/coordination/marjorambay/coordination/target_table.h
+++ b/packages/coordination/marjorambay/coordination/target_table.h
@@ -66,6 +66,11 @@
                                      const VersionShare &Shares, bool Takeover,
                                      TimePoint Now) const;
 
+  /// Returns whether some target, busy or not, is expected to meet the
+  /// deadline as it is loaded now.
+  bool canMeet(const Waiting &Entry, const VersionShare &Shares,
+               TimePoint Now) const;
+
   /// Counts from here on what is granted before all origins have reported.
   void startTakeover();
 
@@ -78,9 +83,9 @@
   void learnProgress(Slot &Held, std::uint32_t Tokens, TimePoint Now);
   void learnRelease(const Slot &Held, const Usage &Used, TimePoint Now);
 
-  /// Returns the seconds that \p Cost takes on the fastest available target
-  /// while it serves nothing else.
-  double fastestSeconds(const TokenCost &Cost, TimePoint Now) const;
+  /// Returns the seconds that \p Cost takes on the fastest available target,
+  /// \p Busy: with a full batch, else while it serves nothing else.
+  double fastestSeconds(const TokenCost &Cost, bool Busy, TimePoint Now) const;
 
   /// Returns the seconds that \p Cost takes on \p Target as it is now.
   double expectedSeconds(TargetId Target, const TokenCost &Cost,
--- a/packages/coordination/src/arbiter.cpp
+++ b/packages/coordination/src/arbiter.cpp
@@ -11,6 +11,9 @@
 // behind it; more than a few of them means that the pool is full.
 constexpr std::size_t HeadsTried = 8;
 
+// Of the capacity, for a tier whose betters ask for all of it.
+constexpr double SmallestShare = 0.02;
+
 constexpr double ShortestRetry = 0.1; // seconds
 constexpr double LongestRetry = 30.0; // seconds
 
@@ -48,24 +51,35 @@
   Entry.Queued = Now;
   Entry.Deadline = Now + Request.Remaining;
   Entry.LatestStart =
-      Entry.Deadline - fromSeconds(Targets.fastestSeconds(Entry.Cost, Now));
+      Entry.Deadline -
+      fromSeconds(Targets.fastestSeconds(Entry.Cost, true, Now));
   return Entry;
 }
 
+double Arbiter::capacityFor(TierRank Tier, TimePoint Now) const {
+  const double All = Targets.capacity(Shares, Now);
+  return std::max(SmallestShare * All, All - Arriving.above(Tier, Now));
+}
+
 double Arbiter::expectedWait(const Waiting &Entry, TimePoint Now) const {
   const WorkAhead Ahead = Queue.workAhead(
       Entry.Request.Tier, Entry.Request.Account, Entry.LatestStart);
-  const double Capacity = Targets.capacity(Shares, Now);
+  const double Capacity = capacityFor(Entry.Request.Tier, Now);
   const double Work = Ahead.HigherTiers + Ahead.SameTier;
   return Work == 0 ? 0 : Work / std::max(1e-3, Capacity);
 }
 
+bool Arbiter::hopeless(const Waiting &Entry, TimePoint Now) const {
+  const double Alone = Targets.fastestSeconds(Entry.Cost, false, Now);
+  return Entry.Deadline < Now + fromSeconds(Alone);
+}
+
 std::optional<RefuseSlot> Arbiter::refusalFor(const Waiting &Entry,
                                               TimePoint Now) {
   const RequestKey Key = Entry.Request.Key;
   if (!Targets.anyFor(Entry.Request.Version, Shares))
     return RefuseSlot{Key, ErrorKind::NoTarget, Settings.NoTargetRetry};
-  if (Entry.LatestStart < Now)
+  if (hopeless(Entry, Now))
     return RefuseSlot{Key, ErrorKind::DeadlinePassed, Duration(0)};
   const double Late =
       expectedWait(Entry, Now) - toSeconds(Entry.LatestStart - Now);
@@ -84,6 +98,7 @@
     return;
   }
   const Waiting Entry = waitingFor(Event.Request, Now);
+  Arriving.add(Event.Request.Tier, Entry.Work, Now);
   const std::optional<RefuseSlot> Refusal = refusalFor(Entry, Now);
   if (Refusal) {
     refuse(Entry, Refusal->Kind, Refusal->RetryAfter, Now);
@@ -113,11 +128,16 @@
 }
 
 void Arbiter::refuseOverdue(TimePoint Now) {
-  for (const RequestKey &Key : Queue.overdue(Now)) {
-    const std::optional<Waiting> Entry = Queue.cancel(Key);
-    const double Wait = expectedWait(*Entry, Now);
-    refuse(*Entry, ErrorKind::Overloaded, fromSeconds(Wait), Now);
-  }
+  for (const RequestKey &Key : Queue.overdue(Now))
+    giveUp(Key, Now);
+}
+
+void Arbiter::giveUp(const RequestKey &Key, TimePoint Now) {
+  const std::optional<Waiting> Entry = Queue.cancel(Key);
+  if (!Entry)
+    return;
+  const double Wait = expectedWait(*Entry, Now);
+  refuse(*Entry, ErrorKind::Overloaded, fromSeconds(Wait), Now);
 }
 
 void Arbiter::refuseUnservable(TimePoint Now) {
@@ -148,14 +168,18 @@
     const std::optional<TierRank> Tier = Queue.highestWaiting();
     if (!Tier || heldBack(*Tier, Now))
       return;
-    RoomMayExist = grantOne(*Tier, Now);
+    RoomMayExist = serveOne(*Tier, Now);
   }
 }
 
-bool Arbiter::grantOne(TierRank Tier, TimePoint Now) {
+bool Arbiter::serveOne(TierRank Tier, TimePoint Now) {
   for (const Waiting *Head : Queue.heads(Tier, HeadsTried)) {
     const std::optional<TargetChoice> Choice =
         Targets.choose(*Head, Shares, takingOver(Now), Now);
+    if (!Choice && !Targets.canMeet(*Head, Shares, Now)) {
+      giveUp(Head->Request.Key, Now);
+      return true;
+    }
     if (!Choice)
       continue;
     grant(*Queue.take(Head->Request.Key), *Choice, Now);
--- a/packages/coordination/src/target_table.cpp
+++ b/packages/coordination/src/target_table.cpp
@@ -147,6 +147,23 @@
   return Best;
 }
 
+bool TargetTable::canMeet(const Waiting &Entry, const VersionShare &Shares,
+                          TimePoint Now) const {
+  const double Left = toSeconds(Entry.Deadline - Now);
+  const VersionId Wanted = Entry.Request.Version;
+  return std::any_of(Entries.begin(), Entries.end(), [&](const auto &Each) {
+    if (!available(Each, Shares))
+      return false;
+    if (number(Wanted) != 0 && Each.Info.Version != Wanted)
+      return false;
+    // A slot that frees up leaves the batch as it is now.
+    const double Limit = Each.Model.requestLimit(Now);
+    const double Streams = std::min(streams(Each, Now) + 1, Limit);
+    return Each.Model.totalSeconds(Entry.Cost, promptAhead(Each, Now), Streams,
+                                   Now) <= Left;
+  });
+}
+
 void TargetTable::rememberPrefix(std::uint64_t Prefix, TargetId Target) {
   if (Prefix == 0)
     return;
@@ -235,7 +252,8 @@
                            Used.Total - Used.ToFirstToken, Streams, Now);
 }
 
-double TargetTable::fastestSeconds(const TokenCost &Cost, TimePoint Now) const {
+double TargetTable::fastestSeconds(const TokenCost &Cost, bool Busy,
+                                   TimePoint Now) const {
   double Fastest = std::numeric_limits<double>::infinity();
   for (const Entry &Each : Entries) {
     if (!Each.Listed || Each.Left || Each.Info.Leaving)
@@ -243,7 +261,8 @@
     // Before anything is learned, a lone stream may be as fast as a batch.
     const double Alone =
         Each.Model.learned()
-            ? Each.Model.totalSeconds(Cost, 0, 1, Now)
+            ? Each.Model.totalSeconds(
+                  Cost, 0, Busy ? Each.Model.requestLimit(Now) : 1, Now)
             : Cost.Output / std::max(1.0, Each.Info.TokensPerSecond);
     Fastest = std::min(Fastest, Alone);
   }
