--- /dev/null
+++ b/tests/system/bench.py
@@ -0,0 +1,147 @@
+"""Measures one entry host against the same load sent straight to the engines.
+
+Two entry hosts in one zone; all callers connect to one of them, so reservations
+also cross to the other for the pools whose arbiter it is. Needed of one daemon
+on one core: 240 requests/s and 73,000 relayed stream events/s.
+"""
+
+import dataclasses
+import pathlib
+import sys
+
+from fleet import Fleet, wait_until
+
+NEEDED_REQUESTS_PER_S = 240
+NEEDED_EVENTS_PER_S = 73_000
+CLIENTS = 3
+ENGINES = 4
+ENGINE_OPTIONS = {"batch_slowdown": 0, "prefill": 2_000_000,
+                  "cache_tokens": 0}
+
+
+@dataclasses.dataclass
+class Run:
+    """What one load through one way came to."""
+
+    whole: int
+    calls: int
+    events: int
+    seconds: float
+    first_ms: dict
+    total_ms: dict
+    cpu: dict          # seconds, by process name
+    http_bytes: int    # read and written by the entry host
+    verdicts: dict
+
+
+def io_bytes(process):
+    text = pathlib.Path(f"/proc/{process.pid}/io").read_text()
+    fields = dict(line.split(": ") for line in text.splitlines())
+    return int(fields["rchar"]) + int(fields["wchar"])
+
+
+def run(fleet, direct, rate, seconds, tokens, stream):
+    """Sends rate calls/s for a time through the host, or past it."""
+    count = int(rate * seconds / CLIENTS)
+    to = [engine.address for engine in fleet.engines]
+    host = fleet.hosts[0]
+    cpu_before = {each.name: each.cpu_seconds() for each in fleet.hosts}
+    io_before = io_bytes(host)
+    clients = [fleet.load(to=to if direct else [host.address],
+                          count=count, rate=rate / CLIENTS, stream=int(stream),
+                          max_tokens=tokens, version="v1" if direct else "")
+               for _ in range(CLIENTS)]
+    results = [client.finish() for client in clients]
+    cpu = {each.name: each.cpu_seconds() - cpu_before[each.name]
+           for each in fleet.hosts}
+    verdicts = {}
+    for result in results:
+        for verdict, number in result["verdicts"].items():
+            verdicts[verdict] = verdicts.get(verdict, 0) + number
+    return Run(verdicts.get("whole", 0), count * CLIENTS,
+               sum(result["events"] for result in results),
+               max(result["seconds"] for result in results),
+               worst(results, "first_ms"), worst(results, "total_ms"), cpu,
+               io_bytes(host) - io_before, verdicts)
+
+
+def worst(results, key):
+    """The largest of each quantile over the clients."""
+    names = set().union(*(result[key] for result in results))
+    return {name: max(result[key].get(name, 0) for result in results)
+            for name in names}
+
+
+def added(ours, straight, key):
+    return [ours.get(q, float("nan")) - straight.get(q, float("nan"))
+            for q in ("p50", "p99")]
+
+
+def show(name, ours, straight, fleet):
+    cpu = ours.cpu[fleet.hosts[0].name]
+    other = sum(ours.cpu.values()) - cpu
+    print(f"\n{name}")
+    print(f"  straight: {straight.whole}/{straight.calls} whole, "
+          f"{straight.events / straight.seconds:,.0f} events/s")
+    print(f"  ours:     {ours.whole}/{ours.calls} whole, "
+          f"{ours.events / ours.seconds:,.0f} events/s, "
+          f"{ours.calls / ours.seconds:,.0f} requests/s {ours.verdicts}")
+    for title, key in (("first answer", "first_ms"), ("whole answer", "total_ms")):
+        p50, p99 = added(getattr(ours, key), getattr(straight, key), key)
+        print(f"  added to the {title}: {p50:.2f} ms at p50, "
+              f"{p99:.2f} ms at p99")
+    print(f"  processor time: {cpu:.2f} s in {ours.seconds:.1f} s "
+          f"({100 * cpu / ours.seconds:.0f}% of a core); "
+          f"the other host {other:.2f} s")
+    print(f"  for each request: {1e6 * cpu / ours.calls:,.0f} us, "
+          f"{ours.http_bytes / ours.calls:,.0f} bytes of HTTP read and written")
+    if cpu > 0:
+        print(f"  for each core: {ours.calls / cpu:,.0f} requests/s, "
+              f"{ours.events / cpu:,.0f} events/s")
+    return cpu
+
+
+def verdict(name, held, needed):
+    met = held >= needed
+    print(f"  {'MET    ' if met else 'NOT MET'} {name}: {held:,.0f}, "
+          f"needed {needed:,}")
+    return met
+
+
+def main():
+    settings = {"log": {"level": "warning"}}
+    with Fleet(zones=1, hosts=2, engine_speeds=[200] * ENGINES, services=0,
+               engine_options=ENGINE_OPTIONS, settings=settings,
+               max_requests_in_flight=2000) as fleet:
+        for direct in (True, False):  # connections and code paths warm
+            run(fleet, direct, 60, 1, 2, True)
+        plans = {
+            "whole answers of 8 tokens at 240 requests/s":
+                (NEEDED_REQUESTS_PER_S, 6, 8, False),
+            "streams of 304 tokens at 240 requests/s":
+                (NEEDED_REQUESTS_PER_S, 8, 304, True),
+        }
+        last = None
+        for name, plan in plans.items():
+            straight = run(fleet, True, *plan)
+            ours = run(fleet, False, *plan)
+            cpu = show(name, ours, straight, fleet)
+            last = (ours, cpu)
+        ours, cpu = last
+        share = cpu / ours.seconds
+        print("\nNeeded of a daemon on one core, requests and events together:")
+        # The run ramps up and down; a core's worth is what counts.
+        met = [ours.whole == ours.calls,
+               verdict("requests/s for each core", ours.whole / cpu,
+                       NEEDED_REQUESTS_PER_S),
+               verdict("events/s for each core", ours.events / cpu,
+                       NEEDED_EVENTS_PER_S)]
+        print(f"  {'MET    ' if met[0] else 'NOT MET'} every answer whole at "
+              f"that load: {ours.whole}/{ours.calls}, {100 * share:.0f}% "
+              f"of a core")
+        stopped = [host.stop() for host in fleet.hosts]
+    return 0 if all(met) and stopped == [0, 0] else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
