--- /dev/null
+++ b/apps/marjorambayd/actions.h
@@ -0,0 +1,63 @@
+/// Performing of what the decision parts decide. Each overload stands with the
+/// side that it concerns.
+#ifndef MARJORAMBAY_APPS_MARJORAMBAYD_ACTIONS_H
+#define MARJORAMBAY_APPS_MARJORAMBAYD_ACTIONS_H
+
+#include "daemon.h"
+
+namespace marjorambay {
+
+// ---- Origin -----------------------------------------------------------------
+
+// peer_side: to the pool's arbiter, or to the holder of the key's shard.
+void performOrigin(Daemon &D, const RequestSlot &Action);
+void performOrigin(Daemon &D, const CancelSlotRequest &Action);
+void performOrigin(Daemon &D, const ReleaseSlot &Action);
+void performOrigin(Daemon &D, const ReportProgress &Action);
+void performOrigin(Daemon &D, const RecordIntent &Action);
+void performOrigin(Daemon &D, const RecordOutcome &Action);
+void performOrigin(Daemon &D, const ReportTargetSign &Action);
+// target_side
+void performOrigin(Daemon &D, const Dispatch &Action);
+void performOrigin(Daemon &D, const CancelDispatch &Action);
+// caller_side
+void performOrigin(Daemon &D, const FailCaller &Action);
+void performOrigin(Daemon &D, const FinishCaller &Action);
+void performOrigin(Daemon &D, const ReplayOutcome &Action);
+
+// ---- Arbiter, in arbiter_side -----------------------------------------------
+
+/// Returns the arbiter of \p Pool on this host, made when there is none.
+HeldArbiter &heldArbiter(Daemon &D, PoolId Pool);
+void performArbiter(Daemon &D, PoolId Pool, const ArbiterAction &Action);
+
+// ---- Membership, in peer_side and arbiter_side ------------------------------
+
+void performMembership(Daemon &D, const SendHeartbeat &Action);
+void performMembership(Daemon &D, const HostJoined &Action);
+void performMembership(Daemon &D, const HostLost &Action);
+void performMembership(Daemon &D, const ZoneViewChanged &Action);
+void performMembership(Daemon &D, const LearnedLeaving &Action);
+void performMembership(Daemon &D, const LearnedTrip &Action);
+void performMembership(Daemon &D, const NewerRevisionSeen &Action);
+void performMembership(Daemon &D, const LocalPauseSeen &Action);
+
+// ---- Intent log, in platform_side and peer_side -----------------------------
+
+void performIntentLog(Daemon &D, const ReadObject &Action);
+void performIntentLog(Daemon &D, const WriteObject &Action);
+void performIntentLog(Daemon &D, const AnswerIntent &Action);
+
+// ---- Configuration, in config_side and platform_side ------------------------
+
+void performConfig(Daemon &D, const AdoptConfig &Action);
+void performConfig(Daemon &D, const FetchConfigFromPeer &Action);
+void performConfig(Daemon &D, const SendConfig &Action);
+void performConfig(Daemon &D, const WatchObject &Action);
+void performConfig(Daemon &D, const ReadObject &Action);
+void performConfig(Daemon &D, const WriteObject &Action);
+void performConfig(Daemon &D, const AnswerProposal &Action);
+
+} // namespace marjorambay
+
+#endif // MARJORAMBAY_APPS_MARJORAMBAYD_ACTIONS_H
--- /dev/null
+++ b/apps/marjorambayd/answers.cpp
@@ -0,0 +1,283 @@
+/// Answers to callers: relayed streams, whole answers, errors.
+#include "answers.h"
+
+#include "actions.h"
+#include "sides.h"
+
+#include "marjorambay/protocol/error_body.h"
+
+#include <event2/buffer.h>
+
+#include <algorithm>
+#include <array>
+#include <strings.h>
+
+namespace marjorambay {
+
+namespace {
+
+constexpr Duration ProgressInterval = seconds(1);
+/// Unread bytes above which the target is no longer read.
+constexpr std::size_t PauseAtBytes = 128 * 1024;
+/// Segments of one read that are looked at without an allocation.
+constexpr int MaxSegments = 16;
+
+/// What a caller is told where the decision came without words.
+std::string_view wordsFor(ErrorKind Kind) {
+  switch (Kind) {
+  case ErrorKind::DeadlinePassed:
+    return "it can't be answered before its deadline";
+  case ErrorKind::AccountQueueFull:
+    return "the client account has too many requests waiting";
+  case ErrorKind::Overloaded:
+    return "the pool can't answer in time; come back later";
+  case ErrorKind::NoTarget:
+    return "no target of the pool takes requests now";
+  case ErrorKind::ShuttingDown:
+    return "this entry host is shutting down; connect again";
+  case ErrorKind::PlatformUnavailable:
+    return "the idempotency key can't be recorded now; nothing was run";
+  case ErrorKind::IdempotencyKeyReused:
+    return "the idempotency key was used with another request";
+  case ErrorKind::OutcomeUnknown:
+    return "the request may have run; check before you send a new key";
+  case ErrorKind::AnswerCut:
+    return "the answer broke off; what came of it is not whole";
+  case ErrorKind::AnswerTimeout:
+    return "the answer did not end in time";
+  case ErrorKind::TargetFailed:
+    return "the target answered with an error";
+  default:
+    return "";
+  }
+}
+
+void addIdentity(const Daemon &D, const CallerCall &Call,
+                 HttpHeaders &Headers) {
+  Headers.push_back({"Request-Id", Call.Name});
+  Headers.push_back({"Served-By", D.Settings.HostName});
+  Headers.push_back({"Tier", Call.TierName});
+  if (!Call.TargetName.empty())
+    Headers.push_back({"Target", Call.TargetName});
+  if (!Call.VersionName.empty())
+    Headers.push_back({"Model-Version", Call.VersionName});
+}
+
+HttpHeaders errorHeaders(const Error &Reason) {
+  HttpHeaders Headers{{"Content-Type", "application/json"}};
+  const std::string RetryAfter = retryAfterHeader(Reason);
+  if (!RetryAfter.empty())
+    Headers.push_back({"Retry-After", RetryAfter});
+  return Headers;
+}
+
+RequestLabels labelsOf(const CallerCall &Call) {
+  return {Call.Tier, Call.Account, Call.Version};
+}
+
+/// Lets the scanner see the bytes where they lie.
+void scan(SseScanner &Scanner, evbuffer *Bytes) {
+  std::array<evbuffer_iovec, MaxSegments> Segments;
+  const int Count =
+      evbuffer_peek(Bytes, -1, nullptr, Segments.data(), MaxSegments);
+  if (Count > MaxSegments) {
+    const std::size_t Length = evbuffer_get_length(Bytes);
+    const auto *Joined =
+        reinterpret_cast<const char *>(evbuffer_pullup(Bytes, -1));
+    Scanner.scan({Joined, Length});
+    return;
+  }
+  for (int Index = 0; Index < Count; ++Index)
+    Scanner.scan({static_cast<const char *>(Segments[Index].iov_base),
+                  Segments[Index].iov_len});
+}
+
+/// Records the times of the events that have just come, and tells the origin
+/// at most once a second.
+void noteEvents(Daemon &D, CallerCall &Call) {
+  const std::uint32_t New = Call.Scanner.textEvents() - Call.EventsSeen;
+  if (New == 0)
+    return;
+  const TimePoint Now = D.Loop.now();
+  const bool First = Call.EventsSeen == 0;
+  if (First)
+    D.Numbers.observe(Span::FirstToken, labelsOf(Call), Now - Call.Arrived);
+  else
+    D.Numbers.observe(Span::BetweenTokens, labelsOf(Call),
+                      (Now - Call.LastEvent) / New);
+  if (First)
+    Call.FirstEvent = Now;
+  Call.LastEvent = Now;
+  Call.EventsSeen += New;
+  if (!First && Now - Call.ToldAt < ProgressInterval)
+    return;
+  Call.ToldAt = Now;
+  const std::uint32_t Untold = Call.EventsSeen - Call.EventsTold;
+  Call.EventsTold = Call.EventsSeen;
+  post(D, OriginEvent(AnswerProgressed{Call.Id, Untold, Call.Attempt}));
+}
+
+void beginStream(Daemon &D, CallerCall &Call) {
+  HttpHeaders Headers{{"Content-Type", "text/event-stream"},
+                      {"Cache-Control", "no-cache"}};
+  addIdentity(D, Call, Headers);
+  D.Callers.beginAnswer(Call.Exchange, Call.Status, Headers);
+  Call.Begun = true;
+}
+
+void endWithError(Daemon &D, CallerCall &Call, const Error &Reason,
+                  MayHaveRun Ran) {
+  const std::string Body = printError(Reason, Call.Name, Ran);
+  if (Call.Begun) {
+    D.Callers.sendChunk(Call.Exchange, "data: " + Body + "\n\n");
+    D.Callers.endAnswer(Call.Exchange);
+    return;
+  }
+  HttpHeaders Headers = errorHeaders(Reason);
+  addIdentity(D, Call, Headers);
+  D.Callers.answer(Call.Exchange, answerFor(Reason.Kind).HttpStatus, Headers,
+                   Body);
+}
+
+bool isModelCall(const CallerCall &Call) {
+  return Call.Kind == RouteKind::Completions ||
+         Call.Kind == RouteKind::ChatCompletions;
+}
+
+void endWhole(Daemon &D, CallerCall &Call) {
+  constexpr int FirstServerError = 500;
+  if (isModelCall(Call) && Call.Status >= FirstServerError) {
+    const Error Reason{ErrorKind::TargetFailed,
+                       "the target answered with status " +
+                           std::to_string(Call.Status)};
+    return endWithError(D, Call, Reason, MayHaveRun::Maybe);
+  }
+  HttpHeaders Headers = Call.AnswerHeaders;
+  addIdentity(D, Call, Headers);
+  D.Callers.answer(Call.Exchange, Call.Status, Headers, Call.Gathered.get());
+}
+
+void countAnswered(Daemon &D, const CallerCall &Call) {
+  const TimePoint Now = D.Loop.now();
+  D.Numbers.observe(Span::Total, labelsOf(Call), Now - Call.Arrived);
+  D.Numbers.add(TierCount::OutputTokens, Call.Tier, Call.EventsSeen);
+  constexpr int FirstServerError = 500;
+  if (Call.Status >= FirstServerError)
+    D.Numbers.add(TierCount::Failed, Call.Tier);
+  else if (Now <= Call.Deadline)
+    D.Numbers.add(TierCount::Goodput, Call.Tier);
+  else
+    D.Numbers.add(TierCount::Late, Call.Tier);
+}
+
+void countFailed(Daemon &D, const CallerCall &Call, MayHaveRun Ran) {
+  if (Ran == MayHaveRun::No) {
+    D.Numbers.add(TierCount::Shed, Call.Tier);
+    return;
+  }
+  D.Numbers.add(TierCount::Failed, Call.Tier);
+  D.Numbers.add(TierCount::WastedPrefill, Call.Tier, Call.PromptTokens);
+}
+
+} // namespace
+
+bool isHeader(const HttpHeader &Header, const char *Name) {
+  return strcasecmp(Header.Name.c_str(), Name) == 0;
+}
+
+void answerRefused(Daemon &D, ExchangeId Exchange, const Error &Reason) {
+  HttpHeaders Headers = errorHeaders(Reason);
+  Headers.push_back({"Served-By", D.Settings.HostName});
+  D.Callers.answer(Exchange, answerFor(Reason.Kind).HttpStatus, Headers,
+                   printError(Reason, "", MayHaveRun::No));
+  LogLine("request_refused")
+      .with("kind", nameOf(Reason.Kind))
+      .with("host", D.Settings.HostName);
+}
+
+void relayStream(Daemon &D, CallerCall &Call, evbuffer *Bytes) {
+  scan(Call.Scanner, Bytes);
+  const RequestId Id = Call.Id;
+  noteEvents(D, Call);
+  // Telling the origin may have ended the request.
+  const auto Still = D.Calls.find(Id);
+  if (Still == D.Calls.end() || !Still->second.CallerHere)
+    return;
+  if (!Call.Begun)
+    beginStream(D, Call);
+  const std::size_t Unread = D.Callers.sendChunk(Call.Exchange, Bytes);
+  if (Unread > D.Settings.MaxUnreadBytes) {
+    D.Numbers.add(HostCount::CallersCutOff);
+    D.Callers.cut(Call.Exchange);
+    return;
+  }
+  if (Unread <= std::min<std::size_t>(PauseAtBytes, D.Settings.MaxUnreadBytes))
+    return;
+  Call.Paused = true;
+  D.Client.pause(*Call.Call);
+}
+
+void performOrigin(Daemon &D, const FailCaller &Action) {
+  const auto Found = D.Calls.find(Action.Id);
+  if (Found == D.Calls.end())
+    return;
+  CallerCall &Call = Found->second;
+  Error Reason = Action.Reason;
+  if (Reason.Message.empty())
+    Reason.Message = wordsFor(Reason.Kind);
+  countFailed(D, Call, Action.Ran);
+  if (Call.CallerHere)
+    endWithError(D, Call, Reason, Action.Ran);
+  forgetCall(D, Action.Id, nameOf(Reason.Kind));
+}
+
+void performOrigin(Daemon &D, const FinishCaller &Action) {
+  const auto Found = D.Calls.find(Action.Id);
+  if (Found == D.Calls.end())
+    return;
+  CallerCall &Call = Found->second;
+  countAnswered(D, Call);
+  if (Call.CallerHere && Call.Begun)
+    D.Callers.endAnswer(Call.Exchange);
+  else if (Call.CallerHere)
+    endWhole(D, Call);
+  forgetCall(D, Action.Id, "answered");
+}
+
+void performOrigin(Daemon &D, const ReplayOutcome &Action) {
+  const auto Found = D.Calls.find(Action.Id);
+  if (Found == D.Calls.end())
+    return;
+  CallerCall &Call = Found->second;
+  Call.Status = Action.HttpStatus;
+  HttpHeaders Headers{{"Content-Type", "application/json"},
+                      {"Idempotent-Replay", "true"}};
+  addIdentity(D, Call, Headers);
+  countAnswered(D, Call);
+  if (Call.CallerHere)
+    D.Callers.answer(Call.Exchange, Action.HttpStatus, Headers,
+                     R"({"replayed": true})");
+  forgetCall(D, Action.Id, "replayed");
+}
+
+void forgetCall(Daemon &D, RequestId Id, std::string_view Ending) {
+  const auto Found = D.Calls.find(Id);
+  if (Found == D.Calls.end())
+    return;
+  const CallerCall &Call = Found->second;
+  const auto Total =
+      std::chrono::duration_cast<milliseconds>(D.Loop.now() - Call.Arrived);
+  LogLine("request_ended")
+      .with("request", Call.Name)
+      .with("account", Call.AccountName)
+      .with("tier", Call.TierName)
+      .with("target", Call.TargetName)
+      .with("attempt", Call.Attempt)
+      .with("ending", Ending)
+      .with("status", Call.Status)
+      .with("total_ms", Total.count());
+  D.ByExchange.erase(Call.Exchange);
+  D.Calls.erase(Found);
+}
+
+} // namespace marjorambay
--- /dev/null
+++ b/apps/marjorambayd/arbiter_side.cpp
@@ -0,0 +1,272 @@
+/// Arbiters held by this host, and the way to those of others.
+#include "actions.h"
+#include "sides.h"
+
+#include <algorithm>
+
+namespace marjorambay {
+
+namespace {
+
+constexpr Duration ArbiterTick = milliseconds(100);
+
+/// Returns the zone whose arbiter a request of this host asks first: the own
+/// one, or else the first zone that has targets of the pool and a known host.
+std::optional<ArbiterPlace> placeOf(const Daemon &D, PoolId Pool) {
+  if (!D.Config.targets(Pool, D.Self.Zone).empty())
+    return ArbiterPlace{D.Self.Zone, D.Members.arbiterOf(Pool)};
+  for (const ZoneId Zone : D.Config.zonesOfPool(Pool))
+    if (const auto Host = D.Members.arbiterOf(Pool, Zone))
+      return ArbiterPlace{Zone, *Host};
+  return std::nullopt;
+}
+
+std::optional<HostId> arbiterIn(const Daemon &D, PoolId Pool, ZoneId Zone) {
+  if (Zone == D.Self.Zone)
+    return D.Members.arbiterOf(Pool);
+  return D.Members.arbiterOf(Pool, Zone);
+}
+
+TargetInfo infoOf(const Daemon &D, const TargetConfig &Target) {
+  TargetInfo Info;
+  Info.Id = idOf<TargetId>(Target.Name);
+  Info.Pool = idOf<PoolId>(Target.Pool);
+  Info.Zone = idOf<ZoneId>(Target.Zone);
+  if (!Target.Version.empty())
+    Info.Version = idOf<VersionId>(Target.Version);
+  Info.TokensPerSecond = Target.TokensPerSecond;
+  Info.MaxTokensInFlight = Target.MaxTokensInFlight;
+  Info.MaxRequestsInFlight = Target.MaxRequestsInFlight;
+  Info.Leaving = Target.Draining || D.Members.isLeaving(Info.Id);
+  const auto Life = D.TargetLives.find(Info.Id);
+  if (Life != D.TargetLives.end())
+    Info.Life = Life->second;
+  return Info;
+}
+
+std::vector<TargetInfo> targetsOf(const Daemon &D, PoolId Pool, ZoneId Zone) {
+  std::vector<TargetInfo> Targets;
+  for (const TargetId Id : D.Config.targets(Pool, Zone))
+    Targets.push_back(infoOf(D, *D.Config.target(Id)));
+  return Targets;
+}
+
+/// Live entry hosts of the own zone, this one included.
+std::vector<HostId> zoneHosts(const Daemon &D) {
+  std::vector<HostId> Hosts{D.Self.Id};
+  for (const auto &[Id, Peer] : D.Members.members())
+    if (Peer.Host.Zone == D.Self.Zone && Peer.State == HostState::Live)
+      Hosts.push_back(Id);
+  return Hosts;
+}
+
+/// Tells one arbiter of this host what the configuration says of its pool.
+void tellArbiter(Daemon &D, PoolId Pool) {
+  post(D, ArbiterInput{Pool, TargetsChanged{targetsOf(D, Pool, D.Self.Zone)}});
+  const PoolConfig *Known = D.Config.pool(Pool);
+  if (Known && !Known->Version.empty())
+    post(D, ArbiterInput{
+                Pool, ServingVersionChanged{idOf<VersionId>(Known->Version)}});
+  for (const AccountConfig &Account : D.Config.config().Accounts)
+    post(D,
+         ArbiterInput{Pool, AccountWeightChanged{idOf<AccountId>(Account.Name),
+                                                 Account.Weight}});
+}
+
+/// Tells the arbiter of \p Pool in \p Zone of the slots that requests of this
+/// host hold there.
+void reportGrants(Daemon &D, PoolId Pool, ZoneId Zone) {
+  GrantsReported Report;
+  Report.Origin = D.Self.Id;
+  Report.OriginLife = D.Life;
+  for (HeldGrant &Grant : D.Requests.heldGrants(Pool, D.Loop.now())) {
+    const TargetConfig *Target = D.Config.target(Grant.Target);
+    if (Target && idOf<ZoneId>(Target->Zone) == Zone)
+      Report.Grants.push_back(std::move(Grant));
+  }
+  sendArbiter(D, Pool, Zone, std::move(Report));
+}
+
+void arbiterMoved(Daemon &D, PoolId Pool, const ArbiterPlace &Now) {
+  const auto Old = D.ArbiterOf.find(Pool);
+  const bool WasSelf =
+      Old != D.ArbiterOf.end() && Old->second.Host == D.Self.Id;
+  D.ArbiterOf[Pool] = Now;
+  LogLine("arbiter_moved")
+      .with("pool", static_cast<std::int64_t>(number(Pool)))
+      .with("here", Now.Host == D.Self.Id ? "yes" : "no");
+  if (Now.Host == D.Self.Id && !WasSelf)
+    post(D, ArbiterInput{Pool, TakeoverStarted{zoneHosts(D)}});
+  // What waited here is asked for again, at the new place.
+  if (Now.Host != D.Self.Id)
+    D.Arbiters.erase(Pool);
+  reportGrants(D, Pool, Now.Zone);
+  post(D, OriginEvent(ArbiterMoved{Pool, true}));
+}
+
+/// Asks the arbiter of another zone, if that is allowed and one is left.
+bool spill(Daemon &D, CallerCall &Call, PoolId Pool) {
+  const FleetDefaults Defaults = D.Config.effective(
+      {.Host = D.Settings.HostName, .Zone = D.Settings.ZoneName});
+  if (!Defaults.SpillAcrossZones || D.Loop.now() >= Call.Deadline)
+    return false;
+  Call.RefusedIn.push_back(Call.ReservedIn);
+  for (const ZoneId Zone : D.Config.zonesOfPool(Pool)) {
+    const auto &Refused = Call.RefusedIn;
+    if (std::find(Refused.begin(), Refused.end(), Zone) != Refused.end())
+      continue;
+    if (!D.Members.arbiterOf(Pool, Zone))
+      continue;
+    Call.ReservedIn = Zone;
+    Reservation Again = Call.Asked;
+    Again.Remaining = Call.Deadline - D.Loop.now();
+    return sendArbiter(D, Pool, Zone, SlotRequested{Again});
+  }
+  return false;
+}
+
+bool isOwn(const Daemon &D, const RequestKey &Key) {
+  return Key.Origin == D.Self.Id && Key.OriginLife == D.Life;
+}
+
+void take(Daemon &D, PoolId Pool, const GrantSlot &Grant, HostId From) {
+  if (isOwn(D, Grant.Key) && D.Calls.contains(Grant.Key.Id)) {
+    post(D, OriginEvent(SlotGranted{Grant.Key.Id, Grant.Target, Pool}));
+    return;
+  }
+  // Of an earlier life, or of a caller that has left: the slot is free again.
+  const ArbiterEvent Release = SlotReleased{Grant.Key, {UsageEnd::NotRun}};
+  if (From == D.Self.Id)
+    post(D, ArbiterInput{Pool, Release});
+  else
+    sendHost(D, From, ArbiterMessage{Pool, Release});
+}
+
+void take(Daemon &D, PoolId Pool, const RefuseSlot &Refusal, HostId /*From*/) {
+  const auto Found = D.Calls.find(Refusal.Key.Id);
+  if (!isOwn(D, Refusal.Key) || Found == D.Calls.end())
+    return;
+  const bool MaySpill = Refusal.Kind == ErrorKind::Overloaded ||
+                        Refusal.Kind == ErrorKind::NoTarget;
+  if (MaySpill && spill(D, Found->second, Pool))
+    return;
+  post(D, OriginEvent(
+              SlotRefused{Refusal.Key.Id, Refusal.Kind, Refusal.RetryAfter}));
+}
+
+void take(Daemon &D, PoolId /*Pool*/, const PreemptSlot &Preemption,
+          HostId /*From*/) {
+  if (isOwn(D, Preemption.Key))
+    post(D, OriginEvent(SlotPreempted{Preemption.Key.Id}));
+}
+
+HostId originOf(const ArbiterAction &Action) {
+  return std::visit([](const auto &Known) { return Known.Key.Origin; }, Action);
+}
+
+void tickArbiters(Daemon &D) {
+  std::vector<PoolId> Pools;
+  for (const auto &[Pool, Held] : D.Arbiters)
+    Pools.push_back(Pool);
+  for (const PoolId Pool : Pools)
+    post(D, ArbiterInput{Pool, ArbiterTicked{}});
+}
+
+} // namespace
+
+HeldArbiter &heldArbiter(Daemon &D, PoolId Pool) {
+  const auto [Found, New] = D.Arbiters.try_emplace(Pool);
+  if (New)
+    tellArbiter(D, Pool);
+  return Found->second;
+}
+
+void performArbiter(Daemon &D, PoolId Pool, const ArbiterAction &Action) {
+  const HostId Origin = originOf(Action);
+  if (Origin == D.Self.Id)
+    takeDecision(D, Pool, Action, D.Self.Id);
+  else
+    sendHost(D, Origin, OriginMessage{Pool, Action});
+}
+
+void takeDecision(Daemon &D, PoolId Pool, const ArbiterAction &Action,
+                  HostId From) {
+  std::visit([&](const auto &Known) { take(D, Pool, Known, From); }, Action);
+}
+
+bool sendArbiter(Daemon &D, PoolId Pool, ZoneId Zone, ArbiterEvent Event) {
+  const std::optional<HostId> Host = arbiterIn(D, Pool, Zone);
+  if (!Host)
+    return false;
+  if (*Host == D.Self.Id)
+    post(D, ArbiterInput{Pool, std::move(Event)});
+  else
+    sendHost(D, *Host, ArbiterMessage{Pool, std::move(Event)});
+  return true;
+}
+
+void reviewArbiters(Daemon &D) {
+  for (const PoolConfig &Pool : D.Config.config().Pools) {
+    const auto Id = idOf<PoolId>(Pool.Name);
+    const std::optional<ArbiterPlace> Place = placeOf(D, Id);
+    const auto Old = D.ArbiterOf.find(Id);
+    if (Place && (Old == D.ArbiterOf.end() || Old->second != *Place))
+      arbiterMoved(D, Id, *Place);
+  }
+}
+
+void tellTargets(Daemon &D) {
+  const auto Hosts = static_cast<std::uint32_t>(zoneHosts(D).size());
+  for (const PoolConfig &Pool : D.Config.config().Pools) {
+    const auto Id = idOf<PoolId>(Pool.Name);
+    post(D, OriginEvent(
+                LocalTargetsChanged{Id, targetsOf(D, Id, D.Self.Zone), Hosts}));
+    if (D.Arbiters.contains(Id))
+      tellArbiter(D, Id);
+  }
+}
+
+void startArbiterSide(Daemon &D) {
+  D.Subscriptions.push_back(
+      D.Timers.every(ArbiterTick, [&D]() { tickArbiters(D); }));
+}
+
+void performMembership(Daemon &D, const ZoneViewChanged & /*Action*/) {
+  reviewArbiters(D);
+  if (D.WatchesConfig == D.Members.watchesConfig())
+    return;
+  D.WatchesConfig = !D.WatchesConfig;
+  post(D, ConfigInput{WatcherRoleChanged{D.WatchesConfig}});
+}
+
+void performMembership(Daemon &D, const HostLost &Action) {
+  LogLine("host_lost")
+      .with("host", static_cast<std::int64_t>(number(Action.Host)));
+  for (const auto &[Pool, Held] : D.Arbiters)
+    post(D, ArbiterInput{Pool, OriginLost{Action.Host, Action.Life}});
+}
+
+void performMembership(Daemon &D, const LearnedLeaving &Action) {
+  const LeavingTarget &Sign = Action.Sign;
+  LogLine("target_leaving")
+      .with("target", static_cast<std::int64_t>(number(Sign.Target)))
+      .with("back", Sign.Back ? "yes" : "no");
+  const TargetConfig *Target = D.Config.target(Sign.Target);
+  if (!Target)
+    return;
+  if (Sign.Back) {
+    D.TargetLives[Sign.Target] = Sign.Life;
+    tellTargets(D);
+    return;
+  }
+  const auto Pool = idOf<PoolId>(Target->Pool);
+  if (D.Arbiters.contains(Pool))
+    post(D, ArbiterInput{Pool, TargetLeft{Sign.Target, Sign.Life}});
+}
+
+void performMembership(Daemon &D, const LearnedTrip &Action) {
+  for (const auto &[Pool, Held] : D.Arbiters)
+    post(D, ArbiterInput{Pool, VersionTripped{Action.Trip.Version}});
+}
+
+} // namespace marjorambay
--- a/apps/marjorambayd/main.cpp
+++ b/apps/marjorambayd/main.cpp
@@ -1,2 +1,115 @@
-/// Entry point of marjorambayd.
-int main() { return 0; }
+/// Entry point of marjorambayd: options, settings, and the run of the loop.
+#include "sides.h"
+
+#include <boost/program_options.hpp>
+
+#include <csignal>
+#include <cstdio>
+#include <iostream>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace marjorambay;
+namespace po = boost::program_options;
+
+constexpr int ExitUsage = 2;
+
+struct Arguments {
+  std::string ConfigPath{};
+  bool CheckOnly = false;
+  std::vector<SettingOverride> Overrides{};
+};
+
+po::options_description optionTable() {
+  po::options_description Table("marjorambayd, an entry host of the request "
+                                "scheduler\n\nOptions");
+  Table.add_options()("help", "shows this")("version", "shows the version")(
+      "config", po::value<std::string>(),
+      "settings, an INI file")("check-config", po::value<std::string>(),
+                               "checks a settings file and starts nothing");
+  po::options_description Settings("Settings, which override the file");
+  for (const SettingRow &Row : settingRows())
+    Settings.add_options()(
+        (std::string(Row.Section) + "." + std::string(Row.Key)).c_str(),
+        po::value<std::vector<std::string>>(),
+        std::string(Row.Description).c_str());
+  return Table.add(Settings);
+}
+
+std::vector<SettingOverride> overridesIn(const po::variables_map &Given) {
+  std::vector<SettingOverride> Overrides;
+  for (const SettingRow &Row : settingRows()) {
+    const std::string Name =
+        std::string(Row.Section) + "." + std::string(Row.Key);
+    if (Given.count(Name) == 0)
+      continue;
+    for (const auto &Value : Given[Name].as<std::vector<std::string>>())
+      Overrides.emplace_back(Name, Value);
+  }
+  return Overrides;
+}
+
+/// Reads the command line. An exit code is returned when there is no more to
+/// do.
+std::variant<Arguments, int> readArguments(int Count, char **Values) {
+  const po::options_description Table = optionTable();
+  po::variables_map Given;
+  try {
+    po::store(po::parse_command_line(Count, Values, Table), Given);
+  } catch (const po::error &Failure) {
+    std::cerr << "marjorambayd: " << Failure.what() << "; see --help\n";
+    return ExitUsage;
+  }
+  if (Given.count("help") != 0) {
+    std::cout << Table;
+    return 0;
+  }
+  if (Given.count("version") != 0) {
+    std::cout << "marjorambayd " MARJORAMBAY_VERSION "\n";
+    return 0;
+  }
+  Arguments Read;
+  Read.CheckOnly = Given.count("check-config") != 0;
+  const char *Name = Read.CheckOnly ? "check-config" : "config";
+  if (Given.count(Name) == 0) {
+    std::cerr << "marjorambayd: --config FILE is missing; see --help\n";
+    return ExitUsage;
+  }
+  Read.ConfigPath = Given[Name].as<std::string>();
+  Read.Overrides = overridesIn(Given);
+  return Read;
+}
+
+int run(HostSettings Settings) {
+  startLogging("marjorambayd", Settings.LogLevel);
+  std::signal(SIGPIPE, SIG_IGN);
+  Daemon Context(std::move(Settings));
+  const Result<Done> Started = startDaemon(Context);
+  if (!ok(Started)) {
+    std::cerr << "marjorambayd: " << error(Started).Message << "\n";
+    return answerFor(error(Started).Kind).ExitCode;
+  }
+  Context.Loop.run();
+  return 0;
+}
+
+} // namespace
+
+int main(int Count, char **Values) {
+  const auto Read = readArguments(Count, Values);
+  if (const int *Code = std::get_if<int>(&Read))
+    return *Code;
+  const auto &Given = std::get<Arguments>(Read);
+  Result<HostSettings> Settings =
+      readSettings(Given.ConfigPath, Given.Overrides);
+  if (!ok(Settings)) {
+    std::cerr << error(Settings).Message << "\n";
+    return answerFor(error(Settings).Kind).ExitCode;
+  }
+  if (!Given.CheckOnly)
+    return run(std::move(value(Settings)));
+  std::cout << Given.ConfigPath << ": settings are valid\n";
+  return 0;
+}
--- a/apps/marjorambayd/peer_codec.cpp
+++ b/apps/marjorambayd/peer_codec.cpp
@@ -212,12 +212,25 @@
   for (const KnownHost &Host : Beat.Known)
     put(Host, To->add_known());
 }
-void putMessage(const ConfigFetch &Fetch, peer::Message *Out) {
-  Out->mutable_config_fetch()->set_at_least(number(Fetch.AtLeast));
-}
-void putMessage(const ConfigReply &Reply, peer::Message *Out) {
-  Out->mutable_config_reply()->set_revision(number(Reply.Rev));
-  Out->mutable_config_reply()->set_document(Reply.Document);
+void putMessage(const ConfigAsked &Asked, peer::Message *Out) {
+  Out->mutable_config_ask()->set_have(number(Asked.Have));
+}
+void putMessage(const ConfigReceived &Content, peer::Message *Out) {
+  peer::Config *To = Out->mutable_config();
+  To->set_revision(number(Content.Rev));
+  To->set_document(Content.Document);
+  To->set_digest(Content.Digest);
+  for (const ConfigDelta &Delta : Content.Deltas) {
+    peer::ConfigDelta *Each = To->add_deltas();
+    Each->set_from(number(Delta.From));
+    Each->set_to(number(Delta.To));
+    for (const DocumentEdit &Edit : Delta.Edits) {
+      peer::Edit *One = Each->add_edits();
+      One->set_offset(Edit.Offset);
+      One->set_removed(Edit.Removed);
+      One->set_inserted(Edit.Inserted);
+    }
+  }
 }
 void putMessage(const IntentRequested &Event, peer::Message *Out) {
   peer::IntentRequest *To = Out->mutable_intent_request();
@@ -261,6 +274,20 @@
   return Beat;
 }
 
+ConfigReceived takeConfig(const peer::Config &In) {
+  ConfigReceived Content;
+  Content.Rev = Revision{In.revision()};
+  Content.Document = In.document();
+  Content.Digest = In.digest();
+  for (const peer::ConfigDelta &Each : In.deltas()) {
+    ConfigDelta Delta{Revision{Each.from()}, Revision{Each.to()}, {}};
+    for (const peer::Edit &One : Each.edits())
+      Delta.Edits.push_back({One.offset(), One.removed(), One.inserted()});
+    Content.Deltas.push_back(std::move(Delta));
+  }
+  return Content;
+}
+
 IntentVerdict takeVerdict(std::uint32_t Number) {
   if (Number > static_cast<std::uint32_t>(IntentVerdict::Unavailable))
     return IntentVerdict::Unavailable;
@@ -298,11 +325,10 @@
     return OriginMessage{Pool, PreemptSlot{take(In.preempt().key())}};
   case peer::Message::kHeartbeat:
     return takeHeartbeat(In.heartbeat(), Sender);
-  case peer::Message::kConfigFetch:
-    return ConfigFetch{Revision{In.config_fetch().at_least()}};
-  case peer::Message::kConfigReply:
-    return ConfigReply{Revision{In.config_reply().revision()},
-                       In.config_reply().document()};
+  case peer::Message::kConfigAsk:
+    return ConfigAsked{Sender.Id, Revision{In.config_ask().have()}};
+  case peer::Message::kConfig:
+    return takeConfig(In.config());
   case peer::Message::kIntentRequest:
     return IntentRequested{take(In.intent_request().request()),
                            take(In.intent_request().key()),
--- a/apps/marjorambayd/peer_codec.h
+++ b/apps/marjorambayd/peer_codec.h
@@ -23,18 +23,10 @@
   PoolId Pool{};
   ArbiterAction Action{};
 };
-/// Asks for the configuration, if the peer holds \p AtLeast.
-struct ConfigFetch {
-  Revision AtLeast{};
-};
-struct ConfigReply {
-  Revision Rev{};
-  std::string Document{};
-};
 
-using PeerMessage =
-    std::variant<ArbiterMessage, OriginMessage, Heartbeat, ConfigFetch,
-                 ConfigReply, IntentRequested, AnswerIntent, OutcomeReported>;
+using PeerMessage = std::variant<ArbiterMessage, OriginMessage, Heartbeat,
+                                 ConfigAsked, ConfigReceived, IntentRequested,
+                                 AnswerIntent, OutcomeReported>;
 
 /// Who sent an envelope, and where answers go.
 struct PeerSender {
--- /dev/null
+++ b/apps/marjorambayd/peer_side.cpp
@@ -0,0 +1,230 @@
+/// Messages to and from other entry hosts, one envelope a peer and turn.
+#include "actions.h"
+#include "sides.h"
+
+#include <utility>
+
+namespace marjorambay {
+
+namespace {
+
+constexpr std::size_t MaxSenders = 4096;
+constexpr Duration MembershipTick = milliseconds(100);
+
+PeerSender selfSender(const Daemon &D) {
+  return {D.Self.Id, D.Life, D.Self.Address};
+}
+
+void flushPeers(Daemon &D) {
+  for (auto &[Address, Writer] : D.Outgoing)
+    D.Peers.send(Address, Writer.print(selfSender(D)));
+  D.Outgoing.clear();
+}
+
+void noteSender(Daemon &D, const PeerSender &Sender) {
+  if (D.Senders.size() >= MaxSenders && !D.Senders.contains(Sender.Id))
+    D.Senders.clear();
+  PeerSender &Known = D.Senders[Sender.Id];
+  if (Known.Life <= Sender.Life)
+    Known = Sender;
+}
+
+// ---- What arrives -----------------------------------------------------------
+
+void receive(Daemon &D, ArbiterMessage Message, const PeerSender & /*From*/) {
+  // Without a configuration there are no targets to grant.
+  if (D.Config.pool(Message.Pool))
+    post(D, ArbiterInput{Message.Pool, std::move(Message.Event)});
+}
+void receive(Daemon &D, const OriginMessage &Message, const PeerSender &From) {
+  takeDecision(D, Message.Pool, Message.Action, From.Id);
+}
+void receive(Daemon &D, Heartbeat Beat, const PeerSender & /*From*/) {
+  post(D, MembershipEvent(HeartbeatReceived{std::move(Beat)}));
+}
+void receive(Daemon &D, ConfigAsked Asked, const PeerSender & /*From*/) {
+  post(D, ConfigInput{Asked});
+}
+void receive(Daemon &D, ConfigReceived Content, const PeerSender & /*From*/) {
+  post(D, ConfigInput{std::move(Content)});
+}
+void receive(Daemon &D, const IntentRequested &Event,
+             const PeerSender & /*From*/) {
+  post(D, IntentLogInput{Event});
+}
+void receive(Daemon &D, const AnswerIntent &Answer,
+             const PeerSender & /*From*/) {
+  performIntentLog(D, Answer);
+}
+void receive(Daemon &D, const OutcomeReported &Event,
+             const PeerSender & /*From*/) {
+  post(D, IntentLogInput{Event});
+}
+
+void envelopeArrived(Daemon &D, std::string_view Bytes) {
+  Result<ReceivedEnvelope> Read = parseEnvelope(Bytes);
+  if (!ok(Read)) {
+    LogLine("bad_envelope", LogLevel::Warning)
+        .with("bytes", static_cast<std::int64_t>(Bytes.size()));
+    return;
+  }
+  const PeerSender Sender = value(Read).Sender;
+  noteSender(D, Sender);
+  for (PeerMessage &Message : value(Read).Messages)
+    std::visit([&](auto &Known) { receive(D, std::move(Known), Sender); },
+               Message);
+}
+
+// ---- Where words of the origin go -------------------------------------------
+
+RequestKey keyOf(const Daemon &D, RequestId Id) {
+  return {D.Self.Id, D.Life, Id};
+}
+
+/// Zone of the arbiter that holds a request's reservation.
+ZoneId zoneOf(const Daemon &D, RequestId Id) {
+  const auto Found = D.Calls.find(Id);
+  return Found == D.Calls.end() ? D.Self.Zone : Found->second.ReservedIn;
+}
+
+ZoneId zoneOfTarget(const Daemon &D, TargetId Target) {
+  const TargetConfig *Known = D.Config.target(Target);
+  return Known ? idOf<ZoneId>(Known->Zone) : D.Self.Zone;
+}
+
+/// Returns the host of the own zone that records intents of a key's shard.
+/// Two holders of one shard are safe; one writes it with fewer conflicts.
+HostId intentHolder(const Daemon &D, const KeyHash &Key) {
+  constexpr std::uint64_t Salt = 0x1A7E;
+  const std::uint32_t Shard = shardOf(Key, IntentLogSettings{}.Shards);
+  return D.Members.arbiterOf(PoolId{mixBits(Salt + Shard)});
+}
+
+void sendIntentHolder(Daemon &D, const KeyHash &Key, const PeerMessage &Message,
+                      IntentLogEvent Event) {
+  const HostId Holder = intentHolder(D, Key);
+  if (Holder == D.Self.Id)
+    post(D, IntentLogInput{std::move(Event)});
+  else
+    sendHost(D, Holder, Message);
+}
+
+} // namespace
+
+void sendPeer(Daemon &D, const std::string &Address,
+              const PeerMessage &Message) {
+  if (D.Outgoing.empty())
+    D.Loop.defer([&D]() { flushPeers(D); });
+  D.Outgoing[Address].add(Message);
+}
+
+void sendHost(Daemon &D, HostId To, const PeerMessage &Message) {
+  const auto Heard = D.Senders.find(To);
+  if (Heard != D.Senders.end()) {
+    sendPeer(D, Heard->second.Address, Message);
+    return;
+  }
+  if (const Member *Peer = D.Members.member(To))
+    sendPeer(D, Peer->Host.Address, Message);
+}
+
+Result<Done> startPeerSide(Daemon &D) {
+  D.Peers.Received.connect(
+      [&D](std::string_view Bytes) { envelopeArrived(D, Bytes); });
+  const Result<std::string> Bound = D.Peers.bind(D.Settings.PeerAddress);
+  if (!ok(Bound))
+    return error(Bound);
+  D.Subscriptions.push_back(D.Timers.every(MembershipTick, [&D]() {
+    post(D, MembershipEvent(MembershipTicked{}));
+  }));
+  return Done{};
+}
+
+void performOrigin(Daemon &D, const RequestSlot &Action) {
+  const Reservation &Request = Action.Request;
+  const auto Found = D.Calls.find(Request.Key.Id);
+  if (Found == D.Calls.end())
+    return;
+  const auto Place = D.ArbiterOf.find(Request.Pool);
+  CallerCall &Call = Found->second;
+  Call.Asked = Request;
+  const bool Spilled = !Call.RefusedIn.empty();
+  if (!Spilled && Place != D.ArbiterOf.end())
+    Call.ReservedIn = Place->second.Zone;
+  const bool Sent =
+      Place != D.ArbiterOf.end() &&
+      sendArbiter(D, Request.Pool, Call.ReservedIn, SlotRequested{Request});
+  if (!Sent)
+    post(D, OriginEvent(SlotRefused{Call.Id, ErrorKind::NoTarget, seconds(1)}));
+}
+
+void performOrigin(Daemon &D, const CancelSlotRequest &Action) {
+  sendArbiter(D, Action.Pool, zoneOf(D, Action.Id),
+              SlotRequestCancelled{keyOf(D, Action.Id)});
+}
+
+void performOrigin(Daemon &D, const ReleaseSlot &Action) {
+  sendArbiter(D, Action.Pool, zoneOfTarget(D, Action.Target),
+              SlotReleased{keyOf(D, Action.Id), Action.Used});
+}
+
+void performOrigin(Daemon &D, const ReportProgress &Action) {
+  sendArbiter(D, Action.Pool, zoneOf(D, Action.Id),
+              SlotProgressed{keyOf(D, Action.Id), Action.OutputTokens});
+}
+
+void performOrigin(Daemon &D, const RecordIntent &Action) {
+  const IntentRequested Event{keyOf(D, Action.Id), Action.Key, Action.BodyHash,
+                              Action.TimeLeft};
+  sendIntentHolder(D, Action.Key, Event, Event);
+}
+
+void performOrigin(Daemon &D, const RecordOutcome &Action) {
+  const OutcomeReported Event{keyOf(D, Action.Id), Action.Key, Action.Released,
+                              Action.HttpStatus};
+  sendIntentHolder(D, Action.Key, Event, Event);
+}
+
+void performOrigin(Daemon &D, const ReportTargetSign &Action) {
+  const TargetConfig *Target = D.Config.target(Action.Target);
+  if (!Target)
+    return;
+  if (Action.Leaving)
+    post(D, MembershipEvent(TargetSignSeen{{Action.Target, {}}}));
+  ArbiterEvent Event = TargetRefused{Action.Target};
+  if (Action.Leaving)
+    Event = TargetLeft{Action.Target};
+  sendArbiter(D, idOf<PoolId>(Target->Pool), idOf<ZoneId>(Target->Zone), Event);
+}
+
+void performIntentLog(Daemon &D, const AnswerIntent &Action) {
+  const RequestKey &Key = Action.Request;
+  if (Key.Origin != D.Self.Id) {
+    sendHost(D, Key.Origin, Action);
+    return;
+  }
+  if (Key.OriginLife == D.Life)
+    post(D, OriginEvent(
+                IntentSettled{Key.Id, Action.Verdict, Action.AppliedStatus}));
+}
+
+void performMembership(Daemon &D, const SendHeartbeat &Action) {
+  sendPeer(D, Action.To.Address, Action.Beat);
+}
+
+void performMembership(Daemon & /*D*/, const HostJoined &Action) {
+  LogLine("host_joined")
+      .with("host", static_cast<std::int64_t>(number(Action.Host.Id)))
+      .with("address", Action.Host.Address);
+}
+
+void performMembership(Daemon &D, const NewerRevisionSeen &Action) {
+  post(D, ConfigInput{NewerConfigSeen{Action.Holder, Action.ConfigRevision}});
+}
+
+void performMembership(Daemon & /*D*/, const LocalPauseSeen &Action) {
+  LogLine("local_pause", LogLevel::Warning)
+      .with("ms", std::chrono::duration_cast<milliseconds>(Action.Gap).count());
+}
+
+} // namespace marjorambay
--- /dev/null
+++ b/apps/marjorambayd/platform_side.cpp
@@ -0,0 +1,151 @@
+/// Calls of the platform's object API, for the intent log and configuration.
+#include "actions.h"
+#include "sides.h"
+
+#include "marjorambay/protocol/platform_api.h"
+
+namespace marjorambay {
+
+namespace {
+
+constexpr int HttpOk = 200;
+constexpr int HttpNoContent = 204;
+constexpr int HttpNotFound = 404;
+constexpr int HttpConflict = 409;
+constexpr std::size_t MaxObjectBytes = 2 * 1024 * 1024;
+
+HttpCall platformCall(const Daemon &D, std::string Method, std::string Path) {
+  const Result<SocketAddress> Address =
+      parseAddress(D.Settings.PlatformAddress);
+  HttpCall What;
+  if (ok(Address)) {
+    What.Address = value(Address).Ip;
+    What.Port = value(Address).Port;
+  }
+  What.Method = std::move(Method);
+  What.Path = std::move(Path);
+  What.ConnectTimeout = D.Settings.PlatformTimeout;
+  What.SilenceTimeout = D.Settings.PlatformTimeout;
+  What.MaxBodyBytes = MaxObjectBytes;
+  return What;
+}
+
+ObjectRead readAnswer(PlatformCallId Call, int Status,
+                      const HttpAnswerView &View, const std::string &Body) {
+  ObjectRead Read;
+  Read.Call = Call;
+  Read.Found = Status == HttpOk;
+  Read.Reachable =
+      Read.Found || Status == HttpNotFound || Status == HttpNoContent;
+  if (!Read.Found)
+    return Read;
+  Read.Version = parseObjectVersion(View.header("Object-Version"));
+  Read.Bytes = Body;
+  return Read;
+}
+
+ObjectWritten writeAnswer(PlatformCallId Call, int Status,
+                          const HttpAnswerView &View) {
+  ObjectWritten Written;
+  Written.Call = Call;
+  if (Status == HttpConflict)
+    Written.Verdict = WriteVerdict::Conflict;
+  if (Status != HttpOk)
+    return Written;
+  Written.Verdict = WriteVerdict::Stood;
+  Written.Version = parseObjectVersion(View.header("Object-Version"));
+  return Written;
+}
+
+/// Reads an object and hands the answer on.
+template <typename Receiver>
+void read(Daemon &D, const ReadObject &Action, Receiver Take) {
+  D.Numbers.add(HostCount::PlatformReads);
+  D.Client.fetch(
+      platformCall(D, "GET", objectPath(Action.Name)),
+      [Take, Call = Action.Call](int Status, const HttpAnswerView &View,
+                                 const std::string &Body, CallEnd /*How*/) {
+        Take(readAnswer(Call, Status, View, Body));
+      });
+}
+
+/// Writes an object, conditionally, and hands the answer on.
+template <typename Receiver>
+void write(Daemon &D, const WriteObject &Action, Receiver Take) {
+  D.Numbers.add(HostCount::PlatformWrites);
+  HttpCall What = platformCall(D, "PUT", objectPath(Action.Name));
+  What.Headers = {{"If-Version", std::to_string(Action.IfVersion)}};
+  What.Text = Action.Bytes;
+  D.Client.fetch(
+      std::move(What),
+      [Take, Call = Action.Call](
+          int Status, const HttpAnswerView &View, const std::string & /*Body*/,
+          CallEnd /*How*/) { Take(writeAnswer(Call, Status, View)); });
+}
+
+void hostsRead(Daemon &D, int Status, const std::string &Body) {
+  const Result<std::vector<PlatformHost>> Hosts = parseHosts(Body);
+  if (Status != HttpOk || !ok(Hosts))
+    return;
+  HostListRead List;
+  for (const PlatformHost &Host : value(Hosts))
+    if (!Host.Leaving && ok(parseAddress(Host.Address)))
+      List.Live.push_back({idOf<HostId>(Host.Name), Host.Address,
+                           idOf<ZoneId>(Host.Zone),
+                           idOf<RegionId>(Host.Region)});
+  post(D, MembershipEvent(std::move(List)));
+}
+
+void readHosts(Daemon &D) {
+  D.Numbers.add(HostCount::PlatformReads);
+  D.Client.fetch(platformCall(D, "GET", "/v1/hosts"),
+                 [&D](int Status, const HttpAnswerView & /*View*/,
+                      const std::string &Body,
+                      CallEnd /*How*/) { hostsRead(D, Status, Body); });
+}
+
+} // namespace
+
+void startPlatformSide(Daemon &D) {
+  readHosts(D);
+  // One host of a zone reads on; the others hear of hosts by heartbeats.
+  D.Subscriptions.push_back(D.Timers.every(D.Settings.HostListInterval, [&D]() {
+    if (D.Members.watchesConfig())
+      readHosts(D);
+  }));
+}
+
+void performIntentLog(Daemon &D, const ReadObject &Action) {
+  read(D, Action,
+       [&D](const ObjectRead &Read) { post(D, IntentLogInput{Read}); });
+}
+
+void performIntentLog(Daemon &D, const WriteObject &Action) {
+  write(D, Action, [&D](const ObjectWritten &Written) {
+    post(D, IntentLogInput{Written});
+  });
+}
+
+void performConfig(Daemon &D, const ReadObject &Action) {
+  read(D, Action, [&D](const ObjectRead &Read) { post(D, ConfigInput{Read}); });
+}
+
+void performConfig(Daemon &D, const WriteObject &Action) {
+  write(D, Action,
+        [&D](const ObjectWritten &Written) { post(D, ConfigInput{Written}); });
+}
+
+void performConfig(Daemon &D, const WatchObject &Action) {
+  D.Numbers.add(HostCount::PlatformWatches);
+  HttpCall What = platformCall(
+      D, "GET", watchPath(Action.Name, Action.Above, D.Settings.WatchWait));
+  What.SilenceTimeout += D.Settings.WatchWait;
+  D.Client.fetch(std::move(What), [&D, Call = Action.Call](
+                                      int Status, const HttpAnswerView &View,
+                                      const std::string &Body,
+                                      CallEnd /*How*/) {
+    post(D, ConfigInput{WatchReturned{readAnswer(Call, Status, View, Body)}});
+  });
+}
+
+} // namespace marjorambay
--- /dev/null
+++ b/apps/marjorambayd/target_side.cpp
@@ -0,0 +1,237 @@
+/// Dispatches to targets and what comes back of them.
+#include "actions.h"
+#include "answers.h"
+#include "sides.h"
+
+#include "marjorambay/protocol/completion.h"
+
+#include <event2/buffer.h>
+
+#include <charconv>
+
+namespace marjorambay {
+
+namespace {
+
+/// Longest whole answer that is gathered before it is relayed.
+constexpr std::size_t MaxGatheredBytes = 64 * 1024 * 1024;
+/// Total size of a stream; only a broken target sends this much.
+constexpr std::size_t MaxStreamBytes = 1024 * 1024 * 1024;
+
+bool isModelCall(const CallerCall &Call) {
+  return Call.Kind == RouteKind::Completions ||
+         Call.Kind == RouteKind::ChatCompletions;
+}
+
+/// Finds the request that a call of attempt \p Attempt still serves.
+CallerCall *findCall(Daemon &D, RequestId Id, std::uint32_t Attempt) {
+  const auto Found = D.Calls.find(Id);
+  if (Found == D.Calls.end() || Found->second.Attempt != Attempt)
+    return nullptr;
+  return &Found->second;
+}
+
+/// Posts how a dispatch ended. Without a caller nothing else would forget the
+/// request.
+void postEnd(Daemon &D, RequestId Id, const OriginEvent &Event) {
+  const auto Found = D.Calls.find(Id);
+  if (Found != D.Calls.end())
+    Found->second.Call.reset();
+  post(D, Event);
+  const auto Left = D.Calls.find(Id);
+  if (Left != D.Calls.end() && !Left->second.CallerHere)
+    forgetCall(D, Id, "ended_without_caller");
+}
+
+Duration parseRetryAfter(std::string_view Header) {
+  std::uint32_t Whole = 0;
+  const char *End = Header.data() + Header.size();
+  const auto [At, Failure] = std::from_chars(Header.data(), End, Whole);
+  return Failure == std::errc() && At == End ? seconds(Whole) : Duration(0);
+}
+
+bool isDecline(const HttpAnswerView &View) {
+  constexpr int Unavailable = 503;
+  constexpr int TooManyRequests = 429;
+  const bool Refused =
+      View.Status == Unavailable || View.Status == TooManyRequests;
+  return Refused && View.header("Not-Run") == "true";
+}
+
+bool isEventStream(const HttpAnswerView &View) {
+  constexpr std::string_view Type = "text/event-stream";
+  return View.header("Content-Type").substr(0, Type.size()) == Type;
+}
+
+void answerBegan(Daemon &D, RequestId Id, std::uint32_t Attempt,
+                 const HttpAnswerView &View) {
+  CallerCall *Call = findCall(D, Id, Attempt);
+  if (!Call)
+    return;
+  if (isDecline(View)) {
+    const TargetDeclined Event{Id, parseRetryAfter(View.header("Retry-After")),
+                               View.header("Leaving") == "true", Attempt};
+    D.Client.cancel(*Call->Call);
+    postEnd(D, Id, Event);
+    return;
+  }
+  Call->Status = View.Status;
+  constexpr int Success = 200;
+  if (isModelCall(*Call) && View.Status == Success && isEventStream(View)) {
+    Call->Mode = RelayMode::Stream;
+    return;
+  }
+  Call->Mode = RelayMode::Whole;
+  Call->AnswerHeaders = View.endToEndHeaders();
+  std::erase_if(Call->AnswerHeaders, [](const HttpHeader &Each) {
+    return isHeader(Each, "Date") || isHeader(Each, "Request-Id") ||
+           isHeader(Each, "Model-Version");
+  });
+  Call->Gathered.reset(evbuffer_new());
+}
+
+void answerBytes(Daemon &D, RequestId Id, std::uint32_t Attempt,
+                 evbuffer *Bytes) {
+  CallerCall *Call = findCall(D, Id, Attempt);
+  if (!Call)
+    return;
+  if (Call->Mode == RelayMode::Stream) {
+    relayStream(D, *Call, Bytes);
+    return;
+  }
+  evbuffer_add_buffer(Call->Gathered.get(), Bytes);
+  if (evbuffer_get_length(Call->Gathered.get()) <= MaxGatheredBytes)
+    return;
+  D.Client.cancel(*Call->Call);
+  postEnd(D, Id, AnswerBroken{Id, Attempt});
+}
+
+/// Reads the token counts of a whole answer; nothing: it is not whole.
+std::optional<TokenUsage> usageOf(CallerCall &Call) {
+  if (Call.Mode == RelayMode::Stream) {
+    if (!Call.Scanner.done())
+      return std::nullopt;
+    TokenUsage Counts =
+        parseUsage(Call.Scanner.usageJson()).value_or(TokenUsage{});
+    if (Counts.OutputTokens == 0)
+      Counts.OutputTokens = Call.Scanner.textEvents();
+    return Counts;
+  }
+  constexpr int Success = 200;
+  if (!isModelCall(Call) || Call.Status != Success)
+    return TokenUsage{};
+  evbuffer *Body = Call.Gathered.get();
+  const std::size_t Length = evbuffer_get_length(Body);
+  const auto *Text = reinterpret_cast<const char *>(evbuffer_pullup(Body, -1));
+  std::optional<TokenUsage> Counts = parseUsage({Text, Length});
+  if (Counts)
+    Call.EventsSeen = Counts->OutputTokens;
+  return Counts;
+}
+
+void answerEnded(Daemon &D, RequestId Id, std::uint32_t Attempt, CallEnd How) {
+  CallerCall *Call = findCall(D, Id, Attempt);
+  if (!Call)
+    return;
+  if (How == CallEnd::NotSent)
+    return postEnd(D, Id, DispatchNotSent{Id, Attempt});
+  if (How != CallEnd::Whole)
+    return postEnd(D, Id, AnswerBroken{Id, Attempt});
+  const std::optional<TokenUsage> Counts = usageOf(*Call);
+  if (!Counts)
+    return postEnd(D, Id, AnswerBroken{Id, Attempt});
+  postEnd(D, Id,
+          AnswerCompleted{Id, Call->Status, Counts->PromptTokens,
+                          Counts->CachedTokens, Counts->OutputTokens, Attempt});
+}
+
+HttpHeaders dispatchHeaders(const CallerCall &Call) {
+  HttpHeaders Headers = Call.Relayed;
+  if (isModelCall(Call))
+    Headers.push_back({"Content-Type", "application/json"});
+  Headers.push_back({"Request-Id", Call.Name});
+  if (!Call.VersionName.empty())
+    Headers.push_back({"Model-Version", Call.VersionName});
+  return Headers;
+}
+
+/// Notes on the request where it goes.
+void prepare(Daemon &D, CallerCall &Call, const Dispatch &Action,
+             const TargetConfig &Target) {
+  Call.Attempt = Action.Attempt;
+  Call.TargetName = Target.Name;
+  Call.VersionName = Target.Version;
+  Call.Version =
+      Target.Version.empty() ? VersionId{} : idOf<VersionId>(Target.Version);
+  Call.Mode = RelayMode::Undecided;
+  Call.DispatchedAt = D.Loop.now();
+  D.Numbers.observe(Span::QueueWait, {Call.Tier, Call.Account, Call.Version},
+                    Call.DispatchedAt - Call.Arrived);
+}
+
+HttpCall callFor(Daemon &D, const CallerCall &Call,
+                 const SocketAddress &Address) {
+  HttpCall What;
+  What.Address = Address.Ip;
+  What.Port = Address.Port;
+  What.Method = Call.Method;
+  What.Path = Call.Path;
+  What.Headers = dispatchHeaders(Call);
+  What.Body = D.Callers.body(Call.Exchange);
+  What.ConnectTimeout = D.Settings.ConnectTimeout;
+  // The origin watches for silence; this only ends what it has given up.
+  What.SilenceTimeout = hours(1);
+  What.MaxBodyBytes = MaxStreamBytes;
+  const RequestId Id = Call.Id;
+  const std::uint32_t Attempt = Call.Attempt;
+  What.OnHeaders = [&D, Id, Attempt](CallId, const HttpAnswerView &View) {
+    answerBegan(D, Id, Attempt, View);
+  };
+  What.OnBytes = [&D, Id, Attempt](CallId, evbuffer *Bytes) {
+    answerBytes(D, Id, Attempt, Bytes);
+  };
+  What.OnEnd = [&D, Id, Attempt](CallId, CallEnd How) {
+    answerEnded(D, Id, Attempt, How);
+  };
+  return What;
+}
+
+} // namespace
+
+void performOrigin(Daemon &D, const Dispatch &Action) {
+  const auto Found = D.Calls.find(Action.Id);
+  const TargetConfig *Target = D.Config.target(Action.Target);
+  const auto Address = Target
+                           ? parseAddress(Target->Address)
+                           : Result<SocketAddress>(Error{ErrorKind::NoTarget});
+  const bool Late = D.Loop.now() > Action.NotAfter;
+  if (Found == D.Calls.end() || !ok(Address) || Late) {
+    post(D, OriginEvent(DispatchNotSent{Action.Id, Action.Attempt}));
+    return;
+  }
+  CallerCall &Call = Found->second;
+  prepare(D, Call, Action, *Target);
+  Call.Call = D.Client.start(callFor(D, Call, value(Address)));
+}
+
+void performOrigin(Daemon &D, const CancelDispatch &Action) {
+  const auto Found = D.Calls.find(Action.Id);
+  if (Found == D.Calls.end() || !Found->second.Call)
+    return;
+  CallerCall &Call = Found->second;
+  D.Client.cancel(*Call.Call);
+  Call.Call.reset();
+  if (Call.CallerHere)
+    return; // FailCaller follows
+  D.Numbers.add(TierCount::WastedPrefill, Call.Tier, Call.PromptTokens);
+  forgetCall(D, Action.Id, "cancelled");
+}
+
+void resumeTarget(Daemon &D, CallerCall &Call) {
+  if (!Call.Paused || !Call.Call)
+    return;
+  Call.Paused = false;
+  D.Client.resume(*Call.Call);
+}
+
+} // namespace marjorambay
--- a/apps/marjorambayd/tests/peer_codec_test.cpp
+++ b/apps/marjorambayd/tests/peer_codec_test.cpp
@@ -144,11 +144,23 @@
   CHECK(Ended.HttpStatus == 200);
 }
 
+TEST_CASE("a configuration travels whole or as deltas") {
+  CHECK(echo(ConfigAsked{Sender.Id, Revision{3}}).Have == Revision{3});
+  ConfigReceived Sent{Revision{5}, "", {}, 77};
+  Sent.Deltas = {{Revision{3}, Revision{5}, {{10, 2, "inserted"}}}};
+  const ConfigReceived Read = echo(Sent);
+  CHECK(Read.Rev == Revision{5});
+  CHECK(Read.Digest == 77);
+  REQUIRE(Read.Deltas.size() == 1);
+  CHECK(Read.Deltas[0].From == Revision{3});
+  CHECK(Read.Deltas[0].Edits == Sent.Deltas[0].Edits);
+}
+
 TEST_CASE("one envelope carries several messages, and bad bytes carry none") {
   EnvelopeWriter Writer;
   CHECK(Writer.empty());
-  Writer.add(ConfigFetch{Revision{3}});
-  Writer.add(ConfigReply{Revision{4}, "{}"});
+  Writer.add(ConfigAsked{Sender.Id, Revision{3}});
+  Writer.add(ConfigReceived{Revision{4}, "{}"});
   const std::string Bytes = Writer.print(Sender);
   CHECK(Writer.empty());
   const auto Read = parseEnvelope(Bytes);
--- a/packages/transport/marjorambay/transport/log.h
+++ b/packages/transport/marjorambay/transport/log.h
@@ -11,8 +11,9 @@
 
 enum class LogLevel : std::uint8_t { Info, Warning, Error };
 
-/// Sends log lines to standard error.
-void startLogging(const char *ProgramName);
+/// Sends log lines of \p Level ("info", "warning", "error") and above to
+/// standard error.
+void startLogging(const char *ProgramName, std::string_view Level);
 
 /// One line, written when it goes out of scope.
 class LogLine {
--- a/packages/transport/src/http_headers.cpp
+++ b/packages/transport/src/http_headers.cpp
@@ -4,11 +4,10 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
+#include <array>
 #include <strings.h>
 #include <sys/time.h>
 
-#include <array>
-
 namespace marjorambay {
 
 namespace {
--- a/packages/transport/src/log.cpp
+++ b/packages/transport/src/log.cpp
@@ -29,8 +29,12 @@
 
 } // namespace
 
-void startLogging(const char *ProgramName) {
+void startLogging(const char *ProgramName, std::string_view Level) {
   FLAGS_logtostderr = true;
+  if (Level == "warning")
+    FLAGS_minloglevel = google::GLOG_WARNING;
+  if (Level == "error")
+    FLAGS_minloglevel = google::GLOG_ERROR;
   google::InitGoogleLogging(ProgramName);
 }
 
