--- a/packages/coordination/marjorambay/coordination/idempotency.h
+++ b/packages/coordination/marjorambay/coordination/idempotency.h
@@ -66,7 +66,8 @@
 /// Time passed; sent at least every 10 ms while work is pending.
 struct IntentLogTicked {
   /// Time since the Unix epoch. Stamps intents, so that every holder agrees on
-  /// their age within the hosts' clock error.
+  /// their age within the hosts' clock error. Nothing is recorded before the
+  /// first tick that has it.
   WallTime Wall{};
 };
 
--- a/packages/coordination/src/intent_log.cpp
+++ b/packages/coordination/src/intent_log.cpp
@@ -422,6 +422,9 @@
 }
 
 void IntentLog::write(Shard &Held) {
+  // An intent stamped without a clock would count as old once there is one.
+  if (!WallOffset)
+    return;
   if (Held.Writing)
     return WriteBudget.take(Now) ? sendAppend(Held) : void();
   if (!writeDue(Held) || WriteBudget.readyAt(Now) > Now)
