Arbiter: learn lengths by route with fallbacks, and refuse nothing on a guess

And long prompts of sheets and bulletins shared one learned length.

Change: CostModel learns a mean and a mean absolute deviation by account, model, route, tier and class of prompt, with the account's and then everyone's as stand-ins. A length that is a guess refuses nothing. Deadlines are checked against mean + deviation, hopelessness against mean - 2 deviations, and a refusal for length shrinks the estimate. Reservation::Route added to the contract (0: not told).

--- a/bench/policy_bench/main.cpp
+++ b/bench/policy_bench/main.cpp
@@ -119,6 +119,10 @@
       return static_cast<double>(Run.WastedByTier[Rank]) / 1000;
     });
   }
+  printRow("mean time to a refusal, s", Seeds, [](const RunResult &Run) {
+    const auto Refusals = Run.Refused[0] + Run.Refused[1] + Run.Refused[2];
+    return Refusals == 0 ? 0.0 : Run.RefusalSeconds / Refusals;
+  });
   printRow("preempted requests", Seeds,
            [](const RunResult &Run) { return Run.Preempted; });
   printRow("grants while a higher tier waited", Seeds,
--- a/bench/policy_bench/simulation.h
+++ b/bench/policy_bench/simulation.h
@@ -23,6 +23,7 @@
   std::array<std::uint64_t, MaxTiers> Arrived{};
   std::array<std::uint64_t, MaxTiers> InTime{};
   std::array<std::uint64_t, MaxTiers> Refused{};
+  double RefusalSeconds = 0;       ///< from arrival, summed over refusals
   std::uint64_t WastedPrefill = 0; ///< tokens computed for nobody
   std::uint64_t Prefill = 0;       ///< tokens computed
   std::uint64_t Preempted = 0;
@@ -117,6 +118,7 @@
     Asked.Key = keyOf(Index);
     Asked.Account = static_cast<AccountId>(Offered.Account + 1);
     Asked.Tier = Offered.Tier;
+    Asked.Route = Offered.Route;
     Asked.Cost = {Offered.Prompt, Offered.Prompt == 0 ? 1U : 256U};
     Asked.PrefixHash = Offered.Prefix;
     Asked.Remaining = TimePoint{} + Offered.At + Offered.Deadline - Clock.now();
@@ -260,6 +262,8 @@
   void carryOut(const RefuseSlot &Action) {
     const auto Index = static_cast<std::size_t>(number(Action.Key.Id));
     ++Result.Refused[number(Arrivals[Index].Tier)];
+    Result.RefusalSeconds +=
+        toSeconds(Clock.now() - (TimePoint{} + Arrivals[Index].At));
     untrack(Index);
     Clock.after(Hop, [this, Index] { Requests[Index].State = Phase::Ended; });
   }
--- a/bench/policy_bench/workload.cpp
+++ b/bench/policy_bench/workload.cpp
@@ -137,6 +137,7 @@
       Next.Origin = Origin(Random);
       Next.Account = Account(Random);
       Next.Tier = Call.Tier;
+      Next.Route = idOf<RouteId>(Call.Name);
       Next.Prompt = drawLength(Call.Prompt, Random);
       Next.Output = drawLength(Call.Output, Random);
       Next.Prefix = Call.Prompt >= 1000 ? Prefix(Random) : 0;
--- a/bench/policy_bench/workload.h
+++ b/bench/policy_bench/workload.h
@@ -46,6 +46,7 @@
   std::uint32_t Origin = 0;
   std::uint32_t Account = 0;
   TierRank Tier{};
+  RouteId Route{};
   std::uint32_t Prompt = 0;
   std::uint32_t Output = 1;
   std::uint64_t Prefix = 0;
--- a/packages/coordination/marjorambay/coordination/arbiter.h
+++ b/packages/coordination/marjorambay/coordination/arbiter.h
@@ -82,7 +82,7 @@
   Waiting waitingFor(const Reservation &Request, TimePoint Now);
   bool hopeless(const Waiting &Entry, TimePoint Now) const;
   std::optional<RefuseSlot> refusalFor(const Waiting &Entry, TimePoint Now);
-  double capacityFor(TierRank Tier, TimePoint Now) const;
+  double capacityFor(TierRank Tier, Duration Horizon, TimePoint Now) const;
   double expectedWait(const Waiting &Entry, TimePoint Now) const;
   Duration spread(Duration RetryAfter, const RequestKey &Key) const;
   void refuse(const Waiting &Entry, ErrorKind Kind, Duration RetryAfter,
--- a/packages/coordination/marjorambay/coordination/cost_model.h
+++ b/packages/coordination/marjorambay/coordination/cost_model.h
@@ -1,10 +1,10 @@
-/// Learns how long answers are, for each client account, model and size of
-/// prompt, within bounded memory.
+/// Learns how long answers are, within bounded memory.
 #ifndef MARJORAMBAY_COORDINATION_COST_MODEL_H
 #define MARJORAMBAY_COORDINATION_COST_MODEL_H
 
 #include "marjorambay/coordination/requests.h"
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <list>
@@ -12,25 +12,42 @@
 
 namespace marjorambay {
 
-/// Estimates a reservation's cost. Requests of one account and model differ a
-/// hundredfold in length, and long prompts go with long answers; so each power
-/// of four of the prompt's length is learned apart.
+/// Expected output tokens, and how sure that is.
+struct LengthEstimate {
+  std::uint32_t Mean = 1;
+  std::uint32_t Least = 1; ///< few answers are shorter
+  std::uint32_t Most = 1;  ///< few answers are longer; Least, if not learned
+};
+
+/// Estimates lengths of answers. Requests of one account and model differ a
+/// hundredfold, and long prompts go with long answers; so lengths are learned
+/// by account, model, route, tier and power of four of the prompt's length.
+/// Where that has no samples yet, those of the account stand in for it, and
+/// then those of all accounts.
 class CostModel {
 public:
-  explicit CostModel(std::size_t MaxEntries = 4096) : Capacity(MaxEntries) {}
+  explicit CostModel(std::size_t MaxEntries = 8192) : Capacity(MaxEntries) {}
 
-  /// Returns the reservation's cost; its own guess where nothing is learned.
-  TokenCost estimate(const Reservation &Request);
+  /// Returns the reservation's own guess where nothing is learned; a guess
+  /// alone must refuse nothing, so that its Least and Most are 1.
+  LengthEstimate estimate(const Reservation &Request);
 
   /// Learns from a complete answer.
   void learn(const Reservation &Request, const Usage &Used);
 
+  /// Notes that the reservation was refused for its estimated length alone.
+  /// A refusal teaches nothing, so that the estimate shrinks a little; else a
+  /// wrong one could refuse for good.
+  void doubt(const Reservation &Request);
+
   std::size_t size() const { return Entries.size(); }
 
 private:
   struct Key {
     AccountId Account{};
     ModelId Model{};
+    RouteId Route{};
+    TierRank Tier{};
     std::uint8_t PromptClass = 0;
     bool operator==(const Key &) const = default;
   };
@@ -38,11 +55,13 @@
     std::size_t operator()(const Key &Which) const;
   };
   struct Entry {
-    double MeanOutput = 0; ///< tokens
+    double Mean = 0;      ///< tokens
+    double Deviation = 0; ///< mean absolute, tokens
     std::uint32_t Samples = 0;
     std::list<Key>::iterator Use{};
   };
-  static Key keyOf(const Reservation &Request);
+  static std::array<Key, 3> keysOf(const Reservation &Request);
+  Entry &entryAt(const Key &Which);
   void touch(Entry &Found);
 
   std::size_t Capacity;
--- a/packages/coordination/marjorambay/coordination/fair_queue.h
+++ b/packages/coordination/marjorambay/coordination/fair_queue.h
@@ -22,10 +22,12 @@
 /// A reservation in the queue, with what was worked out on its arrival.
 struct Waiting {
   Reservation Request{};
-  TokenCost Cost{};     ///< as estimated here
-  double Work = 0;      ///< the cost as decode tokens; charged to the account
-  TimePoint Queued{};   ///< arrival
-  TimePoint Deadline{}; ///< answers after this are of no use
+  TokenCost Cost{};      ///< expected
+  TokenCost LeastCost{}; ///< few are cheaper; what exceeds it is hopeless
+  TokenCost SafeCost{};  ///< few are dearer; must fit before the deadline
+  double Work = 0;       ///< the cost as decode tokens; charged to the account
+  TimePoint Queued{};    ///< arrival
+  TimePoint Deadline{};  ///< answers after this are of no use
   TimePoint LatestStart{}; ///< a grant after this can't meet the deadline
 };
 
--- a/packages/coordination/marjorambay/coordination/requests.h
+++ b/packages/coordination/marjorambay/coordination/requests.h
@@ -23,6 +23,7 @@
   RequestKey Key{};
   AccountId Account{};
   TierRank Tier{};
+  RouteId Route{}; ///< answers differ in length by route; 0: not told
   PoolId Pool{};
   ModelId Model{};
   VersionId Version{}; ///< 0: whatever the rollout's share draws
--- a/packages/coordination/src/arbiter.cpp
+++ b/packages/coordination/src/arbiter.cpp
@@ -46,31 +46,37 @@
 Waiting Arbiter::waitingFor(const Reservation &Request, TimePoint Now) {
   Waiting Entry;
   Entry.Request = Request;
-  Entry.Cost = Costs.estimate(Request);
+  const LengthEstimate Length = Costs.estimate(Request);
+  Entry.Cost = {Request.Cost.Prompt, Length.Mean};
+  Entry.LeastCost = {Request.Cost.Prompt, Length.Least};
+  Entry.SafeCost = {Request.Cost.Prompt, Length.Most};
   Entry.Work = workOf(Entry.Cost);
   Entry.Queued = Now;
   Entry.Deadline = Now + Request.Remaining;
   Entry.LatestStart =
       Entry.Deadline -
-      fromSeconds(Targets.fastestSeconds(Entry.Cost, true, Now));
+      fromSeconds(Targets.fastestSeconds(Entry.SafeCost, true, Now));
   return Entry;
 }
 
-double Arbiter::capacityFor(TierRank Tier, TimePoint Now) const {
+double Arbiter::capacityFor(TierRank Tier, Duration Horizon,
+                            TimePoint Now) const {
   const double All = Targets.capacity(Shares, Now);
-  return std::max(SmallestShare * All, All - Arriving.above(Tier, Now));
+  return std::max(SmallestShare * All,
+                  All - Arriving.above(Tier, Horizon, Now));
 }
 
 double Arbiter::expectedWait(const Waiting &Entry, TimePoint Now) const {
   const WorkAhead Ahead = Queue.workAhead(
       Entry.Request.Tier, Entry.Request.Account, Entry.LatestStart);
-  const double Capacity = capacityFor(Entry.Request.Tier, Now);
+  const double Capacity =
+      capacityFor(Entry.Request.Tier, Entry.LatestStart - Now, Now);
   const double Work = Ahead.HigherTiers + Ahead.SameTier;
   return Work == 0 ? 0 : Work / std::max(1e-3, Capacity);
 }
 
 bool Arbiter::hopeless(const Waiting &Entry, TimePoint Now) const {
-  const double Alone = Targets.fastestSeconds(Entry.Cost, false, Now);
+  const double Alone = Targets.fastestSeconds(Entry.LeastCost, false, Now);
   return Entry.Deadline < Now + fromSeconds(Alone);
 }
 
@@ -101,6 +107,8 @@
   Arriving.add(Event.Request.Tier, Entry.Work, Now);
   const std::optional<RefuseSlot> Refusal = refusalFor(Entry, Now);
   if (Refusal) {
+    if (Entry.LatestStart < Now) // for its length, not for those before it
+      Costs.doubt(Event.Request);
     refuse(Entry, Refusal->Kind, Refusal->RetryAfter, Now);
     return;
   }
@@ -319,7 +327,7 @@
     Queue.cancel(Grant.Request.Key);
     Slot Held;
     Held.Request = Grant.Request;
-    Held.Cost = Costs.estimate(Grant.Request);
+    Held.Cost = {Grant.Request.Cost.Prompt, Costs.estimate(Grant.Request).Mean};
     Held.Target = Grant.Target;
     Held.Granted = Now;
     Held.Deadline = Now + Grant.Request.Remaining;
--- a/packages/coordination/src/cost_model.cpp
+++ b/packages/coordination/src/cost_model.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <bit>
 #include <cmath>
+#include <iterator>
 
 namespace marjorambay {
 
@@ -11,58 +12,89 @@
 
 constexpr std::uint32_t SamplesBeforeTrust = 3;
 constexpr double SmallestGain = 0.05; // of a new sample in the moving mean
+constexpr double DoubtGain = 0.02;    // of a refusal
+constexpr std::uint8_t AnyPrompt = 255;
 
-std::uint32_t capped(std::uint32_t Output, std::uint32_t Limit) {
-  return Limit == 0 ? Output : std::min(Output, Limit);
+std::uint32_t tokensOf(double Length, std::uint32_t Limit) {
+  const double Bounded = std::clamp(Length, 1.0, 1e9);
+  const auto Tokens = static_cast<std::uint32_t>(std::lround(Bounded));
+  return Limit == 0 ? Tokens : std::max(1U, std::min(Tokens, Limit));
 }
 
 } // namespace
 
-CostModel::Key CostModel::keyOf(const Reservation &Request) {
+std::array<CostModel::Key, 3> CostModel::keysOf(const Reservation &Request) {
   const int Bits = std::bit_width(Request.Cost.Prompt);
-  return {Request.Account, Request.Model, static_cast<std::uint8_t>(Bits / 2)};
+  Key Exact{Request.Account, Request.Model, Request.Route, Request.Tier,
+            static_cast<std::uint8_t>(Bits / 2)};
+  Key OfAccount = Exact;
+  OfAccount.PromptClass = AnyPrompt;
+  Key OfAll = OfAccount;
+  OfAll.Account = AccountId{};
+  return {Exact, OfAccount, OfAll};
 }
 
 std::size_t CostModel::KeyHash::operator()(const Key &Which) const {
-  // Account and model are hashes already; the odd factors keep them apart.
+  // The ids are hashes already; the odd factors keep them apart.
   return number(Which.Account) * 0x9E3779B97F4A7C15 ^
-         number(Which.Model) * 0xBF58476D1CE4E5B9 ^ Which.PromptClass;
+         number(Which.Model) * 0xBF58476D1CE4E5B9 ^
+         number(Which.Route) * 0x94D049BB133111EB ^
+         (number(Which.Tier) * 256U) ^ Which.PromptClass;
 }
 
 void CostModel::touch(Entry &Found) {
   ByUse.splice(ByUse.end(), ByUse, Found.Use);
 }
 
-TokenCost CostModel::estimate(const Reservation &Request) {
-  TokenCost Cost = Request.Cost;
-  const auto Found = Entries.find(keyOf(Request));
-  if (Found != Entries.end() && Found->second.Samples >= SamplesBeforeTrust) {
-    touch(Found->second);
-    Cost.Output = static_cast<std::uint32_t>(
-        std::lround(std::max(1.0, Found->second.MeanOutput)));
+CostModel::Entry &CostModel::entryAt(const Key &Which) {
+  const auto Found = Entries.find(Which);
+  if (Found != Entries.end())
+    return Found->second;
+  if (Entries.size() >= Capacity) {
+    Entries.erase(ByUse.front());
+    ByUse.pop_front();
+  }
+  ByUse.push_back(Which);
+  Entry Fresh;
+  Fresh.Use = std::prev(ByUse.end());
+  return Entries.emplace(Which, Fresh).first->second;
+}
+
+LengthEstimate CostModel::estimate(const Reservation &Request) {
+  const std::uint32_t Limit = Request.Cost.MaxOutput;
+  for (const Key &Which : keysOf(Request)) {
+    const auto Found = Entries.find(Which);
+    if (Found == Entries.end() || Found->second.Samples < SamplesBeforeTrust)
+      continue;
+    Entry &Learned = Found->second;
+    touch(Learned);
+    return {tokensOf(Learned.Mean, Limit),
+            tokensOf(Learned.Mean - 2 * Learned.Deviation, Limit),
+            tokensOf(Learned.Mean + Learned.Deviation, Limit)};
+  }
+  return {tokensOf(Request.Cost.Output, Limit), 1, 1};
+}
+
+void CostModel::doubt(const Reservation &Request) {
+  for (const Key &Which : keysOf(Request)) {
+    const auto Found = Entries.find(Which);
+    if (Found != Entries.end())
+      Found->second.Mean *= 1 - DoubtGain;
   }
-  Cost.Output = std::max(1U, capped(Cost.Output, Cost.MaxOutput));
-  return Cost;
 }
 
 void CostModel::learn(const Reservation &Request, const Usage &Used) {
   if (Used.End != UsageEnd::Complete || Used.OutputTokens == 0)
     return;
-  const Key Which = keyOf(Request);
-  auto Found = Entries.find(Which);
-  if (Found == Entries.end()) {
-    if (Entries.size() >= Capacity) {
-      Entries.erase(ByUse.front());
-      ByUse.pop_front();
-    }
-    ByUse.push_back(Which);
-    Found = Entries.emplace(Which, Entry{0, 0, std::prev(ByUse.end())}).first;
+  for (const Key &Which : keysOf(Request)) {
+    Entry &Learned = entryAt(Which);
+    touch(Learned);
+    ++Learned.Samples;
+    const double Gain = std::max(SmallestGain, 1.0 / Learned.Samples);
+    const double Off = Used.OutputTokens - Learned.Mean;
+    Learned.Mean += Gain * Off;
+    Learned.Deviation += Gain * (std::abs(Off) - Learned.Deviation);
   }
-  Entry &Learned = Found->second;
-  touch(Learned);
-  ++Learned.Samples;
-  const double Gain = std::max(SmallestGain, 1.0 / Learned.Samples);
-  Learned.MeanOutput += Gain * (Used.OutputTokens - Learned.MeanOutput);
 }
 
 } // namespace marjorambay
--- a/packages/coordination/src/target_table.cpp
+++ b/packages/coordination/src/target_table.cpp
@@ -130,9 +130,9 @@
       continue;
     if (!Shares.allows(Each.Info.Version))
       continue;
-    const double Finish = finishSeconds(Each, Entry.Cost, Now);
-    if (Finish > Left)
+    if (finishSeconds(Each, Entry.SafeCost, Now) > Left)
       continue;
+    const double Finish = finishSeconds(Each, Entry.Cost, Now);
     double Score = Finish;
     if (Hint != Prefixes.end() && Hint->second == Each.Info.Id)
       Score -=
@@ -159,8 +159,8 @@
     // A slot that frees up leaves the batch as it is now.
     const double Limit = Each.Model.requestLimit(Now);
     const double Streams = std::min(streams(Each, Now) + 1, Limit);
-    return Each.Model.totalSeconds(Entry.Cost, promptAhead(Each, Now), Streams,
-                                   Now) <= Left;
+    return Each.Model.totalSeconds(Entry.SafeCost, promptAhead(Each, Now),
+                                   Streams, Now) <= Left;
   });
 }
 
