Test membership over a fake fleet in virtual time

Cause: membership was compiled but not run. Change: tests/support/fake_fleet.h runs hosts over a fake network (delay, loss, cuts) and a fake platform (down, stale, lost answers); the same seed gives the same run. Ruled out: real sockets, whose timing differs from run to run.

--- /dev/null
+++ b/tests/support/fake_fleet.h
@@ -0,0 +1,162 @@
+/// Hosts with membership and configuration over a fake network and a fake
+/// platform, in virtual time. The same seed gives the same run.
+#ifndef MARJORAMBAY_TESTS_SUPPORT_FAKE_FLEET_H
+#define MARJORAMBAY_TESTS_SUPPORT_FAKE_FLEET_H
+
+#include "marjorambay/coordination/config_sync.h"
+#include "marjorambay/coordination/membership.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace marjorambay {
+
+/// A manifest codec without JSON: fields in lines, the document at the end.
+ConfigManifestCodec fakeManifestCodec();
+
+/// The platform's objects; can be down, be stale, or lose an answer.
+class FakePlatform {
+public:
+  struct Object {
+    ObjectVersion Version = 0;
+    std::string Bytes{};
+  };
+
+  bool Up = true;
+  int LoseAnswers = 0;  ///< writes that take effect and whose answer is lost
+  int LoseRequests = 0; ///< writes that are lost on their way
+  bool Stale = false;   ///< reads show the objects as of freeze()
+  std::uint64_t Reads = 0;
+  std::uint64_t Writes = 0;
+
+  ObjectRead read(const ReadObject &Wanted);
+  ObjectWritten write(const WriteObject &Wanted);
+  void freeze() { Frozen = Objects; }
+  const Object *find(const std::string &Name) const;
+
+private:
+  std::map<std::string, Object> Objects{};
+  std::map<std::string, Object> Frozen{};
+};
+
+struct FakeHost {
+  HostInfo Info{};
+  Incarnation Life{};
+  bool Up = true;
+  bool Paused = false;
+  std::unique_ptr<Membership> Members{};
+  std::unique_ptr<ConfigSync> Config{};
+  std::vector<Revision> Adopted{};                     ///< in order
+  std::map<std::uint64_t, Result<Revision>> Answers{}; ///< to proposals
+  std::set<TargetId> Leaving{};
+  std::set<VersionId> Tripped{};
+  std::vector<HostId> Lost{};  ///< hosts that were reported lost
+  std::uint32_t Pauses = 0;    ///< that the host noticed
+  std::uint64_t BytesSent = 0; ///< of messages to peers, see FakeFleet::sizer
+  std::uint64_t MessagesSent = 0;
+  std::uint64_t BytesReceived = 0;
+  std::uint64_t MessagesReceived = 0;
+};
+
+struct FakeFleetOptions {
+  std::size_t Zones = 4;
+  std::size_t HostsPerZone = 2;
+  std::size_t ZonesPerRegion = 4;
+  double Loss = 0; ///< share of messages between hosts that are lost
+  std::uint64_t Seed = 1;
+  std::size_t SeedHosts = 2; ///< hosts of each zone that all others know
+  bool JoinKnown = false;    ///< every host starts with all hosts as seeds
+};
+
+class FakeFleet {
+public:
+  explicit FakeFleet(FakeFleetOptions Wanted);
+
+  TimePoint now() const { return Now; }
+  std::vector<FakeHost> &hosts() { return Hosts; }
+  FakeHost &host(std::size_t Index) { return Hosts[Index]; }
+  std::size_t indexOf(HostId Id) const { return Indexes.at(Id); }
+  FakePlatform &platform() { return Platform; }
+  std::set<std::pair<ZoneId, ZoneId>> CutZones{}; ///< both ways, when either
+  std::set<ZoneId> NoPlatform{};                  ///< cut off from it
+  std::function<std::uint64_t(const Heartbeat &)> HeartbeatSize{};
+  std::function<std::uint64_t(const ConfigReceived &)> ConfigSize{};
+  /// Called after every step of a host.
+  std::function<void(FakeHost &)> AfterStep{};
+
+  void run(Duration Length);
+  /// Runs until \p Condition holds, at most \p Limit; returns the time taken,
+  /// or a negative duration when it did not come to hold.
+  Duration runUntil(const std::function<bool()> &Condition, Duration Limit);
+
+  void feed(std::size_t Index, const MembershipEvent &Event);
+  void feed(std::size_t Index, const ConfigSyncEvent &Event);
+  void kill(std::size_t Index) { Hosts[Index].Up = false; }
+  /// Starts a host anew, with nothing kept.
+  void restart(std::size_t Index);
+  void pause(std::size_t Index) { Hosts[Index].Paused = true; }
+  void resume(std::size_t Index);
+  void cut(ZoneId Zone); ///< from every other zone
+  void heal() { CutZones.clear(); }
+
+  template <typename Predicate> bool all(Predicate Holds) const {
+    for (const FakeHost &Host : Hosts)
+      if (Host.Up && !Host.Paused && !Holds(Host))
+        return false;
+    return true;
+  }
+  bool allHave(Revision Rev) const {
+    return all(
+        [&](const FakeHost &Host) { return Host.Config->revision() >= Rev; });
+  }
+
+private:
+  struct Item {
+    TimePoint At{};
+    std::uint64_t Order = 0;
+    std::size_t Host = 0;
+    std::function<void()> Act{};
+    bool operator>(const Item &Other) const {
+      return std::pair(At, Order) > std::pair(Other.At, Other.Order);
+    }
+  };
+
+  FakeFleetOptions Options;
+  SplitMix64 Random;
+  TimePoint Now{};
+  std::uint64_t Order = 0;
+  std::vector<FakeHost> Hosts{};
+  std::map<HostId, std::size_t> Indexes{};
+  FakePlatform Platform{};
+  std::priority_queue<Item, std::vector<Item>, std::greater<>> Queue{};
+  struct Watch {
+    std::size_t Host = 0;
+    WatchObject Wanted{};
+    TimePoint Until{};
+  };
+  std::vector<Watch> Watches{};
+
+  void schedule(std::size_t Host, Duration After, std::function<void()> Act);
+  void start(std::size_t Index);
+  void tick(std::size_t Index, Incarnation Life);
+  void perform(std::size_t Index, const MembershipActions &Actions);
+  void perform(std::size_t Index, const ConfigSyncActions &Actions);
+  bool reaches(std::size_t From, std::size_t To) const;
+  bool reachesPlatform(std::size_t Index) const;
+  void deliver(std::size_t From, std::size_t To, std::function<void()> Act);
+  void answerWatches();
+  bool drawLoss() {
+    return static_cast<double>(Random.next() >> 11) * 0x1p-53 < Options.Loss;
+  }
+};
+
+} // namespace marjorambay
+
+#endif // MARJORAMBAY_TESTS_SUPPORT_FAKE_FLEET_H
