--- a/packages/state/marjorambay/state.h
+++ b/packages/state/marjorambay/state.h
@@ -19,10 +19,10 @@
 #define MARJORAMBAY_STATE_H
 
 #include "marjorambay/state/address.h"
-#include "marjorambay/state/digest.h"
 #include "marjorambay/state/config_fields.h"
 #include "marjorambay/state/config_index.h"
 #include "marjorambay/state/config_rules.h"
+#include "marjorambay/state/digest.h"
 #include "marjorambay/state/enum_names.h"
 #include "marjorambay/state/error.h"
 #include "marjorambay/state/fleet_config.h"
