--- a/apps/marjorambayd/arbiter_side.cpp
+++ b/apps/marjorambayd/arbiter_side.cpp
@@ -244,6 +244,7 @@
       .with("host", static_cast<std::int64_t>(number(Action.Host)));
   for (const auto &[Pool, Held] : D.Arbiters)
     post(D, ArbiterInput{Pool, OriginLost{Action.Host, Action.Life}});
+  reviewArbiters(D);
 }
 
 void performMembership(Daemon &D, const LearnedLeaving &Action) {
--- a/apps/marjorambayd/peer_side.cpp
+++ b/apps/marjorambayd/peer_side.cpp
@@ -212,10 +212,12 @@
   sendPeer(D, Action.To.Address, Action.Beat);
 }
 
-void performMembership(Daemon & /*D*/, const HostJoined &Action) {
+void performMembership(Daemon &D, const HostJoined &Action) {
   LogLine("host_joined")
       .with("host", static_cast<std::int64_t>(number(Action.Host.Id)))
       .with("address", Action.Host.Address);
+  // It may be the first known host of a zone whose targets this zone lacks.
+  reviewArbiters(D);
 }
 
 void performMembership(Daemon &D, const NewerRevisionSeen &Action) {
--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -144,7 +144,7 @@
 class StandIn(Process):
     """A stand-in; told its faults at its control port."""
 
-    def __init__(self, folder, name, program, **options):
+    def __init__(self, folder, name, program, /, **options):
         flags = [f"--{key.replace('_', '-')}={value}"
                  for key, value in options.items()]
         super().__init__(folder, name, [BIN / program, *flags])
