Give each shard of intents one holder in the region

Cause: the demo's "same key again" at a host of the other zone got outcome_unknown, since each zone had a holder of its own and an outcome is written up to 500 ms later. Ruled out: writing outcomes at once, which doubles the platform writes of every call. Change: the holder is drawn over the live hosts of the region; after 500 ms of silence the origin's own host records the intent, which the record's request tag makes the same one.

--- a/apps/marjorambayd/actions.h
+++ b/apps/marjorambayd/actions.h
@@ -9,14 +9,15 @@
 
 // ---- Origin -----------------------------------------------------------------
 
-// peer_side: to the pool's arbiter, or to the holder of the key's shard.
+// peer_side: to the pool's arbiter.
 void performOrigin(Daemon &D, const RequestSlot &Action);
 void performOrigin(Daemon &D, const CancelSlotRequest &Action);
 void performOrigin(Daemon &D, const ReleaseSlot &Action);
 void performOrigin(Daemon &D, const ReportProgress &Action);
+void performOrigin(Daemon &D, const ReportTargetSign &Action);
+// intent_side: to the holder of the key's shard.
 void performOrigin(Daemon &D, const RecordIntent &Action);
 void performOrigin(Daemon &D, const RecordOutcome &Action);
-void performOrigin(Daemon &D, const ReportTargetSign &Action);
 // target_side
 void performOrigin(Daemon &D, const Dispatch &Action);
 void performOrigin(Daemon &D, const CancelDispatch &Action);
@@ -42,7 +43,8 @@
 void performMembership(Daemon &D, const NewerRevisionSeen &Action);
 void performMembership(Daemon &D, const LocalPauseSeen &Action);
 
-// ---- Intent log, in platform_side and peer_side -----------------------------
+// ---- Intent log, in platform_side and intent_side
+// -----------------------------
 
 void performIntentLog(Daemon &D, const ReadObject &Action);
 void performIntentLog(Daemon &D, const WriteObject &Action);
--- a/apps/marjorambayd/daemon.h
+++ b/apps/marjorambayd/daemon.h
@@ -70,6 +70,9 @@
   Reservation Asked{};             ///< as last sent
   ZoneId ReservedIn{};             ///< zone of the arbiter that holds it
   std::vector<ZoneId> RefusedIn{}; ///< zones whose arbiters are full
+  // Of its intent, when it is not idempotent.
+  HostId IntentHolder{}; ///< asked last
+  bool IntentSettled = false;
   // Of its dispatch.
   std::optional<CallId> Call{};
   std::uint32_t Attempt = 0;
@@ -168,6 +171,9 @@
   std::unordered_map<std::string, EnvelopeWriter> Outgoing{}; ///< by address
   std::map<PoolId, ArbiterPlace> ArbiterOf{}; ///< as last told to the origin
 
+  /// Intents whose holder may not answer; oldest first.
+  std::deque<std::pair<TimePoint, IntentRequested>> AskedIntents{};
+
   // Targets.
   std::unordered_set<TargetId> LoadPolls{}; ///< answers that are awaited
   std::unordered_map<TargetId, Incarnation> TargetLives{};
--- /dev/null
+++ b/apps/marjorambayd/intent_side.cpp
@@ -0,0 +1,101 @@
+/// The way between origins and the holders of intents.
+///
+/// Each shard has one holder in the region, so that a key that is sent again
+/// meets its outcome at once. Which host that is matters for speed only: the
+/// conditional update at the platform keeps two holders of one shard safe.
+#include "actions.h"
+#include "sides.h"
+
+#include "marjorambay/coordination/rendezvous.h"
+
+namespace marjorambay {
+
+namespace {
+
+/// Silence of a holder after which this host records the intent itself.
+constexpr Duration HolderPatience = milliseconds(500);
+constexpr Duration HolderCheck = milliseconds(100);
+constexpr std::uint64_t HolderSalt = 0x1A7E;
+
+HostId holderOf(const Daemon &D, const KeyHash &Key) {
+  const std::uint32_t Shard = shardOf(Key, IntentLogSettings{}.Shards);
+  RendezvousChoice<HostId> Choice(mixBits(HolderSalt + Shard));
+  if (!D.Draining)
+    Choice.consider(D.Self.Id);
+  for (const auto &[Id, Peer] : D.Members.members()) {
+    const bool Near = Peer.Host.Region == D.Self.Region;
+    if (Near && Peer.State == HostState::Live && !Peer.Draining)
+      Choice.consider(Id);
+  }
+  return Choice.found() ? Choice.best() : D.Self.Id;
+}
+
+template <typename Event> void sendTo(Daemon &D, HostId To, const Event &What) {
+  if (To == D.Self.Id)
+    post(D, IntentLogInput{What});
+  else
+    sendHost(D, To, What);
+}
+
+/// Records at this host what a silent holder may not have recorded. The record
+/// names the request, so that both holders take it for the same one.
+void takeOverSilent(Daemon &D) {
+  const TimePoint Due = D.Loop.now() - HolderPatience;
+  while (!D.AskedIntents.empty() && D.AskedIntents.front().first <= Due) {
+    IntentRequested Event = D.AskedIntents.front().second;
+    D.AskedIntents.pop_front();
+    const auto Found = D.Calls.find(Event.Request.Id);
+    if (Found == D.Calls.end() || Found->second.IntentSettled)
+      continue;
+    Found->second.IntentHolder = D.Self.Id;
+    Event.TimeLeft = Found->second.Deadline - D.Loop.now();
+    post(D, IntentLogInput{Event});
+  }
+}
+
+} // namespace
+
+void startIntentSide(Daemon &D) {
+  D.Subscriptions.push_back(
+      D.Timers.every(HolderCheck, [&D]() { takeOverSilent(D); }));
+}
+
+void performOrigin(Daemon &D, const RecordIntent &Action) {
+  const IntentRequested Event{{D.Self.Id, D.Life, Action.Id},
+                              Action.Key,
+                              Action.BodyHash,
+                              Action.TimeLeft};
+  const HostId Holder = holderOf(D, Action.Key);
+  D.Calls.at(Action.Id).IntentHolder = Holder;
+  if (Holder != D.Self.Id)
+    D.AskedIntents.emplace_back(D.Loop.now(), Event);
+  sendTo(D, Holder, Event);
+}
+
+void performOrigin(Daemon &D, const RecordOutcome &Action) {
+  const OutcomeReported Event{{D.Self.Id, D.Life, Action.Id},
+                              Action.Key,
+                              Action.Released,
+                              Action.HttpStatus};
+  const auto Found = D.Calls.find(Action.Id);
+  const bool Known = Found != D.Calls.end();
+  sendTo(D, Known ? Found->second.IntentHolder : holderOf(D, Action.Key),
+         Event);
+}
+
+void performIntentLog(Daemon &D, const AnswerIntent &Action) {
+  const RequestKey &Key = Action.Request;
+  if (Key.Origin != D.Self.Id) {
+    sendHost(D, Key.Origin, Action);
+    return;
+  }
+  if (Key.OriginLife != D.Life)
+    return;
+  const auto Found = D.Calls.find(Key.Id);
+  if (Found != D.Calls.end())
+    Found->second.IntentSettled = true;
+  post(D, OriginEvent(
+              IntentSettled{Key.Id, Action.Verdict, Action.AppliedStatus}));
+}
+
+} // namespace marjorambay
--- a/apps/marjorambayd/lifecycle.cpp
+++ b/apps/marjorambayd/lifecycle.cpp
@@ -50,6 +50,7 @@
   }
   startArbiterSide(D);
   startLoadReports(D);
+  startIntentSide(D);
   startPlatformSide(D);
   startConfigSide(D);
   post(D, IntentLogInput{IntentLogTicked{D.Loop.wallNow()}});
--- a/apps/marjorambayd/peer_side.cpp
+++ b/apps/marjorambayd/peer_side.cpp
@@ -92,23 +92,6 @@
   return Known ? idOf<ZoneId>(Known->Zone) : D.Self.Zone;
 }
 
-/// Returns the host of the own zone that records intents of a key's shard.
-/// Two holders of one shard are safe; one writes it with fewer conflicts.
-HostId intentHolder(const Daemon &D, const KeyHash &Key) {
-  constexpr std::uint64_t Salt = 0x1A7E;
-  const std::uint32_t Shard = shardOf(Key, IntentLogSettings{}.Shards);
-  return D.Members.arbiterOf(PoolId{mixBits(Salt + Shard)});
-}
-
-void sendIntentHolder(Daemon &D, const KeyHash &Key, const PeerMessage &Message,
-                      IntentLogEvent Event) {
-  const HostId Holder = intentHolder(D, Key);
-  if (Holder == D.Self.Id)
-    post(D, IntentLogInput{std::move(Event)});
-  else
-    sendHost(D, Holder, Message);
-}
-
 } // namespace
 
 void sendPeer(Daemon &D, const std::string &Address,
@@ -173,18 +156,6 @@
               SlotProgressed{keyOf(D, Action.Id), Action.OutputTokens});
 }
 
-void performOrigin(Daemon &D, const RecordIntent &Action) {
-  const IntentRequested Event{keyOf(D, Action.Id), Action.Key, Action.BodyHash,
-                              Action.TimeLeft};
-  sendIntentHolder(D, Action.Key, Event, Event);
-}
-
-void performOrigin(Daemon &D, const RecordOutcome &Action) {
-  const OutcomeReported Event{keyOf(D, Action.Id), Action.Key, Action.Released,
-                              Action.HttpStatus};
-  sendIntentHolder(D, Action.Key, Event, Event);
-}
-
 void performOrigin(Daemon &D, const ReportTargetSign &Action) {
   const TargetConfig *Target = D.Config.target(Action.Target);
   if (!Target)
@@ -197,17 +168,6 @@
   sendArbiter(D, idOf<PoolId>(Target->Pool), idOf<ZoneId>(Target->Zone), Event);
 }
 
-void performIntentLog(Daemon &D, const AnswerIntent &Action) {
-  const RequestKey &Key = Action.Request;
-  if (Key.Origin != D.Self.Id) {
-    sendHost(D, Key.Origin, Action);
-    return;
-  }
-  if (Key.OriginLife == D.Life)
-    post(D, OriginEvent(
-                IntentSettled{Key.Id, Action.Verdict, Action.AppliedStatus}));
-}
-
 void performMembership(Daemon &D, const SendHeartbeat &Action) {
   sendPeer(D, Action.To.Address, Action.Beat);
 }
--- a/apps/marjorambayd/sides.h
+++ b/apps/marjorambayd/sides.h
@@ -42,6 +42,9 @@
 void takeDecision(Daemon &D, PoolId Pool, const ArbiterAction &Action,
                   HostId From);
 
+// intent_side: the way to the holders of intents.
+void startIntentSide(Daemon &D);
+
 // platform_side: calls of the object API.
 void startPlatformSide(Daemon &D);
 
