--- a/apps/marjorambayd/answers.cpp
+++ b/apps/marjorambayd/answers.cpp
@@ -18,7 +18,7 @@
 
 constexpr Duration ProgressInterval = seconds(1);
 /// Unread bytes above which the target is no longer read.
-constexpr std::size_t PauseAtBytes = 128 * 1024;
+constexpr std::size_t PauseAtBytes = 128 << 10;
 /// Segments of one read that are looked at without an allocation.
 constexpr int MaxSegments = 16;
 
--- a/apps/marjorambayd/load_reports.cpp
+++ b/apps/marjorambayd/load_reports.cpp
@@ -44,7 +44,7 @@
   What.ConnectTimeout = D.Settings.ConnectTimeout;
   What.SilenceTimeout = std::max<Duration>(D.Settings.LoadPollInterval,
                                            D.Settings.ConnectTimeout);
-  What.MaxBodyBytes = 64 * 1024;
+  What.MaxBodyBytes = 64 << 10;
   D.Client.fetch(std::move(What),
                  [&D, Pool, Target](int Status, const HttpAnswerView &,
                                     const std::string &Body, CallEnd) {
--- a/apps/marjorambayd/platform_side.cpp
+++ b/apps/marjorambayd/platform_side.cpp
@@ -12,7 +12,7 @@
 constexpr int HttpNoContent = 204;
 constexpr int HttpNotFound = 404;
 constexpr int HttpConflict = 409;
-constexpr std::size_t MaxObjectBytes = 2 * 1024 * 1024;
+constexpr std::size_t MaxObjectBytes = 2 << 20;
 
 HttpCall platformCall(const Daemon &D, std::string Method, std::string Path) {
   const Result<SocketAddress> Address =
--- a/apps/marjorambayd/target_side.cpp
+++ b/apps/marjorambayd/target_side.cpp
@@ -14,9 +14,9 @@
 namespace {
 
 /// Longest whole answer that is gathered before it is relayed.
-constexpr std::size_t MaxGatheredBytes = 64 * 1024 * 1024;
+constexpr std::size_t MaxGatheredBytes = 64 << 20;
 /// Total size of a stream; only a broken target sends this much.
-constexpr std::size_t MaxStreamBytes = 1024 * 1024 * 1024;
+constexpr std::size_t MaxStreamBytes = 1024 << 20;
 
 bool isModelCall(const CallerCall &Call) {
   return Call.Kind == RouteKind::Completions ||
--- /dev/null
+++ b/packages/protocol/tests/completion_test.cpp
@@ -0,0 +1,162 @@
+/// Tests of what is read of completion requests, answers and reports.
+#include "marjorambay/protocol/completion.h"
+#include "marjorambay/protocol/error_body.h"
+#include "marjorambay/protocol/load_report.h"
+#include "marjorambay/protocol/platform_api.h"
+
+#include <doctest/doctest.h>
+
+using namespace marjorambay;
+
+namespace {
+
+CompletionRequest read(RouteKind Kind, std::string_view Body) {
+  const auto Read = parseCompletion(Kind, Body);
+  REQUIRE(ok(Read));
+  return value(Read);
+}
+
+/// Reads a request that must be refused, and returns the words of why.
+std::string refusal(RouteKind Kind, std::string_view Body) {
+  const auto Read = parseCompletion(Kind, Body);
+  REQUIRE_FALSE(ok(Read));
+  CHECK(error(Read).Kind == ErrorKind::BadRequest);
+  return error(Read).Message;
+}
+
+constexpr auto Text = RouteKind::Completions;
+constexpr auto Chat = RouteKind::ChatCompletions;
+
+} // namespace
+
+TEST_CASE("a caller asks for a completion") {
+  SUBCASE("with a prompt of one string") {
+    const auto Request = read(
+        Text,
+        R"({"model":"m","prompt":"12345678","stream":true,"max_tokens":9})");
+    CHECK(Request.Model == "m");
+    CHECK(Request.Stream);
+    CHECK(Request.PromptTokens == 2);
+    CHECK(Request.MaxOutputTokens == 9);
+  }
+  SUBCASE("with several prompts, or tokens, which are counted") {
+    CHECK(
+        read(Text, R"({"model":"m","prompt":["1234","5678"]})").PromptTokens ==
+        2);
+    CHECK(read(Text, R"({"model":"m","prompt":[5,6,7]})").PromptTokens == 3);
+    CHECK(read(Text, R"({"model":"m","prompt":[[5,6],[7]]})").PromptTokens ==
+          3);
+    CHECK(read(Text, R"({"model":"m","prompt":""})").PromptTokens == 1);
+  }
+  SUBCASE("whose head decides on its prefix hash") {
+    const std::string Head(PrefixBytes, 'h');
+    const auto hashOf = [](const std::string &Prompt) {
+      return read(Text, R"({"model":"m","prompt":")" + Prompt + R"("})")
+          .PrefixHash;
+    };
+    CHECK(hashOf(Head + "one") == hashOf(Head + "two"));
+    CHECK(hashOf("one" + Head) != hashOf("two" + Head));
+  }
+  SUBCASE("as a chat, with parts of a message") {
+    const auto Request =
+        read(Chat, R"({"model":"m","max_completion_tokens":3,"messages":[
+          {"role":"system","content":"1234"},
+          {"role":"assistant","content":null},
+          {"role":"user","content":[{"type":"text","text":"5678"},
+                                    {"type":"image_url"}]}]})");
+    CHECK(Request.PromptTokens == 2);
+    CHECK(Request.MaxOutputTokens == 3);
+    CHECK_FALSE(Request.Stream);
+  }
+  SUBCASE("but the body is bad, which is told without a quote of it") {
+    CHECK(refusal(Text, "{secret") == "the body is not a JSON object");
+    CHECK(refusal(Text, "[]") == "the body is not a JSON object");
+    CHECK(refusal(Text, R"({"prompt":"x"})").find("model") !=
+          std::string::npos);
+    CHECK(refusal(Text, R"({"model":"m"})").find("prompt") !=
+          std::string::npos);
+    CHECK(refusal(Text, R"({"model":"m","prompt":"secret","stream":1})")
+              .find("secret") == std::string::npos);
+    refusal(Text, R"({"model":"m","prompt":[]})");
+    refusal(Text, R"({"model":"m","prompt":7})");
+    refusal(Text, R"({"model":"m","prompt":[[[7]]]})");
+    refusal(Text, R"({"model":"m","prompt":"x","max_tokens":0})");
+    refusal(Text, R"({"model":"m","prompt":"x","max_tokens":-1})");
+    refusal(Text, R"({"model":"m","prompt":"x","max_tokens":4294967296})");
+    refusal(Chat, R"({"model":"m","messages":[]})");
+    refusal(Chat, R"({"model":"m","messages":[{"content":"x"}]})");
+  }
+}
+
+TEST_CASE("an engine tells what it used") {
+  const auto Told = parseUsage(
+      R"({"usage":{"prompt_tokens":7,"completion_tokens":3,
+          "prompt_tokens_details":{"cached_tokens":2}}})");
+  REQUIRE(Told);
+  CHECK(Told->PromptTokens == 7);
+  CHECK(Told->OutputTokens == 3);
+  CHECK(Told->CachedTokens == 2);
+  SUBCASE("or tells nothing, in a whole answer") {
+    REQUIRE(parseUsage("{}"));
+    CHECK(parseUsage("{}")->OutputTokens == 0);
+  }
+  SUBCASE("or the answer is cut at any byte") {
+    const std::string Whole = R"({"choices":[],"usage":{"prompt_tokens":1}})";
+    for (std::size_t Length = 0; Length < Whole.size(); ++Length)
+      CHECK_FALSE(parseUsage(std::string_view(Whole).substr(0, Length)));
+  }
+}
+
+TEST_CASE("an engine reports its load") {
+  const auto Read = parseLoadReport(
+      R"({"time_us":5000000,"requests_in_flight":2,"tokens_in_flight":30,
+          "cache_tokens_free":100,"versions":["v1"],"incarnation":9,
+          "leaving":true})");
+  REQUIRE(ok(Read));
+  CHECK(value(Read).Written == WallTime(seconds(5)));
+  CHECK(value(Read).TokensInFlight == 30);
+  CHECK(value(Read).Versions == std::vector<std::string>{"v1"});
+  CHECK(value(Read).Life == Incarnation{9});
+  CHECK(value(Read).Leaving);
+  CHECK_FALSE(ok(parseLoadReport("[]")));
+  CHECK_FALSE(ok(parseLoadReport("")));
+}
+
+TEST_CASE("an error is told to its caller") {
+  const Error Busy{ErrorKind::Overloaded, "words", milliseconds(1500)};
+  CHECK(printError(Busy, "r1", MayHaveRun::No) ==
+        R"({"error":{"kind":"overloaded","message":"words",)"
+        R"("request_id":"r1","may_have_run":false,"retry_after_ms":1500}})");
+  CHECK(retryAfterHeader(Busy) == "2");
+  SUBCASE("with a time to come back where that helps, even if none was set") {
+    CHECK(retryAfterHeader({ErrorKind::NoTarget}) == "1");
+    CHECK(retryAfterHeader({ErrorKind::BadRequest}).empty());
+  }
+  SUBCASE("although the words are not UTF-8") {
+    const Error Odd{ErrorKind::BadRequest, "\xff"};
+    CHECK(printError(Odd, "", MayHaveRun::No).find("bad_request") !=
+          std::string::npos);
+  }
+}
+
+TEST_CASE("the platform is asked for an object") {
+  CHECK(objectPath("intents/3/7") == "/v1/objects/intents/3/7");
+  CHECK(watchPath("config/fleet", 4, seconds(2)) ==
+        "/v1/objects/config/fleet?watch=4&wait_ms=2000");
+  CHECK(parseObjectVersion("12") == 12);
+  CHECK(parseObjectVersion("") == 0);
+  CHECK(parseObjectVersion("12x") == 0);
+  CHECK(isObjectName("a/b-1.c_d"));
+  for (const char *Bad : {"", "/a", "a/", "a//b", "A", "a b", "a\n"})
+    CHECK_FALSE(isObjectName(Bad));
+  SUBCASE("and for its list of hosts") {
+    const auto Read = parseHosts(
+        R"({"hosts":[{"name":"h","address":"127.0.0.1:1","zone":"z",
+            "region":"r","state":"leaving"},{"name":"i"},7]})");
+    REQUIRE(ok(Read));
+    REQUIRE(value(Read).size() == 2);
+    CHECK(value(Read)[0].Leaving);
+    CHECK_FALSE(value(Read)[1].Leaving);
+    CHECK_FALSE(ok(parseHosts("{}")));
+  }
+}
--- a/packages/transport/marjorambay/transport/http_client.h
+++ b/packages/transport/marjorambay/transport/http_client.h
@@ -49,8 +49,8 @@
   std::string_view Text{};  ///< copied, when Body is null
   Duration ConnectTimeout = seconds(2);
   Duration SilenceTimeout = seconds(30); ///< between bytes, once connected
-  std::size_t MaxHeaderBytes = 64 * 1024;
-  std::size_t MaxBodyBytes = 64 * 1024 * 1024;
+  std::size_t MaxHeaderBytes = 64 << 10;
+  std::size_t MaxBodyBytes = 64 << 20;
 
   sigc::slot<void(CallId, const HttpAnswerView &)> OnHeaders{};
   /// Takes what it wants out of the buffer; the rest is dropped.
--- a/packages/transport/marjorambay/transport/peer_link.h
+++ b/packages/transport/marjorambay/transport/peer_link.h
@@ -21,8 +21,8 @@
 
 struct PeerLinkLimits {
   int HighWaterMark = 256; ///< messages for each socket
-  std::size_t MaxMessageBytes = 2 * 1024 * 1024;
-  std::size_t MaxOutboxBytes = 4 * 1024 * 1024; ///< waiting for one peer
+  std::size_t MaxMessageBytes = 2 << 20;
+  std::size_t MaxOutboxBytes = 4 << 20; ///< waiting for one peer
   Duration MaxOutboxAge = seconds(2); ///< older ones are dropped unsent
 };
 
--- a/packages/transport/src/peer_link.cpp
+++ b/packages/transport/src/peer_link.cpp
@@ -5,6 +5,7 @@
 #include <zmq.h>
 
 #include <array>
+#include <cassert>
 #include <utility>
 
 namespace marjorambay {
@@ -67,6 +68,7 @@
 }
 
 Result<std::string> PeerLink::bind(const std::string &Address) {
+  assert(!Router && "bind() twice on one PeerLink");
   Router = openSocket(ZMQ_ROUTER);
   const std::string Endpoint = "tcp://" + Address;
   if (zmq_bind(Router, Endpoint.c_str()) != 0)
