--- a/tests/standins/load_client/main.cpp
+++ b/tests/standins/load_client/main.cpp
@@ -65,6 +65,14 @@
       TextAfterMarker += " " + std::to_string(Token);
   }
 
+  Client(const Client &) = delete;
+  Client &operator=(const Client &) = delete;
+  ~Client() {
+    for (const auto &Lines : Idle)
+      for (evhttp_connection *Line : Lines)
+        evhttp_connection_free(Line);
+  }
+
   void run() {
     Start = NextSend = Clock::now();
     sendMore();
