--- a/packages/coordination/marjorambay/coordination/requests.h
+++ b/packages/coordination/marjorambay/coordination/requests.h
@@ -12,8 +12,9 @@
 /// Work that a request is expected to cause. Service calls count as one output
 /// token.
 struct TokenCost {
-  std::uint32_t Prompt = 0; ///< tokens of the prompt, known on arrival
-  std::uint32_t Output = 1; ///< tokens of the answer, learned per route
+  std::uint32_t Prompt = 0;    ///< tokens of the prompt, known on arrival
+  std::uint32_t Output = 1;    ///< tokens of the answer, learned per route
+  std::uint32_t MaxOutput = 0; ///< the caller's limit; 0: none given
 };
 
 /// A claim on a slot at some target of a pool. Carries no body: the origin
@@ -22,6 +23,7 @@
   RequestKey Key{};
   AccountId Account{};
   TierRank Tier{};
+  RouteId Route{}; ///< answers differ in length by route; 0: not told
   PoolId Pool{};
   ModelId Model{};
   VersionId Version{}; ///< 0: whatever the rollout's share draws
