Pass the service stand-in no second name

Cause: the harness passed name twice and failed at once. Ruled out: renaming the stand-in's option. Change: the name stays the process's own.

--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -265,8 +265,7 @@
                 self.engines.append(engine)
         for number in range(services):
             service = self.add(StandIn(
-                self.folder, f"service-{number + 1}", "service_standin",
-                name=f"service-{number + 1}"))
+                self.folder, f"service-{number + 1}", "service_standin"))
             service.zone = self.zones[number % len(self.zones)]
             self.services.append(service)
 
