Run the failure tests against the daemon; tell replayed answers apart

Cause: an answer {"replayed": true} to a known key was judged wrong by the load client. Ruled out: taking any 200 for right, which would hide a crossed answer. Change: a verdict of its own, only for calls with a key, and a check that a key told as answered was applied.

--- a/tests/standins/load_client/main.cpp
+++ b/tests/standins/load_client/main.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// Answer of an entry host that knows the outcome, and no longer the answer.
+constexpr std::string_view ReplayedBody = R"({"replayed": true})";
+
 struct Plan {
   std::vector<std::string> Addresses{}; ///< "ip:port", taken in turn
   std::vector<std::string> ApiKeys{};   ///< taken in turn
@@ -293,6 +296,8 @@
       return Verdict::Error;
     if (Wanted.Streamed && !Open.DoneMark)
       return Verdict::Cut;
+    if (!Wanted.KeyPrefix.empty() && Open.Pending == ReplayedBody)
+      return Verdict::Replayed;
     if (!Wanted.Streamed)
       Open.Text = textOf(Open.Pending);
     const bool Own = Wanted.Kind == "call"
--- a/tests/standins/load_client/results.h
+++ b/tests/standins/load_client/results.h
@@ -16,12 +16,13 @@
 
 /// How one call ended.
 enum class Verdict : std::uint8_t {
-  Whole, ///< the whole answer, and its own
-  Wrong, ///< an answer that ended properly, but is not the one expected
-  Cut,   ///< the answer began and ended early
-  Error, ///< an error with its kind
-  Lost,  ///< no answer at all
-  Left,  ///< the client went away, as told
+  Whole,    ///< the whole answer, and its own
+  Wrong,    ///< an answer that ended properly, but is not the one expected
+  Cut,      ///< the answer began and ended early
+  Error,    ///< an error with its kind
+  Lost,     ///< no answer at all
+  Left,     ///< the client went away, as told
+  Replayed, ///< the recorded outcome of an earlier use of the key
 };
 
 } // namespace marjorambay::standins
@@ -30,7 +31,7 @@
 inline constexpr std::array
     marjorambay::NamesOf<marjorambay::standins::Verdict> =
         std::to_array<std::string_view>({"whole", "wrong", "cut", "error",
-                                         "lost", "left"});
+                                         "lost", "left", "replayed"});
 
 namespace marjorambay::standins {
 
--- a/tests/system/failures_test.py
+++ b/tests/system/failures_test.py
@@ -43,12 +43,14 @@
         self.assertEqual({k: c for k, c in keys.items() if c != 1}, {})
         return runs, keys
 
-    def assert_not_run_is_true(self, results, runs):
+    def assert_not_run_is_true(self, results, runs, keys=None):
         """What was told as not run was not run, and nothing was wrong."""
         for result in results["results"]:
             self.assertNotEqual(result["verdict"], "wrong", result)
             if not result["may_have_run"]:
                 self.assertNotIn(result["request_id"], runs, result)
+            if result["key"] and result["verdict"] in ("whole", "replayed"):
+                self.assertIn(result["key"], keys, result)
 
     def stop_hosts(self, fleet):
         for host in fleet.hosts:
@@ -100,8 +102,13 @@
         self.assert_run_once(fleet)
 
     def arbiter_of(self, fleet):
-        """The host that decides for the pool of models."""
-        raise NotImplementedError
+        """The host that decides for the pool of models, once it is one."""
+        def find():
+            return [host for host in fleet.hosts for held
+                    in host.inspect()["arbiters"] if held["pool"] == "models"]
+        fleet.load(count=len(fleet.hosts), max_tokens=1).finish()
+        return wait_until(lambda: len(find()) == 1 and find()[0],
+                          "one arbiter of the pool")
 
     def test_frozen_host_wakes_after_its_lease(self):
         fleet = self.fleet()
@@ -117,8 +124,8 @@
         frozen.send(signal.SIGCONT)
         results = first.finish()
         runs, keys = self.assert_run_once(fleet)
-        self.assert_not_run_is_true(results, runs)
-        self.assert_not_run_is_true(second, runs)
+        self.assert_not_run_is_true(results, runs, keys)
+        self.assert_not_run_is_true(second, runs, keys)
         wait_until(lambda: self.order(fleet, frozen, "f-again"),
                    "the thawed host to serve orders")
         self.stop_hosts(fleet)
@@ -140,7 +147,7 @@
         self.assertEqual(refused["errors"], {"platform_unavailable": 20},
                          refused)
         runs, keys = self.assert_run_once(fleet)
-        self.assert_not_run_is_true(refused, runs)
+        self.assert_not_run_is_true(refused, runs, keys)
         self.assertEqual(keys, {})
         fleet.platform.fault("none")
         wait_until(lambda: call(
@@ -158,7 +165,7 @@
                              key_prefix="l-", key_uses=2, details=1,
                              deadline_ms=10000).finish()
         runs, keys = self.assert_run_once(fleet)
-        self.assert_not_run_is_true(results, runs)
+        self.assert_not_run_is_true(results, runs, keys)
         self.assertEqual(len(keys), 30, results["errors"])
 
 
@@ -167,8 +174,8 @@
         fleet = self.fleet(zones=1, engine_speeds=(200, 200))
         fleet.engines[0].fault("break_stream", after=3, count=5)
         results = fleet.load(count=60, rate=60, stream=1, details=1).finish()
-        runs, _ = self.assert_run_once(fleet)
-        self.assert_not_run_is_true(results, runs)
+        runs, keys = self.assert_run_once(fleet)
+        self.assert_not_run_is_true(results, runs, keys)
         self.assertEqual(results["verdicts"], {"error": 5, "whole": 55},
                          results)
         self.assertEqual(results["errors"], {"answer_cut": 5})
@@ -181,7 +188,7 @@
                              path="/orders", key_prefix="s-", key_uses=2,
                              deadline_ms=10000).finish()
         runs, keys = self.assert_run_once(fleet)
-        self.assert_not_run_is_true(results, runs)
+        self.assert_not_run_is_true(results, runs, keys)
         self.assertEqual(len(keys), 20)
 
     def test_leaving_target_gets_no_new_work(self):
@@ -217,7 +224,7 @@
                              path="/orders", key_prefix="t-", key_uses=2,
                              deadline_ms=20000).finish()
         runs, keys = self.assert_run_once(fleet)
-        self.assert_not_run_is_true(results, runs)
+        self.assert_not_run_is_true(results, runs, keys)
         self.assertEqual(len(keys), 50)
         statuses = {}
         for result in results["results"]:
@@ -225,6 +232,18 @@
         unanswered = {k: s for k, s in statuses.items() if 200 not in s}
         self.assertEqual(unanswered, {})
 
+    def test_outcome_is_known_in_the_other_zone(self):
+        fleet = self.fleet()
+        first = call(fleet.hosts[0].address, "POST", "/orders", {"boxes": 1},
+                     once_headers("known"))
+        self.assertEqual(first.status, 200)
+        for host in fleet.hosts:
+            wait_until(lambda host=host: call(
+                host.address, "POST", "/orders", {"boxes": 1},
+                once_headers("known")).json == {"replayed": True},
+                f"{host.name} to know the outcome", 5)
+        self.assert_run_once(fleet)
+
     def test_key_with_another_body_is_refused(self):
         fleet = self.fleet(zones=1)
         first, second = (call(host.address, "POST", "/orders", {"boxes": n},
