Return grants of targets that are known to leave; date the fallback list

The origin now gives such a grant back, and its share of slots serves only for 3 s after the last LocalTargetsChanged, which the daemon must send each second.

--- a/packages/coordination/marjorambay/coordination/local_share.h
+++ b/packages/coordination/marjorambay/coordination/local_share.h
@@ -24,6 +24,9 @@
   void giveBack(TargetId Target);
   /// No new work for \p Target until the next list.
   void exclude(TargetId Target);
+  /// \p Target is known to go away: it gets no new work, whoever grants it.
+  bool leaving(TargetId Target) const;
+  void markLeaving(TargetId Target);
   /// The least filled target with a free slot in this host's share.
   std::optional<TargetId> pick() const;
   bool empty() const { return Slots.empty(); }
@@ -33,6 +36,7 @@
     std::uint32_t Limit = 0;
     std::uint32_t Used = 0;
     bool Excluded = false;
+    bool Leaving = false;
   };
   std::map<TargetId, Slot> Slots{};
 };
--- a/packages/coordination/marjorambay/coordination/origin.h
+++ b/packages/coordination/marjorambay/coordination/origin.h
@@ -149,7 +149,9 @@
   PoolId Pool{};
   bool Reachable = true;
 };
-/// A pool's targets as last known, for the time without an arbiter.
+/// A pool's targets as last known, for the time without an arbiter. Sent every
+/// second also without a change: a host that was frozen must not dispatch by a
+/// list from before, which may hold targets that have left.
 struct LocalTargetsChanged {
   PoolId Pool{};
   std::vector<TargetInfo> Targets{};
@@ -259,8 +261,9 @@
   Duration ReservationResend = seconds(1); ///< first wait; doubles each time
   Duration RetryDelay = milliseconds(10);  ///< before attempt 2; doubles
   Duration RetryAfterDefault =
-      seconds(1);                ///< told when nothing better is known
-  Duration Retention = hours(1); ///< of idempotency keys
+      seconds(1); ///< told when nothing better is known
+  Duration LocalTargetsFresh = seconds(3); ///< age of LocalTargetsChanged
+  Duration Retention = hours(1);           ///< of idempotency keys
   std::uint32_t MaxQueuedPerAccount = 1000;
   std::uint32_t DefaultOutputTokens = 256; ///< guess before any is learned
   std::uint32_t MaxAttempts = 4;           ///< dispatches, all but one not run
@@ -325,6 +328,7 @@
   struct PoolState {
     bool ArbiterReachable = true;
     LocalShare Share{};
+    TimePoint ShareAt{}; ///< when its targets were last told
   };
   struct Account {
     std::uint32_t Queued = 0;
@@ -361,6 +365,7 @@
   void refuse(RequestId Id, ErrorKind Kind);
   void enqueue(Request &Held);
   void sendSlotRequest(Request &Held);
+  void returnGrant(Request &Held, TargetId Target);
   void dispatch(Request &Held, TargetId Target);
   void retry(Request &Held, Duration Wait);
   void abandonIntent(const Request &Held);
--- a/packages/coordination/src/local_share.cpp
+++ b/packages/coordination/src/local_share.cpp
@@ -14,7 +14,8 @@
     Slot &Known = Slots[Target.Id];
     Known.Limit =
         std::max<std::uint32_t>(Target.MaxRequestsInFlight / Hosts, 1);
-    Known.Excluded = Target.Leaving;
+    Known.Excluded = false;
+    Known.Leaving = Target.Leaving;
   }
   std::erase_if(Slots, [](const auto &Entry) {
     return Entry.second.Limit == 0 && Entry.second.Used == 0;
@@ -35,11 +36,22 @@
     Found->second.Excluded = true;
 }
 
+bool LocalShare::leaving(TargetId Target) const {
+  const auto Found = Slots.find(Target);
+  return Found != Slots.end() && Found->second.Leaving;
+}
+
+void LocalShare::markLeaving(TargetId Target) {
+  const auto Found = Slots.find(Target);
+  if (Found != Slots.end())
+    Found->second.Leaving = true;
+}
+
 std::optional<TargetId> LocalShare::pick() const {
   std::optional<TargetId> Best;
   double LowestFill = 1.0;
   for (const auto &[Target, Known] : Slots) {
-    if (Known.Excluded || Known.Used >= Known.Limit)
+    if (Known.Excluded || Known.Leaving || Known.Used >= Known.Limit)
       continue;
     const double Fill = static_cast<double>(Known.Used) / Known.Limit;
     if (Fill >= LowestFill)
--- a/packages/coordination/src/origin.cpp
+++ b/packages/coordination/src/origin.cpp
@@ -219,6 +219,8 @@
         ReleaseSlot{Pool, Event.Id, Event.Target, {UsageEnd::NotRun}});
     return;
   }
+  if (Pools[Held->Call.Pool].Share.leaving(Event.Target))
+    return returnGrant(*Held, Event.Target);
   if (Now < Held->Deadline)
     return dispatch(*Held, Event.Target);
   Actions.push_back(
@@ -226,6 +228,16 @@
   failWaiting(*Held, ErrorKind::DeadlinePassed, Duration(0));
 }
 
+/// Gives back the slot of a target that is known here to leave: the grant was
+/// long under way, or its arbiter has not heard of it.
+void Origin::returnGrant(Request &Held, TargetId Target) {
+  Actions.push_back(
+      ReleaseSlot{Held.Call.Pool, Held.Call.Id, Target, {UsageEnd::NotRun}});
+  Actions.push_back(ReportTargetSign{Target, true});
+  Held.SendSlotRequestAt = Now + Settings.RetryDelay;
+  schedule(Held);
+}
+
 void Origin::dispatch(Request &Held, TargetId Target) {
   leaveQueue(Held);
   Held.State = RequestState::Dispatched;
@@ -280,6 +292,7 @@
 void Origin::on(const LocalTargetsChanged &Event) {
   PoolState &Pool = Pools[Event.Pool];
   Pool.Share.setTargets(Event.Targets, Event.HostsInZone);
+  Pool.ShareAt = Now;
   if (!Pool.ArbiterReachable)
     serveFromLocalShare(Event.Pool);
 }
@@ -288,6 +301,8 @@
 /// first, then earliest deadline.
 void Origin::serveFromLocalShare(PoolId Pool) {
   PoolState &Known = Pools[Pool];
+  if (Now - Known.ShareAt > Settings.LocalTargetsFresh)
+    return;
   std::vector<Request *> Waiting;
   for (auto &[Id, Held] : Requests)
     if (Held.Call.Pool == Pool && Held.State == RequestState::Queued)
@@ -326,7 +341,10 @@
   if (Held->State == RequestState::Streaming) // an answer has begun: it ran
     return failDispatched(*Held, ErrorKind::AnswerCut, UsageEnd::Failed);
   Actions.push_back(ReportTargetSign{Held->Target, Event.Leaving});
-  Pools[Held->Call.Pool].Share.exclude(Held->Target);
+  LocalShare &Share = Pools[Held->Call.Pool].Share;
+  Share.exclude(Held->Target);
+  if (Event.Leaving)
+    Share.markLeaving(Held->Target);
   retry(*Held, Event.RetryAfter);
 }
 
