--- a/tests/matrix/fault_matrix/checker.cpp
+++ b/tests/matrix/fault_matrix/checker.cpp
@@ -105,11 +105,24 @@
 }
 
 void Checker::slotWanted(HostId Arbiter, const Reservation &Request) {
-  Waiting[Arbiter][Request.Key] = Request.Tier;
+  // A reservation that is sent again gets its grant told again: no decision.
+  if (Holding[Arbiter].count(Request.Key) == 0)
+    Waiting[Arbiter][Request.Key] = Request.Tier;
+}
+
+void Checker::slotHeld(HostId Arbiter, const RequestKey &Key) {
+  Waiting[Arbiter].erase(Key);
+  Holding[Arbiter].insert(Key);
+}
+
+void Checker::arbiterGone(HostId Arbiter) {
+  Waiting.erase(Arbiter);
+  Holding.erase(Arbiter);
 }
 
 void Checker::slotDropped(HostId Arbiter, const RequestKey &Key) {
   Waiting[Arbiter].erase(Key);
+  Holding[Arbiter].erase(Key);
 }
 
 void Checker::slotGranted(HostId Arbiter, const RequestKey &Key) {
@@ -119,6 +132,7 @@
     return; // a grant that is told again
   const TierRank Tier = Granted->second;
   Queue.erase(Granted);
+  Holding[Arbiter].insert(Key);
   for (const auto &[Other, Rank] : Queue)
     if (Rank < Tier)
       report(Invariant::TierOrder, "served before " + formatKey(Other));
