Test the intent log; stop a loop of reads on a corrupt segment

Cause: while a shard was loaded, each good read reset the pause that a corrupt segment had set, so that the holder read it without end (found by 'a corrupt segment lets nothing through', a stack overflow in the test). A window of reads now counts as good only when it is whole, and a shard that nobody needs makes no calls after a failure.

--- a/packages/coordination/src/intent_log.cpp
+++ b/packages/coordination/src/intent_log.cpp
@@ -195,6 +195,8 @@
     return;
   const bool Wanted =
       Held.Writing || !Held.Intents.empty() || !Held.Outcomes.empty();
+  if (!Wanted && Held.Failures > 0)
+    return; // no calls for the sake of a shard that nobody needs
   switch (Held.Stage) {
   case Phase::Cold:
     return Wanted ? startLoad(Held) : void();
@@ -370,16 +372,21 @@
     Held.Loaded.clear();
     return;
   }
+  if (Read.Found && !Whole) {
+    ++Counts.CorruptReads;
+    return fail(Held, true);
+  }
   // Earlier segments are sealed for good: anything else is a stale read.
   if (!Whole || value(Decoded).Sequence != Sequence || !value(Decoded).Sealed)
     return fail(Held, false);
   Held.Loaded[Sequence] = value(Decoded);
-  worked(Held);
   if (Held.CallsOut > 0)
     return;
   dropBelowGap(Held);
-  if (backComplete(Held))
-    finishLoad(Held);
+  if (!backComplete(Held))
+    return;
+  worked(Held);
+  finishLoad(Held);
 }
 
 /// After a failed read: what lies below the gap is read again with it.
