--- a/tests/system_tests.cmake
+++ b/tests/system_tests.cmake
@@ -4,3 +4,13 @@
 add_test(NAME fault_matrix COMMAND fault_matrix --quick)
 add_test(NAME fault_matrix_naive COMMAND fault_matrix --quick --naive)
 set_tests_properties(fault_matrix fault_matrix_naive PROPERTIES TIMEOUT 120)
+
+# Stand-ins, and daemons among them.
+find_package(Python3 REQUIRED COMPONENTS Interpreter)
+function(marjorambay_system_test Name File Timeout)
+  add_test(NAME ${Name}
+    COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/system/${File} ${ARGN})
+  set_tests_properties(${Name} PROPERTIES TIMEOUT ${Timeout}
+    ENVIRONMENT "MARJORAMBAY_BIN=${CMAKE_BINARY_DIR}/bin;PYTHONDONTWRITEBYTECODE=1")
+endfunction()
+marjorambay_system_test(standins standins_test.py 60)
