Test the arbiter's modules, and keep a slowdown out of the slow line

The slow line averaged its first 50 samples plainly, and so took the slowdown for the target's normal speed.

Change: plain averaging ends after 20 samples. A learned speed, prefill speed or overhead that is worse than the first guess is forgotten while a target idles: a target that looks too slow gets no work that could show otherwise. A deadline too tight for a full batch may still be tried on a lighter one.

--- a/packages/coordination/marjorambay/coordination/arbiter.h
+++ b/packages/coordination/marjorambay/coordination/arbiter.h
@@ -79,6 +79,7 @@
   void apply(const ArbiterTicked &Event, TimePoint Now);
 
   double workOf(const TokenCost &Cost) const;
+  TimePoint latestStart(const Waiting &Entry, bool Busy, TimePoint Now) const;
   Waiting waitingFor(const Reservation &Request, TimePoint Now);
   bool hopeless(const Waiting &Entry, TimePoint Now) const;
   std::optional<RefuseSlot> refusalFor(const Waiting &Entry, TimePoint Now);
--- a/packages/coordination/marjorambay/coordination/target_model.h
+++ b/packages/coordination/marjorambay/coordination/target_model.h
@@ -34,7 +34,8 @@
   double prefillSeconds() const { return PrefillSeconds; }
 
   /// Returns the seconds from dispatch to the first token.
-  double firstTokenSeconds(double Prompt, double PromptAhead) const;
+  double firstTokenSeconds(double Prompt, double PromptAhead,
+                           TimePoint Now) const;
 
   /// Returns the seconds from dispatch to the end of the answer.
   double totalSeconds(const TokenCost &Cost, double PromptAhead, double Streams,
@@ -56,6 +57,8 @@
 private:
   static constexpr std::uint32_t SamplesBeforeTrust = 8;
 
+  double relaxed(double Learned, double Guess, TimePoint Now) const;
+  double guessAt(double Streams) const;
   double lineAt(double Streams) const;
   void fitLine(double Step, double Streams, TimePoint Now);
 
@@ -66,7 +69,8 @@
   double MeanStreams = 0; ///< streams
   double Covariance = 0;
   double Variance = 0;
-  double Ratio = 1.0;             ///< of recent steps to the line
+  double Ratio = 1.0; ///< of recent steps to the line
+  double GuessedPrefill = 0.0001;
   double Overhead = 0.005;        ///< seconds to the first token, empty prompt
   double PrefillSeconds = 0.0001; ///< for each uncached prompt token
   std::uint32_t PrefillSamples = 0;
--- a/packages/coordination/src/arbiter.cpp
+++ b/packages/coordination/src/arbiter.cpp
@@ -43,6 +43,12 @@
   return Cost.Output + Settings.PromptTokenWeight * Cost.Prompt;
 }
 
+TimePoint Arbiter::latestStart(const Waiting &Entry, bool Busy,
+                               TimePoint Now) const {
+  const double Takes = Targets.fastestSeconds(Entry.SafeCost, Busy, Now);
+  return Entry.Deadline - fromSeconds(Takes);
+}
+
 Waiting Arbiter::waitingFor(const Reservation &Request, TimePoint Now) {
   Waiting Entry;
   Entry.Request = Request;
@@ -53,9 +59,9 @@
   Entry.Work = workOf(Entry.Cost);
   Entry.Queued = Now;
   Entry.Deadline = Now + Request.Remaining;
-  Entry.LatestStart =
-      Entry.Deadline -
-      fromSeconds(Targets.fastestSeconds(Entry.SafeCost, true, Now));
+  Entry.LatestStart = latestStart(Entry, true, Now);
+  if (Entry.LatestStart < Now) // too tight for a full batch, but some are not
+    Entry.LatestStart = latestStart(Entry, false, Now);
   return Entry;
 }
 
--- a/packages/coordination/src/target_model.cpp
+++ b/packages/coordination/src/target_model.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr double LineSeconds = 300;     // time constant of the slow line
-constexpr double WarmUpSamples = 50;    // averaged plainly before that
+constexpr double WarmUpSamples = 20;    // averaged plainly before that
 constexpr double RatioGain = 0.2;       // of a sample in the quick ratio
 constexpr double LargestJump = 8.0;     // samples are clipped to this factor
 constexpr double SlowdownHalfLife = 10; // seconds without samples
@@ -17,6 +17,8 @@
 constexpr double PriorVariance = 4.0;   // streams^2; holds the first slope
 constexpr double PrefillGain = 0.1;
 constexpr std::uint32_t LongPrompt = 256; // tokens; shorter ones show overhead
+constexpr double IdleSeconds = 30;        // before a slow line is forgotten
+constexpr double GuessedOverhead = 0.005; // seconds
 constexpr double GuessedPrefillGain = 10; // prefill speed over decode speed
 
 } // namespace
@@ -26,18 +28,31 @@
   if (Samples != 0)
     return; // what was learned is better than the guess
   GuessedStep = Width / std::max(1e-3, TokensPerSecond);
-  PrefillSeconds = 1.0 / (GuessedPrefillGain * std::max(1e-3, TokensPerSecond));
+  GuessedPrefill = 1.0 / (GuessedPrefillGain * std::max(1e-3, TokensPerSecond));
+  PrefillSeconds = GuessedPrefill;
+}
+
+// A target that looks too slow gets no work, and so no samples that could show
+// otherwise: what is worse than the guess is forgotten while it idles.
+double TargetModel::relaxed(double Learned, double Guess, TimePoint Now) const {
+  const double Idle = std::max(0.0, toSeconds(Now - LastSample) - IdleSeconds);
+  if (Learned <= Guess || Idle == 0)
+    return Learned;
+  return Guess + (Learned - Guess) * std::exp2(-Idle / IdleSeconds);
+}
+
+double TargetModel::guessAt(double Streams) const {
+  const double Slope = GuessedStep * (1 - FixedShare) / Width;
+  return GuessedStep * FixedShare + Slope * Streams;
 }
 
 double TargetModel::lineAt(double Streams) const {
   const double GuessedSlope = GuessedStep * (1 - FixedShare) / Width;
   if (Samples == 0)
-    return GuessedStep * FixedShare + GuessedSlope * Streams;
+    return guessAt(Streams);
   // The slope of the first guess, scaled to the mean seen, holds until the
   // number of streams has varied enough to show another.
-  const double GuessAtMean =
-      GuessedStep * FixedShare + GuessedSlope * MeanStreams;
-  const double PriorSlope = GuessedSlope * MeanStep / GuessAtMean;
+  const double PriorSlope = GuessedSlope * MeanStep / guessAt(MeanStreams);
   const double Slope = std::clamp((Covariance + PriorVariance * PriorSlope) /
                                       (Variance + PriorVariance),
                                   0.0, MeanStep / std::max(1.0, MeanStreams));
@@ -100,17 +115,21 @@
 }
 
 double TargetModel::stepSeconds(double Streams, TimePoint Now) const {
-  return lineAt(std::max(1.0, Streams)) * slowdown(Now);
+  const double Held = std::max(1.0, Streams);
+  return relaxed(lineAt(Held), guessAt(Held), Now) * slowdown(Now);
 }
 
-double TargetModel::firstTokenSeconds(double Prompt, double PromptAhead) const {
-  return Overhead + (Prompt + PromptAhead) * PrefillSeconds;
+double TargetModel::firstTokenSeconds(double Prompt, double PromptAhead,
+                                      TimePoint Now) const {
+  const double Each = relaxed(PrefillSeconds, GuessedPrefill, Now);
+  return relaxed(Overhead, GuessedOverhead, Now) +
+         (Prompt + PromptAhead) * Each;
 }
 
 double TargetModel::totalSeconds(const TokenCost &Cost, double PromptAhead,
                                  double Streams, TimePoint Now) const {
   const double Rest = Cost.Output == 0 ? 0.0 : Cost.Output - 1.0;
-  return firstTokenSeconds(Cost.Prompt, PromptAhead) +
+  return firstTokenSeconds(Cost.Prompt, PromptAhead, Now) +
          Rest * stepSeconds(Streams, Now);
 }
 
--- a/packages/coordination/tests/arbiter_test.cpp
+++ b/packages/coordination/tests/arbiter_test.cpp
@@ -75,5 +75,152 @@
   }
 }
 
+/// Asks for \p Count slots from \p First on, and returns what was granted.
+Ids ask(Arbiter &Policy, std::uint64_t First, std::uint64_t Count,
+        TimePoint Now, int Rank = 0) {
+  Ids All;
+  for (std::uint64_t Id = First; Id < First + Count; ++Id) {
+    const auto Actions = Policy.step(SlotRequested{reservation(Id, Rank)}, Now);
+    for (const std::uint64_t Each : granted(Actions))
+      All.push_back(Each);
+  }
+  return All;
+}
+
+TEST_CASE("an arbiter takes over") {
+  Arbiter Policy;
+  const TimePoint Start = at(seconds(0));
+  Policy.step(TargetsChanged{{worker("w1", 16)}}, Start);
+  Policy.step(TakeoverStarted{{host("entry-1"), host("entry-2")}}, Start);
+
+  SUBCASE("grants a safe fraction of the limit until all have reported") {
+    CHECK(ask(Policy, 1, 20, Start).size() == 2);
+    CHECK(granted(Policy.step(ArbiterTicked{}, at(seconds(1)))).empty());
+
+    GrantsReported First{host("entry-1"), static_cast<Incarnation>(1), {}};
+    for (std::uint64_t Id = 100; Id < 110; ++Id) {
+      Reservation Running = reservation(Id);
+      First.Grants.push_back({Running, target("w1")});
+    }
+    CHECK(granted(Policy.step(First, Start)).empty());
+
+    SUBCASE("then what the limit leaves") {
+      const GrantsReported Second{
+          host("entry-2"), static_cast<Incarnation>(1), {}};
+      CHECK(granted(Policy.step(Second, Start)).size() == 4);
+      CHECK(Policy.targets().inFlight(target("w1")) == 16);
+    }
+    SUBCASE("or have been lost") {
+      const OriginLost Lost{host("entry-2"), static_cast<Incarnation>(1)};
+      CHECK(granted(Policy.step(Lost, Start)).size() == 4);
+    }
+    SUBCASE("a report that comes twice counts once") {
+      Policy.step(First, Start);
+      CHECK(Policy.targets().inFlight(target("w1")) == 12);
+    }
+  }
+}
+
+TEST_CASE("an arbiter and its targets") {
+  Arbiter Policy;
+  const TimePoint Start = at(seconds(0));
+
+  SUBCASE("backs off from one that refused, and then tries it again") {
+    Policy.step(TargetsChanged{{worker("w1", 8)}}, Start);
+    Policy.step(TargetRefused{target("w1")}, Start);
+    CHECK(ask(Policy, 1, 1, Start).empty());
+    CHECK(granted(Policy.step(ArbiterTicked{}, at(seconds(1)))) == Ids{1});
+  }
+  SUBCASE("a leaving one that restarted serves again") {
+    TargetInfo Info = worker("w1", 8);
+    Info.Life = static_cast<Incarnation>(1);
+    Policy.step(TargetsChanged{{Info}}, Start);
+    Policy.step(TargetLeft{Info.Id, Info.Life}, Start);
+    CHECK(ask(Policy, 1, 1, Start).empty());
+    Info.Life = static_cast<Incarnation>(2);
+    Policy.step(TargetsChanged{{Info}}, Start);
+    CHECK(ask(Policy, 2, 1, Start) == Ids{2});
+  }
+  SUBCASE("fills each to its limit and no further") {
+    Policy.step(TargetsChanged{{worker("w1", 4), worker("w2", 6)}}, Start);
+    CHECK(ask(Policy, 1, 30, Start).size() == 10);
+    CHECK(Policy.targets().inFlight(target("w1")) == 4);
+    CHECK(Policy.targets().inFlight(target("w2")) == 6);
+  }
+  SUBCASE("counts what a late report shows of others") {
+    Policy.step(TargetsChanged{{worker("w1", 8)}}, Start);
+    LoadReported Report;
+    Report.Target = target("w1");
+    Report.Age = seconds(2);
+    Report.RequestsInFlight = 5;
+    Policy.step(Report, Start);
+    CHECK(ask(Policy, 1, 8, Start).size() == 3);
+  }
+  SUBCASE("prefers the one that holds the prefix, if the deadline allows") {
+    TargetInfo Slow = worker("slow", 8);
+    Slow.TokensPerSecond = 900;
+    Policy.step(TargetsChanged{{Slow}}, Start);
+    Reservation Request = reservation(1);
+    Request.PrefixHash = 77;
+    Request.Cost = {20'000, 100};
+    Policy.step(SlotRequested{Request}, Start);
+    Policy.step(SlotReleased{key(1), {}}, Start);
+    Policy.step(TargetsChanged{{Slow, worker("fast", 8)}}, at(seconds(5)));
+    Request.Key = key(2);
+    const auto Hinted = Policy.step(SlotRequested{Request}, at(seconds(5)));
+    REQUIRE(granted(Hinted) == Ids{2});
+    CHECK(only<GrantSlot>(Hinted)[0].Target == target("slow"));
+  }
+  SUBCASE("sends nothing to a version after its fault has shown") {
+    Policy.step(TargetsChanged{{worker("w1", 8, "v1"), worker("w2", 8, "v2")}},
+                Start);
+    Policy.step(VersionTripped{version("v2")}, Start);
+    CHECK(ask(Policy, 1, 16, Start).size() == 8);
+    CHECK(Policy.targets().inFlight(target("w2")) == 0);
+  }
+}
+
+TEST_CASE("an overloaded arbiter") {
+  Arbiter Policy;
+  const TimePoint Start = at(seconds(0));
+  Policy.step(TargetsChanged{{worker("w1", 2)}}, Start);
+  ask(Policy, 1, 2, Start, 1);
+
+  SUBCASE("refuses on arrival what it can't answer in time") {
+    // 100 output tokens each at 1000 a second: the queue fills within a minute.
+    std::size_t Refused = 0;
+    for (std::uint64_t Id = 10; Id < 2000; ++Id)
+      Refused +=
+          refused(Policy.step(SlotRequested{reservation(Id, 1)}, Start)).size();
+    CHECK(Refused > 1000);
+    CHECK(Policy.view(Start).Queued[1] > 100);
+  }
+  SUBCASE("serves nothing of a lower tier while a higher one waits") {
+    ask(Policy, 10, 50, Start, 2);
+    ask(Policy, 100, 3, Start, 0);
+    Ids Order;
+    std::uint64_t Held = 1;
+    for (int Turn = 0; Turn < 5; ++Turn) {
+      const auto Given =
+          granted(Policy.step(SlotReleased{key(Held), {}}, Start));
+      REQUIRE(Given.size() == 1);
+      Held = Given[0];
+      Order.push_back(Held);
+    }
+    CHECK(Order == Ids{100, 101, 102, 10, 11});
+  }
+  SUBCASE("serves nothing of a lower tier while a higher one is shed") {
+    ask(Policy, 10, 1, Start, 2);
+    Reservation Urgent = reservation(100, 0);
+    Urgent.Remaining = seconds(1);
+    Policy.step(SlotRequested{Urgent}, Start);
+    Policy.step(ArbiterTicked{}, at(milliseconds(1500))); // 100 is shed
+    CHECK(granted(Policy.step(SlotReleased{key(1), {}}, at(milliseconds(1600))))
+              .empty());
+    CHECK(granted(Policy.step(ArbiterTicked{}, at(milliseconds(1900)))) ==
+          Ids{10});
+  }
+}
+
 } // namespace
 } // namespace marjorambay
