--- a/bench/policy_bench/main.cpp
+++ b/bench/policy_bench/main.cpp
@@ -68,6 +68,7 @@
   std::printf("  %-34s", Name);
   for (const auto Member : {&SeedResults::Naive, &SeedResults::Ours}) {
     std::vector<double> Values;
+    Values.reserve(Seeds.size());
     for (const SeedResults &Each : Seeds)
       Values.push_back(Of(Each.*Member));
     const double Sum = std::accumulate(Values.begin(), Values.end(), 0.0);
@@ -101,9 +102,15 @@
            [](const RunResult &Run) { return Run.inTime(); });
   printRow("work in time, 1000 tokens", Seeds,
            [](const RunResult &Run) { return Run.WorkInTime / 1000; });
-  printRow("smallest account in time, %", Seeds, [](const RunResult &Run) {
-    return percent(Run.SmallestInTime, Run.SmallestArrived);
-  });
+  for (std::size_t Rank = 0; Rank < 3; ++Rank) {
+    if (Seeds.front().Ours.SmallestArrived[Rank] == 0)
+      continue;
+    const std::string Name =
+        "  smallest account, tier " + std::to_string(Rank) + ", %";
+    printRow(Name.c_str(), Seeds, [Rank](const RunResult &Run) {
+      return percent(Run.SmallestInTime[Rank], Run.SmallestArrived[Rank]);
+    });
+  }
   printRow("smallest account, longest wait, s", Seeds,
            [](const RunResult &Run) { return toSeconds(Run.SmallestWait); });
   printRow("wasted prefill, 1000 tokens", Seeds, [](const RunResult &Run) {
--- a/bench/policy_bench/simulation.h
+++ b/bench/policy_bench/simulation.h
@@ -29,8 +29,8 @@
   std::uint64_t Preempted = 0;
   std::uint64_t Inversions = 0; ///< grants while a higher tier waited
   Duration SmallestWait{}; ///< longest wait for a slot of the smallest account
-  std::uint64_t SmallestArrived = 0;
-  std::uint64_t SmallestInTime = 0;
+  std::array<std::uint64_t, MaxTiers> SmallestArrived{};
+  std::array<std::uint64_t, MaxTiers> SmallestInTime{};
   std::array<std::uint64_t, MaxTiers> WastedByTier{};
   double WorkInTime = 0; ///< decode tokens, prompts at a tenth
   std::uint64_t inTime() const {
@@ -137,7 +137,8 @@
 
   void arrive(std::size_t Index) {
     ++Result.Arrived[number(Arrivals[Index].Tier)];
-    Result.SmallestArrived += isSmallest(Index) ? 1 : 0;
+    Result.SmallestArrived[number(Arrivals[Index].Tier)] +=
+        isSmallest(Index) ? 1 : 0;
     reserve(Index);
     Clock.after(Arrivals[Index].Deadline, [this, Index] { expire(Index); });
   }
@@ -226,7 +227,8 @@
     Result.Prefill += Job.Prefilled;
     Result.WorkInTime += Job.Output + 0.1 * Job.Prompt;
     ++Result.InTime[number(Arrivals[Index].Tier)];
-    Result.SmallestInTime += isSmallest(Index) ? 1 : 0;
+    Result.SmallestInTime[number(Arrivals[Index].Tier)] +=
+        isSmallest(Index) ? 1 : 0;
     Usage Used;
     Used.PromptTokens = Job.Prompt;
     Used.CachedTokens = Job.Cached;
@@ -245,7 +247,8 @@
   void decide(const ArbiterEvent &Event) {
     trackQueue(Event);
     for (const ArbiterAction &Each : Decisions.step(Event, Clock.now()))
-      std::visit([this](const auto &Action) { carryOut(Action); }, Each);
+      std::visit([&Self = *this](const auto &Action) { Self.carryOut(Action); },
+                 Each);
   }
 
   void carryOut(const GrantSlot &Action) {
--- a/packages/coordination/marjorambay/coordination/arbiter.h
+++ b/packages/coordination/marjorambay/coordination/arbiter.h
@@ -36,7 +36,10 @@
   Duration ShedHold = milliseconds(250); ///< lower tiers wait after a shed
   Duration ReleaseGrace = seconds(30); ///< after a deadline, for lost releases
   Duration TakeoverPatience = seconds(10); ///< for reports of origins
-  Duration NoTargetRetry = seconds(1);     ///< Retry-After without targets
+  Duration CapacityAge = milliseconds(20); ///< capacity is summed anew after
+  std::size_t RecheckedPerTick = 256;      ///< queued reservations
+  double RecheckMargin = 1.25; ///< of the time left, that the wait may take
+  Duration NoTargetRetry = seconds(1); ///< Retry-After without targets
   TargetTableSettings Targets{};
 };
 
@@ -83,13 +86,14 @@
   Waiting waitingFor(const Reservation &Request, TimePoint Now);
   bool hopeless(const Waiting &Entry, TimePoint Now) const;
   std::optional<RefuseSlot> refusalFor(const Waiting &Entry, TimePoint Now);
-  double capacityFor(TierRank Tier, Duration Horizon, TimePoint Now) const;
-  double expectedWait(const Waiting &Entry, TimePoint Now) const;
+  double capacityFor(TierRank Tier, Duration Horizon, TimePoint Now);
+  double expectedWait(const Waiting &Entry, TimePoint Now);
   Duration spread(Duration RetryAfter, const RequestKey &Key) const;
   void refuse(const Waiting &Entry, ErrorKind Kind, Duration RetryAfter,
               TimePoint Now);
   void giveUp(const RequestKey &Key, TimePoint Now);
   void refuseOverdue(TimePoint Now);
+  void refuseLate(TimePoint Now);
   void refuseUnservable(TimePoint Now);
   void grantWhatFits(TimePoint Now);
   bool serveOne(TierRank Tier, TimePoint Now);
@@ -111,7 +115,9 @@
   std::array<TimePoint, MaxTiers> LastShed{};
   std::unordered_set<HostId> Awaited{}; ///< origins that have yet to report
   TimePoint TakeoverUntil{};
-  bool RoomMayExist = true; ///< false: a search since the last change failed
+  double Capacity = 0;       ///< decode tokens a second
+  TimePoint CapacityUntil{}; ///< when it is summed anew
+  bool RoomMayExist = true;  ///< false: a search since the last change failed
   ArbiterActions Pending{};
 };
 
--- a/packages/coordination/marjorambay/coordination/fair_queue.h
+++ b/packages/coordination/marjorambay/coordination/fair_queue.h
@@ -76,12 +76,11 @@
   /// Returns the keys whose latest start is before \p Now.
   std::vector<RequestKey> overdue(TimePoint Now) const;
 
-  /// Returns the entries of an account in the order of service.
-  std::vector<const Waiting *> entriesOf(TierRank Tier,
-                                         AccountId Account) const;
+  /// Returns the keys of the next \p Count entries of a rotation over all.
+  std::vector<RequestKey> nextInRotation(std::size_t Count);
 
-  /// Returns the accounts with entries in \p Tier, in the order of service.
-  std::vector<AccountId> waitingAccounts(TierRank Tier) const;
+  /// Returns the entry of \p Key, or null; valid until the next change.
+  const Waiting *find(const RequestKey &Key) const;
 
   /// Returns the keys of all entries that \p Matches accepts.
   template <typename Predicate>
@@ -125,7 +124,9 @@
   std::array<TierQueue, MaxTiers> Tiers{};
   std::unordered_map<AccountId, double> Weights{};
   std::vector<Waiting> Entries{};
+  std::vector<bool> Used{}; ///< which places of Entries hold one
   std::vector<std::uint32_t> Free{};
+  std::size_t Rotation = 0;
   std::unordered_map<RequestKey, std::uint32_t> Places{};
   DeadlineIndex Index{};
   std::set<std::pair<TimePoint, std::uint32_t>> ByLatestStart{};
--- a/packages/coordination/marjorambay/coordination/target_table.h
+++ b/packages/coordination/marjorambay/coordination/target_table.h
@@ -33,6 +33,8 @@
 
 /// What the choice of a target came to.
 struct TargetChoice {
+  bool AnyRoom = false; ///< some target could take a request, if not this one
+  bool Found = false;
   TargetId Target{};
   double FinishSeconds = 0; ///< expected, from now
 };
@@ -62,9 +64,8 @@
   /// Returns the target with the least expected finish that has room and is
   /// expected to meet the deadline. A target that likely caches the prompt's
   /// head is preferred only if it meets the deadline without that.
-  std::optional<TargetChoice> choose(const Waiting &Entry,
-                                     const VersionShare &Shares, bool Takeover,
-                                     TimePoint Now) const;
+  TargetChoice choose(const Waiting &Entry, const VersionShare &Shares,
+                      bool Takeover, TimePoint Now) const;
 
   /// Returns whether some target, busy or not, is expected to meet the
   /// deadline as it is loaded now.
--- a/packages/coordination/src/arbiter.cpp
+++ b/packages/coordination/src/arbiter.cpp
@@ -65,20 +65,23 @@
   return Entry;
 }
 
-double Arbiter::capacityFor(TierRank Tier, Duration Horizon,
-                            TimePoint Now) const {
-  const double All = Targets.capacity(Shares, Now);
+double Arbiter::capacityFor(TierRank Tier, Duration Horizon, TimePoint Now) {
+  if (Now >= CapacityUntil) {
+    Capacity = Targets.capacity(Shares, Now);
+    CapacityUntil = Now + Settings.CapacityAge;
+  }
+  const double All = Capacity;
   return std::max(SmallestShare * All,
                   All - Arriving.above(Tier, Horizon, Now));
 }
 
-double Arbiter::expectedWait(const Waiting &Entry, TimePoint Now) const {
+double Arbiter::expectedWait(const Waiting &Entry, TimePoint Now) {
   const WorkAhead Ahead = Queue.workAhead(
       Entry.Request.Tier, Entry.Request.Account, Entry.LatestStart);
-  const double Capacity =
+  const double Rate =
       capacityFor(Entry.Request.Tier, Entry.LatestStart - Now, Now);
   const double Work = Ahead.HigherTiers + Ahead.SameTier;
-  return Work == 0 ? 0 : Work / std::max(1e-3, Capacity);
+  return Work == 0 ? 0 : Work / std::max(1e-3, Rate);
 }
 
 bool Arbiter::hopeless(const Waiting &Entry, TimePoint Now) const {
@@ -91,7 +94,7 @@
   const RequestKey Key = Entry.Request.Key;
   if (!Targets.anyFor(Entry.Request.Version, Shares))
     return RefuseSlot{Key, ErrorKind::NoTarget, Settings.NoTargetRetry};
-  if (hopeless(Entry, Now))
+  if (Entry.LatestStart < Now && hopeless(Entry, Now))
     return RefuseSlot{Key, ErrorKind::DeadlinePassed, Duration(0)};
   const double Late =
       expectedWait(Entry, Now) - toSeconds(Entry.LatestStart - Now);
@@ -154,6 +157,16 @@
   refuse(*Entry, ErrorKind::Overloaded, fromSeconds(Wait), Now);
 }
 
+void Arbiter::refuseLate(TimePoint Now) {
+  for (const RequestKey &Key :
+       Queue.nextInRotation(Settings.RecheckedPerTick)) {
+    const Waiting &Entry = *Queue.find(Key);
+    const double Slack = toSeconds(Entry.LatestStart - Now);
+    if (expectedWait(Entry, Now) > Settings.RecheckMargin * Slack)
+      giveUp(Key, Now);
+  }
+}
+
 void Arbiter::refuseUnservable(TimePoint Now) {
   const auto Keys = Queue.keysWhere([this](const Waiting &Entry) {
     return !Targets.anyFor(Entry.Request.Version, Shares);
@@ -188,16 +201,18 @@
 
 bool Arbiter::serveOne(TierRank Tier, TimePoint Now) {
   for (const Waiting *Head : Queue.heads(Tier, HeadsTried)) {
-    const std::optional<TargetChoice> Choice =
+    const TargetChoice Choice =
         Targets.choose(*Head, Shares, takingOver(Now), Now);
-    if (!Choice && !Targets.canMeet(*Head, Shares, Now)) {
+    if (!Choice.AnyRoom)
+      return false;
+    if (Choice.Found) {
+      grant(*Queue.take(Head->Request.Key), Choice, Now);
+      return true;
+    }
+    if (!Targets.canMeet(*Head, Shares, Now)) {
       giveUp(Head->Request.Key, Now);
       return true;
     }
-    if (!Choice)
-      continue;
-    grant(*Queue.take(Head->Request.Key), *Choice, Now);
-    return true;
   }
   return false;
 }
@@ -369,6 +384,7 @@
 
 void Arbiter::apply(const ArbiterTicked & /*Event*/, TimePoint Now) {
   RoomMayExist = true;
+  refuseLate(Now);
   Queue.forgetIdleAccounts();
   while (!ByForgetAt.empty() && ByForgetAt.begin()->first <= Now) {
     const RequestKey Key = ByForgetAt.begin()->second;
--- a/packages/coordination/src/cost_model.cpp
+++ b/packages/coordination/src/cost_model.cpp
@@ -39,7 +39,7 @@
   return number(Which.Account) * 0x9E3779B97F4A7C15 ^
          number(Which.Model) * 0xBF58476D1CE4E5B9 ^
          number(Which.Route) * 0x94D049BB133111EB ^
-         (number(Which.Tier) * 256U) ^ Which.PromptClass;
+         (std::size_t{number(Which.Tier)} << 8) ^ Which.PromptClass;
 }
 
 void CostModel::touch(Entry &Found) {
--- a/packages/coordination/src/fair_queue.cpp
+++ b/packages/coordination/src/fair_queue.cpp
@@ -23,11 +23,13 @@
 std::uint32_t FairQueue::place(const Waiting &Entry) {
   if (Free.empty()) {
     Entries.push_back(Entry);
+    Used.push_back(true);
     return static_cast<std::uint32_t>(Entries.size() - 1);
   }
   const std::uint32_t Place = Free.back();
   Free.pop_back();
   Entries[Place] = Entry;
+  Used[Place] = true;
   return Place;
 }
 
@@ -72,6 +74,7 @@
   Index.erase(Lane.Entries, Place);
   ByLatestStart.erase({Entry.LatestStart, Place});
   Free.push_back(Place);
+  Used[Place] = false;
   --Queue.Length;
   Queue.Work = Queue.Length == 0 ? 0 : Queue.Work - Entry.Work;
   if (Lane.Entries.empty())
@@ -171,25 +174,20 @@
   return Keys;
 }
 
-std::vector<const Waiting *> FairQueue::entriesOf(TierRank Tier,
-                                                  AccountId Account) const {
-  std::vector<const Waiting *> Found;
-  const TierQueue &Queue = tierAt(Tier);
-  const auto Lane = Queue.Lanes.find(Account);
-  if (Lane == Queue.Lanes.end())
-    return Found;
-  std::vector<std::uint32_t> Ids;
-  Index.list(Lane->second.Entries, Ids);
-  for (const std::uint32_t Id : Ids)
-    Found.push_back(&Entries[Id]);
-  return Found;
-}
-
-std::vector<AccountId> FairQueue::waitingAccounts(TierRank Tier) const {
-  std::vector<AccountId> Accounts;
-  for (const auto &[Virtual, Account] : tierAt(Tier).Active)
-    Accounts.push_back(Account);
-  return Accounts;
+std::vector<RequestKey> FairQueue::nextInRotation(std::size_t Count) {
+  std::vector<RequestKey> Keys;
+  const std::size_t Visits = std::min(Count, Entries.size());
+  for (std::size_t Visit = 0; Visit < Visits; ++Visit) {
+    Rotation = (Rotation + 1) % Entries.size();
+    if (Used[Rotation])
+      Keys.push_back(Entries[Rotation].Request.Key);
+  }
+  return Keys;
+}
+
+const Waiting *FairQueue::find(const RequestKey &Key) const {
+  const auto Found = Places.find(Key);
+  return Found == Places.end() ? nullptr : &Entries[Found->second];
 }
 
 void FairQueue::forgetIdleAccounts() {
--- a/packages/coordination/src/load_history.cpp
+++ b/packages/coordination/src/load_history.cpp
@@ -30,6 +30,8 @@
 }
 
 double LoadHistory::others(TimePoint Now) const {
+  if (Others == 0)
+    return 0;
   const double Age =
       std::max(0.0, toSeconds(Now - LastWritten) - ReportHalfLife);
   return Others * std::exp2(-Age / ReportHalfLife);
--- a/packages/coordination/src/target_table.cpp
+++ b/packages/coordination/src/target_table.cpp
@@ -114,22 +114,21 @@
                                  streams(Each, Now) + 1, Now);
 }
 
-std::optional<TargetChoice> TargetTable::choose(const Waiting &Entry,
-                                                const VersionShare &Shares,
-                                                bool Takeover,
-                                                TimePoint Now) const {
+TargetChoice TargetTable::choose(const Waiting &Entry,
+                                 const VersionShare &Shares, bool Takeover,
+                                 TimePoint Now) const {
   const double Left = toSeconds(Entry.Deadline - Now);
   const VersionId Wanted = Entry.Request.Version;
   const auto Hint = Prefixes.find(Entry.Request.PrefixHash);
-  std::optional<TargetChoice> Best;
+  TargetChoice Best;
   double BestScore = std::numeric_limits<double>::infinity();
   for (const auto &Each : Entries) {
-    if (!available(Each, Shares) || !hasRoom(Each, Takeover, Now))
+    if (!available(Each, Shares) || !hasRoom(Each, Takeover, Now) ||
+        !Shares.allows(Each.Info.Version))
       continue;
+    Best.AnyRoom = true;
     if (number(Wanted) != 0 && Each.Info.Version != Wanted)
       continue;
-    if (!Shares.allows(Each.Info.Version))
-      continue;
     if (finishSeconds(Each, Entry.SafeCost, Now) > Left)
       continue;
     const double Finish = finishSeconds(Each, Entry.Cost, Now);
@@ -142,7 +141,7 @@
     if (Score >= BestScore)
       continue;
     BestScore = Score;
-    Best = TargetChoice{Each.Info.Id, Finish};
+    Best = {true, true, Each.Info.Id, Finish};
   }
   return Best;
 }
