--- a/packages/state/marjorambay/state.h
+++ b/packages/state/marjorambay/state.h
@@ -10,6 +10,9 @@
 ///   7. metrics.h       histograms and counters, Prometheus text
 ///   8. address.h       IP number and port
 ///   9. digest.h        SHA-256 of API keys
+///   10. config_fields.h the names of its fields, for all codecs
+///   11. config_rules.h what a configuration must meet as a whole
+///   12. config_index.h  a configuration by ids, and values in force
 ///
 /// This package includes none of the others and does no I/O.
 #ifndef MARJORAMBAY_STATE_H
@@ -17,6 +20,9 @@
 
 #include "marjorambay/state/address.h"
 #include "marjorambay/state/digest.h"
+#include "marjorambay/state/config_fields.h"
+#include "marjorambay/state/config_index.h"
+#include "marjorambay/state/config_rules.h"
 #include "marjorambay/state/enum_names.h"
 #include "marjorambay/state/error.h"
 #include "marjorambay/state/fleet_config.h"
--- a/tests/system_tests.cmake
+++ b/tests/system_tests.cmake
@@ -4,3 +4,12 @@
 # Aims of the policy, in virtual time; the same figures each run.
 add_test(NAME policy_bench COMMAND policy_bench --seeds 2 --check)
 set_tests_properties(policy_bench PROPERTIES TIMEOUT 120)
+# Stand-ins, and daemons among them.
+find_package(Python3 REQUIRED COMPONENTS Interpreter)
+function(marjorambay_system_test Name File Timeout)
+  add_test(NAME ${Name}
+    COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/system/${File} ${ARGN})
+  set_tests_properties(${Name} PROPERTIES TIMEOUT ${Timeout}
+    ENVIRONMENT "MARJORAMBAY_BIN=${CMAKE_BINARY_DIR}/bin;PYTHONDONTWRITEBYTECODE=1")
+endfunction()
+marjorambay_system_test(standins standins_test.py 60)
