Show configuration in force across 24 zones of 14 hosts; retry peers sooner

Change: the wait starts at 250 ms, is reset by any adoption or another holder, and is driven by ticks. Ruled out: a larger fan-out, since the links were not what was slow.

--- a/packages/coordination/marjorambay/coordination/config_sync.h
+++ b/packages/coordination/marjorambay/coordination/config_sync.h
@@ -128,7 +128,8 @@
   std::size_t MaxRecent = 32;            ///< records in the manifest
   Duration ProposalTimeout = seconds(30);
   Duration PlatformRetry = milliseconds(500);
-  Duration PeerRetry = milliseconds(700); ///< silence of a peer that was asked
+  Duration PeerRetry = milliseconds(250); ///< silence of a peer; then doubled
+  Duration MaxPeerRetry = seconds(4);
   Duration StartGrace = seconds(1);    ///< to hear of revisions before serving
   Duration MaxStartWait = seconds(10); ///< for a revision that can't be had
   Duration PlatformAtStart = seconds(3); ///< peers are asked before it
@@ -201,9 +202,11 @@
   bool Watching = false;
   bool AskWhole = false; ///< the last deltas did not fit
   std::optional<TimePoint> StartedAt{};
-  std::optional<TimePoint> AskedPeerAt{};
-  TimePoint WatchAt{}; ///< when to watch next
-  TimePoint FetchAt{}; ///< when to read the platform next
+  HostId Holder{}; ///< the last peer that showed a newer revision
+  TimePoint AskPeerAt{};
+  std::uint32_t PeerAsks = 0; ///< in a row without an answer
+  TimePoint WatchAt{};        ///< when to watch next
+  TimePoint FetchAt{};        ///< when to read the platform next
   std::optional<Assembly> Assembling{};
   std::deque<Proposal> Proposals{}; ///< the first is in progress
   std::map<PlatformCallId, Call> Calls{};
@@ -230,6 +233,7 @@
   void rememberDelta(Revision Rev, const std::string &NewDocument);
   bool applyDeltas(const ConfigReceived &Event, TimePoint Now);
   void considerReady(TimePoint Now);
+  void askPeer(TimePoint Now);
 
   void learnObject(const ObjectRead &Read, TimePoint Now);
   void beginAssembly(Revision Rev, ConfigManifest Manifest, TimePoint Now);
--- a/packages/coordination/marjorambay/coordination/membership.h
+++ b/packages/coordination/marjorambay/coordination/membership.h
@@ -272,7 +272,7 @@
 
   void noticePause(TimePoint Now);
   void judgeSilence(TimePoint Now);
-  void judgeZoneMate(Member &Peer, Duration Silence);
+  void judgeZoneMate(Member &Peer, Duration Silence, Duration Interval);
   void setState(Member &Peer, HostState State);
   void heartbeatRound(TimePoint Now);
   void heartbeatZone(TimePoint Now, bool OnlyBehind);
--- a/packages/coordination/src/config_sync.cpp
+++ b/packages/coordination/src/config_sync.cpp
@@ -123,6 +123,8 @@
   Highest = std::max(Highest, Rev);
   Document = std::move(NewDocument);
   AskWhole = false;
+  PeerAsks = 0;
+  AskPeerAt = Now;
   if (Assembling && Assembling->Rev <= Current)
     Assembling.reset();
   Out.emplace_back(AdoptConfig{Current, Document});
@@ -154,6 +156,7 @@
 
 void ConfigSync::on(const ConfigTicked & /*Event*/, TimePoint Now) {
   considerReady(Now);
+  askPeer(Now);
   keepWatching(Now);
   fetchAtStart(Now);
   if (Assembling)
@@ -168,11 +171,21 @@
   Highest = std::max(Highest, Event.Rev);
   if (Event.Rev <= Current)
     return;
-  if (AskedPeerAt && Now - *AskedPeerAt < Settings.PeerRetry)
+  if (Holder != Event.Holder && PeerAsks > 1)
+    AskPeerAt = Now; // the other one did not answer
+  Holder = Event.Holder;
+  askPeer(Now);
+}
+
+/// Asks the last known holder of a newer revision; again while it is silent.
+void ConfigSync::askPeer(TimePoint Now) {
+  if (Highest <= Current || number(Holder) == 0 || Now < AskPeerAt)
     return;
-  AskedPeerAt = Now;
+  const Duration Wait = Settings.PeerRetry * (1U << std::min(PeerAsks, 8U));
+  AskPeerAt = Now + std::min(Wait, Settings.MaxPeerRetry);
+  ++PeerAsks;
   const Revision Have = AskWhole ? Revision(0) : Current;
-  Out.emplace_back(FetchConfigFromPeer{Event.Holder, Event.Rev, Have});
+  Out.emplace_back(FetchConfigFromPeer{Holder, Highest, Have});
 }
 
 void ConfigSync::on(const ConfigAsked &Event, TimePoint /*Now*/) {
@@ -190,7 +203,8 @@
 }
 
 void ConfigSync::on(const ConfigReceived &Event, TimePoint Now) {
-  AskedPeerAt.reset();
+  PeerAsks = 0;
+  AskPeerAt = Now;
   if (Event.Rev <= Current)
     return;
   if (!Event.Deltas.empty()) {
--- a/packages/coordination/src/membership.cpp
+++ b/packages/coordination/src/membership.cpp
@@ -391,7 +391,6 @@
   }
   noticePause(Now);
   LastTick = Now;
-  judgeSilence(Now);
   if (Now >= NextHeartbeat)
     return heartbeatRound(Now);
   if (HasNews && Now >= NextUrgent)
@@ -432,15 +431,21 @@
 
 template <RandomSource Random>
 void BasicMembership<Random>::judgeSilence(TimePoint Now) {
+  const Duration Interval = heartbeatInterval();
+  bool AnyForgotten = false;
   for (auto &[Id, Peer] : Members) {
     const Duration Silence = Now - Peer.LastHeard;
-    if (Peer.State == HostState::Lost)
+    if (Peer.State == HostState::Lost) {
+      AnyForgotten = AnyForgotten || Silence >= Settings.ForgetAfter;
       continue;
+    }
     if (inOwnZone(Peer.Host))
-      judgeZoneMate(Peer, Silence);
+      judgeZoneMate(Peer, Silence, Interval);
     else if (Silence >= Settings.RemoteLostAfter)
       setState(Peer, HostState::Lost);
   }
+  if (!AnyForgotten)
+    return;
   std::erase_if(Members, [&](const auto &Entry) {
     return Entry.second.State == HostState::Lost &&
            Now - Entry.second.LastHeard >= Settings.ForgetAfter;
@@ -448,8 +453,8 @@
 }
 
 template <RandomSource Random>
-void BasicMembership<Random>::judgeZoneMate(Member &Peer, Duration Silence) {
-  const Duration Interval = heartbeatInterval();
+void BasicMembership<Random>::judgeZoneMate(Member &Peer, Duration Silence,
+                                            Duration Interval) {
   if (Silence >= Interval * Settings.MissedToLose)
     return setState(Peer, HostState::Lost);
   if (Silence >= Interval * Settings.MissedToSuspect)
@@ -469,6 +474,7 @@
 
 template <RandomSource Random>
 void BasicMembership<Random>::heartbeatRound(TimePoint Now) {
+  judgeSilence(Now);
   const Duration Interval = heartbeatInterval();
   NextHeartbeat = std::max(NextHeartbeat + Interval, Now + Interval / 2);
   heartbeatZone(Now, /*OnlyBehind=*/false);
--- a/tests/support/fake_fleet.cpp
+++ b/tests/support/fake_fleet.cpp
@@ -83,11 +83,19 @@
   Target.Bytes = Wanted.Bytes;
   if (LoseAnswers > 0) {
     --LoseAnswers;
+    if (OnLostAnswer)
+      OnLostAnswer();
     return {Wanted.Call, WriteVerdict::Unknown};
   }
   return {Wanted.Call, WriteVerdict::Stood, Target.Version};
 }
 
+ObjectVersion FakePlatform::versionOf(const std::string &Name) const {
+  const auto &Shown = Stale ? Frozen : Objects;
+  const auto Found = Shown.find(Name);
+  return Found == Shown.end() ? 0 : Found->second.Version;
+}
+
 const FakePlatform::Object *FakePlatform::find(const std::string &Name) const {
   const auto Found = Objects.find(Name);
   return Found == Objects.end() ? nullptr : &Found->second;
@@ -133,6 +141,7 @@
   Sync.Life = Host.Life;
   Sync.Codec = fakeManifestCodec();
   Host.Config = std::make_unique<ConfigSync>(Sync);
+  assignWatcher(Index);
   const Duration Phase = Duration(Random.next() % Tick.count());
   const Incarnation Life = Host.Life;
   schedule(Index, Phase, [this, Index, Life] { tick(Index, Life); });
@@ -190,9 +199,6 @@
     return;
   schedule(Index, Tick, [this, Index, Life] { tick(Index, Life); });
   feed(Index, MembershipEvent(MembershipTicked{}));
-  if (Host.Members->watchesConfig() != Host.Config->watching())
-    feed(Index,
-         ConfigSyncEvent(WatcherRoleChanged{Host.Members->watchesConfig()}));
   feed(Index, ConfigSyncEvent(ConfigTicked{}));
   answerWatches();
 }
@@ -209,6 +215,13 @@
     AfterStep(Hosts[Index]);
 }
 
+void FakeFleet::assignWatcher(std::size_t Index) {
+  FakeHost &Host = Hosts[Index];
+  const bool Watches = Host.Members->watchesConfig();
+  if (Watches != Host.Config->watching())
+    feed(Index, ConfigSyncEvent(WatcherRoleChanged{Watches}));
+}
+
 bool FakeFleet::reaches(std::size_t From, std::size_t To) const {
   const ZoneId Here = Hosts[From].Info.Zone;
   const ZoneId There = Hosts[To].Info.Zone;
@@ -250,6 +263,8 @@
     if (const auto *Seen = std::get_if<NewerRevisionSeen>(&Action))
       feed(Index, ConfigSyncEvent(
                       NewerConfigSeen{Seen->Holder, Seen->ConfigRevision}));
+    if (std::holds_alternative<ZoneViewChanged>(Action))
+      assignWatcher(Index);
     if (const auto *Gone = std::get_if<HostLost>(&Action))
       Host.Lost.push_back(Gone->Host);
     if (std::holds_alternative<LocalPauseSeen>(Action))
@@ -315,19 +330,16 @@
   std::vector<Watch> Waiting;
   Waiting.swap(Watches);
   for (const Watch &Watched : Waiting) {
-    const ReadObject AsRead{Watched.Wanted.Call, Watched.Wanted.Name};
-    ObjectRead Read{Watched.Wanted.Call, false};
-    if (reachesPlatform(Watched.Host))
-      Read = Platform.read(AsRead);
-    const bool IsDue = !Read.Reachable ||
-                       (Read.Found && Read.Version > Watched.Wanted.Above) ||
-                       Now >= Watched.Until;
-    if (!IsDue) {
+    const bool Reachable = reachesPlatform(Watched.Host) && Platform.Up;
+    const bool Changed =
+        Platform.versionOf(Watched.Wanted.Name) > Watched.Wanted.Above;
+    if (Reachable && !Changed && Now < Watched.Until) {
       Watches.push_back(Watched);
       continue;
     }
-    if (Read.Version <= Watched.Wanted.Above)
-      Read.Found = false;
+    ObjectRead Read{Watched.Wanted.Call, Reachable};
+    if (Reachable && Changed)
+      Read = Platform.read({Watched.Wanted.Call, Watched.Wanted.Name});
     const Incarnation Life = Hosts[Watched.Host].Life;
     schedule(Watched.Host, PlatformDelay,
              [this, Host = Watched.Host, Life, Read = std::move(Read)] {
--- a/tests/support/fake_fleet.h
+++ b/tests/support/fake_fleet.h
@@ -33,6 +33,7 @@
   int LoseAnswers = 0;  ///< writes that take effect and whose answer is lost
   int LoseRequests = 0; ///< writes that are lost on their way
   bool Stale = false;   ///< reads show the objects as of freeze()
+  std::function<void()> OnLostAnswer{};
   std::uint64_t Reads = 0;
   std::uint64_t Writes = 0;
 
@@ -40,6 +41,7 @@
   ObjectWritten write(const WriteObject &Wanted);
   void freeze() { Frozen = Objects; }
   const Object *find(const std::string &Name) const;
+  ObjectVersion versionOf(const std::string &Name) const; ///< as reads show it
 
 private:
   std::map<std::string, Object> Objects{};
@@ -146,6 +148,7 @@
   void schedule(std::size_t Host, Duration After, std::function<void()> Act);
   void start(std::size_t Index);
   void tick(std::size_t Index, Incarnation Life);
+  void assignWatcher(std::size_t Index);
   void perform(std::size_t Index, const MembershipActions &Actions);
   void perform(std::size_t Index, const ConfigSyncActions &Actions);
   bool reaches(std::size_t From, std::size_t To) const;
