--- a/bench/policy_bench/simulation.h
+++ b/bench/policy_bench/simulation.h
@@ -23,6 +23,7 @@
   std::array<std::uint64_t, MaxTiers> Arrived{};
   std::array<std::uint64_t, MaxTiers> InTime{};
   std::array<std::uint64_t, MaxTiers> Refused{};
+  double RefusalSeconds = 0;       ///< from arrival, summed over refusals
   std::uint64_t WastedPrefill = 0; ///< tokens computed for nobody
   std::uint64_t Prefill = 0;       ///< tokens computed
   std::uint64_t Preempted = 0;
@@ -30,6 +31,8 @@
   Duration SmallestWait{}; ///< longest wait for a slot of the smallest account
   std::uint64_t SmallestArrived = 0;
   std::uint64_t SmallestInTime = 0;
+  std::array<std::uint64_t, MaxTiers> WastedByTier{};
+  double WorkInTime = 0; ///< decode tokens, prompts at a tenth
   std::uint64_t inTime() const {
     std::uint64_t Sum = 0;
     for (const std::uint64_t Each : InTime)
@@ -115,6 +118,7 @@
     Asked.Key = keyOf(Index);
     Asked.Account = static_cast<AccountId>(Offered.Account + 1);
     Asked.Tier = Offered.Tier;
+    Asked.Route = Offered.Route;
     Asked.Cost = {Offered.Prompt, Offered.Prompt == 0 ? 1U : 256U};
     Asked.PrefixHash = Offered.Prefix;
     Asked.Remaining = TimePoint{} + Offered.At + Offered.Deadline - Clock.now();
@@ -157,15 +161,16 @@
     const Request &Each = Requests[Index];
     const EngineJob Done =
         Engines[Each.Engine].cancel(jobOf(Index, Each.Attempt));
-    waste(Done);
+    waste(Index, Done);
     Usage Used;
     Used.End = UsageEnd::Cancelled;
     Used.OutputTokens = Done.Produced;
     tell(SlotReleased{keyOf(Index), Used});
   }
 
-  void waste(const EngineJob &Done) {
+  void waste(std::size_t Index, const EngineJob &Done) {
     Result.Prefill += Done.Prefilled;
+    Result.WastedByTier[number(Arrivals[Index].Tier)] += Done.Prefilled;
     Result.WastedPrefill += Done.Prefilled;
   }
 
@@ -214,11 +219,12 @@
     const std::size_t Index = indexOf(Job.Id);
     Request &Each = Requests[Index];
     if (Each.State != Phase::Running || jobOf(Index, Each.Attempt) != Job.Id) {
-      waste(Job);
+      waste(Index, Job);
       return;
     }
     Each.State = Phase::Ended;
     Result.Prefill += Job.Prefilled;
+    Result.WorkInTime += Job.Output + 0.1 * Job.Prompt;
     ++Result.InTime[number(Arrivals[Index].Tier)];
     Result.SmallestInTime += isSmallest(Index) ? 1 : 0;
     Usage Used;
@@ -256,6 +262,8 @@
   void carryOut(const RefuseSlot &Action) {
     const auto Index = static_cast<std::size_t>(number(Action.Key.Id));
     ++Result.Refused[number(Arrivals[Index].Tier)];
+    Result.RefusalSeconds +=
+        toSeconds(Clock.now() - (TimePoint{} + Arrivals[Index].At));
     untrack(Index);
     Clock.after(Hop, [this, Index] { Requests[Index].State = Phase::Ended; });
   }
--- a/bench/policy_bench/workload.cpp
+++ b/bench/policy_bench/workload.cpp
@@ -39,6 +39,7 @@
     Spec.Id = idOf<TargetId>("service-" + std::to_string(Index));
     Spec.TokensPerSecond = Index < 2 ? 100 : 200;
     Spec.Width = 8;
+    Spec.Batches = false;
     Engines.push_back(Spec);
   }
   return Engines;
@@ -136,6 +137,7 @@
       Next.Origin = Origin(Random);
       Next.Account = Account(Random);
       Next.Tier = Call.Tier;
+      Next.Route = idOf<RouteId>(Call.Name);
       Next.Prompt = drawLength(Call.Prompt, Random);
       Next.Output = drawLength(Call.Output, Random);
       Next.Prefix = Call.Prompt >= 1000 ? Prefix(Random) : 0;
