Carry each host's revision in hearsay, so that an operator can wait for all

Cause: marjorambayctl config wait needs the revision of every reachable host from one entry host, and hosts beyond the zone were known without theirs. Ruled out: asking every host's operator port, which an operator may not reach. marjorambayd_tests and coordination_tests pass.

--- a/apps/marjorambayd/peer_codec.cpp
+++ b/apps/marjorambayd/peer_codec.cpp
@@ -96,11 +96,12 @@
   Out->set_life(number(Known.Life));
   Out->set_age_us(Known.Age.count());
   Out->set_draining(Known.Draining);
+  Out->set_config_revision(number(Known.ConfigRevision));
 }
 
 KnownHost take(const peer::KnownHost &In) {
   return {take(In.host()), Incarnation{In.life()}, Duration(In.age_us()),
-          In.draining()};
+          In.draining(), Revision{In.config_revision()}};
 }
 
 // ---- Origin to arbiter ------------------------------------------------------
--- a/packages/coordination/marjorambay/coordination/membership.h
+++ b/packages/coordination/marjorambay/coordination/membership.h
@@ -34,6 +34,7 @@
   Incarnation Life{};
   Duration Age{}; ///< since the host itself was heard, over all hops
   bool Draining = false;
+  Revision ConfigRevision{}; ///< that it had then
 };
 
 /// What is known of a target's life; spreads until every host has it. A larger
@@ -286,6 +287,7 @@
   Heartbeat composeHeartbeat() const;
   void addSigns(Heartbeat &Beat);
   void addRelays(Heartbeat &Beat, TimePoint Now) const;
+  static KnownHost knownAs(const Member &Peer, TimePoint Now);
   void addZoneMates(Heartbeat &Beat, std::size_t Count, TimePoint Now);
   void send(const HostInfo &To, Heartbeat Beat);
   std::optional<HostId> chooseIn(ZoneId Zone, std::uint64_t Key) const;
--- a/packages/coordination/src/membership.cpp
+++ b/packages/coordination/src/membership.cpp
@@ -219,6 +219,7 @@
   Peer.Host = Known.Host;
   Peer.State = HostState::Live;
   Peer.Draining = Known.Draining;
+  Peer.ConfigRevision = std::max(Peer.ConfigRevision, Known.ConfigRevision);
   Peer.LastHeard = Heard;
   Candidates.erase(Known.Host.Id);
 }
@@ -616,6 +617,12 @@
   }
 }
 
+template <RandomSource Random>
+KnownHost BasicMembership<Random>::knownAs(const Member &Peer, TimePoint Now) {
+  return {Peer.Host, Peer.Life, Now - Peer.LastHeard, Peer.Draining,
+          Peer.ConfigRevision};
+}
+
 /// Adds remote hosts that were heard since the last round, the latest first.
 template <RandomSource Random>
 void BasicMembership<Random>::addRelays(Heartbeat &Beat, TimePoint Now) const {
@@ -623,8 +630,7 @@
        Back < Relays.size() && Back < Settings.KnownPerHeartbeat; ++Back) {
     const Member *Peer = member(Relays[Relays.size() - 1 - Back]);
     if (Peer && Peer->State == HostState::Live)
-      Beat.Known.push_back(
-          {Peer->Host, Peer->Life, Now - Peer->LastHeard, Peer->Draining});
+      Beat.Known.push_back(knownAs(*Peer, Now));
   }
 }
 
@@ -639,8 +645,7 @@
     const auto &[Id, Peer] = *Next++;
     if (!inOwnZone(Peer.Host) || Peer.State != HostState::Live)
       continue;
-    Beat.Known.push_back(
-        {Peer.Host, Peer.Life, Now - Peer.LastHeard, Peer.Draining});
+    Beat.Known.push_back(knownAs(Peer, Now));
     KnownCursor = Id;
     --Count;
   }
