--- a/packages/protocol/src/sse_scanner.cpp
+++ b/packages/protocol/src/sse_scanner.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// Longest part of a line that is kept across pieces.
-constexpr std::size_t MaxKeptLine = 64 * 1024;
+constexpr std::size_t MaxKeptLine = 65536;
 
 /// Whether the line's JSON has a usage object; null does not count.
 bool tellsUsage(std::string_view Data) {
--- a/packages/transport/marjorambay/transport/timer_service.h
+++ b/packages/transport/marjorambay/transport/timer_service.h
@@ -14,7 +14,7 @@
 class TimerConnection {
 public:
   TimerConnection() = default;
-  explicit TimerConnection(sigc::connection Held) : Held(std::move(Held)) {}
+  explicit TimerConnection(const sigc::connection &Held) : Held(Held) {}
   ~TimerConnection() { Held.disconnect(); }
   TimerConnection(TimerConnection &&Other) noexcept { swap(Other); }
   TimerConnection &operator=(TimerConnection &&Other) noexcept {
