--- a/packages/transport/marjorambay/transport/http_server.h
+++ b/packages/transport/marjorambay/transport/http_server.h
@@ -37,7 +37,7 @@
 
 struct HttpServerLimits {
   std::size_t MaxHeaderBytes = 16 << 10;
-  std::size_t MaxBodyBytes = 4 << 20; ///< twice this is cut by evhttp
+  std::size_t MaxBodyBytes = 4 << 20;    ///< twice this is cut by evhttp
   std::size_t MaxConnections = 4096;     ///< above: OverConnectionLimit is set
   Duration IdleTimeout = seconds(60);    ///< silence between requests
   Duration RequestTimeout = seconds(75); ///< idle time and a whole request
