--- a/packages/coordination/src/membership.cpp
+++ b/packages/coordination/src/membership.cpp
@@ -219,6 +219,7 @@
   Peer.Host = Known.Host;
   Peer.State = HostState::Live;
   Peer.Draining = Known.Draining;
+  Peer.ConfigRevision = std::max(Peer.ConfigRevision, Known.ConfigRevision);
   Peer.LastHeard = Heard;
   Candidates.erase(Known.Host.Id);
 }
@@ -391,7 +392,6 @@
   }
   noticePause(Now);
   LastTick = Now;
-  judgeSilence(Now);
   if (Now >= NextHeartbeat)
     return heartbeatRound(Now);
   if (HasNews && Now >= NextUrgent)
@@ -432,15 +432,21 @@
 
 template <RandomSource Random>
 void BasicMembership<Random>::judgeSilence(TimePoint Now) {
+  const Duration Interval = heartbeatInterval();
+  bool AnyForgotten = false;
   for (auto &[Id, Peer] : Members) {
     const Duration Silence = Now - Peer.LastHeard;
-    if (Peer.State == HostState::Lost)
+    if (Peer.State == HostState::Lost) {
+      AnyForgotten = AnyForgotten || Silence >= Settings.ForgetAfter;
       continue;
+    }
     if (inOwnZone(Peer.Host))
-      judgeZoneMate(Peer, Silence);
+      judgeZoneMate(Peer, Silence, Interval);
     else if (Silence >= Settings.RemoteLostAfter)
       setState(Peer, HostState::Lost);
   }
+  if (!AnyForgotten)
+    return;
   std::erase_if(Members, [&](const auto &Entry) {
     return Entry.second.State == HostState::Lost &&
            Now - Entry.second.LastHeard >= Settings.ForgetAfter;
@@ -448,8 +454,8 @@
 }
 
 template <RandomSource Random>
-void BasicMembership<Random>::judgeZoneMate(Member &Peer, Duration Silence) {
-  const Duration Interval = heartbeatInterval();
+void BasicMembership<Random>::judgeZoneMate(Member &Peer, Duration Silence,
+                                            Duration Interval) {
   if (Silence >= Interval * Settings.MissedToLose)
     return setState(Peer, HostState::Lost);
   if (Silence >= Interval * Settings.MissedToSuspect)
@@ -469,6 +475,7 @@
 
 template <RandomSource Random>
 void BasicMembership<Random>::heartbeatRound(TimePoint Now) {
+  judgeSilence(Now);
   const Duration Interval = heartbeatInterval();
   NextHeartbeat = std::max(NextHeartbeat + Interval, Now + Interval / 2);
   heartbeatZone(Now, /*OnlyBehind=*/false);
@@ -610,6 +617,12 @@
   }
 }
 
+template <RandomSource Random>
+KnownHost BasicMembership<Random>::knownAs(const Member &Peer, TimePoint Now) {
+  return {Peer.Host, Peer.Life, Now - Peer.LastHeard, Peer.Draining,
+          Peer.ConfigRevision};
+}
+
 /// Adds remote hosts that were heard since the last round, the latest first.
 template <RandomSource Random>
 void BasicMembership<Random>::addRelays(Heartbeat &Beat, TimePoint Now) const {
@@ -617,8 +630,7 @@
        Back < Relays.size() && Back < Settings.KnownPerHeartbeat; ++Back) {
     const Member *Peer = member(Relays[Relays.size() - 1 - Back]);
     if (Peer && Peer->State == HostState::Live)
-      Beat.Known.push_back(
-          {Peer->Host, Peer->Life, Now - Peer->LastHeard, Peer->Draining});
+      Beat.Known.push_back(knownAs(*Peer, Now));
   }
 }
 
@@ -633,8 +645,7 @@
     const auto &[Id, Peer] = *Next++;
     if (!inOwnZone(Peer.Host) || Peer.State != HostState::Live)
       continue;
-    Beat.Known.push_back(
-        {Peer.Host, Peer.Life, Now - Peer.LastHeard, Peer.Draining});
+    Beat.Known.push_back(knownAs(Peer, Now));
     KnownCursor = Id;
     --Count;
   }
