--- a/packages/coordination/marjorambay/coordination/idempotency.h
+++ b/packages/coordination/marjorambay/coordination/idempotency.h
@@ -108,7 +108,7 @@
   HostId Self{};
   Incarnation Life{};
   std::uint32_t Shards = 64;                 ///< the same at all hosts
-  std::uint32_t SegmentBytes = 16 * 1024;    ///< a segment this large is sealed
+  std::uint32_t SegmentBytes = 4096;         ///< a segment this large is sealed
   double WritesPerSecond = 20;               ///< platform writes of this host
   double WriteBurst = 4;                     ///< writes at once after a pause
   std::uint32_t ReadsAtOnce = 8;             ///< while a shard is loaded
--- a/packages/coordination/marjorambay/coordination/intent_codec.h
+++ b/packages/coordination/marjorambay/coordination/intent_codec.h
@@ -19,7 +19,7 @@
 
 /// Slots of a shard's ring of segments; segment N lives in slot N modulo this.
 /// Part of the format: hosts that disagreed would miss each other's keys.
-inline constexpr std::uint32_t SegmentSlots = 256;
+inline constexpr std::uint32_t SegmentSlots = 1024;
 
 /// 64 bits that tell a request from the others that use its key.
 enum class RequestTag : std::uint64_t {};
--- a/packages/coordination/tests/intent_log_test.cpp
+++ b/packages/coordination/tests/intent_log_test.cpp
@@ -316,7 +316,7 @@
   Platform Store;
   Holder A(Store, 1);
   std::uint64_t Row = 0;
-  while (A.verdict(request(Row)).value_or(Fresh) == Fresh && Row < 5000) {
+  while (A.verdict(request(Row)).value_or(Fresh) == Fresh && Row < 20000) {
     ++Row;
     A.step(IntentRequested{request(Row), {0, Row}, 5, seconds(30)});
     A.wait(milliseconds(100));
