Let targets of an unknown version serve, and refuse where none may

Cause: read against the daemon's code, which leaves TargetInfo::Version 0 for targets without a version: once ServingVersionChanged had come, such targets were open to nobody, and reservations waited until their latest start instead of being refused as NoTarget.

Change: version 0 is open; a target whose version has neither the serving role nor a share counts as unavailable at once.

Ruled out: having the daemon fill a version in; a service has none.

--- a/packages/coordination/marjorambay/coordination/version_share.h
+++ b/packages/coordination/marjorambay/coordination/version_share.h
@@ -26,6 +26,9 @@
   /// Returns whether \p Version needs no share: most of the pool's capacity.
   bool open(VersionId Version) const;
 
+  /// Returns whether \p Version may get any requests, now or in its turn.
+  bool usable(VersionId Version) const;
+
   /// Returns whether the next request may go to \p Version.
   bool allows(VersionId Version) const;
 
--- a/packages/coordination/src/target_table.cpp
+++ b/packages/coordination/src/target_table.cpp
@@ -74,7 +74,7 @@
 bool TargetTable::available(const Entry &Each,
                             const VersionShare &Shares) const {
   return Each.Listed && !Each.Left && !Each.Info.Leaving &&
-         !Shares.tripped(Each.Info.Version);
+         Shares.usable(Each.Info.Version);
 }
 
 bool TargetTable::anyFor(VersionId Version, const VersionShare &Shares) const {
--- a/packages/coordination/src/version_share.cpp
+++ b/packages/coordination/src/version_share.cpp
@@ -22,21 +22,28 @@
 }
 
 bool VersionShare::open(VersionId Version) const {
+  if (number(Version) == 0) // a target whose version is not known
+    return !tripped(Version);
   const auto Found = Rollouts.find(Version);
   if (Found == Rollouts.end())
     return !Serving || *Serving == Version;
   return Found->second.PartsPerMillion >= Million;
 }
 
+bool VersionShare::usable(VersionId Version) const {
+  const auto Found = Rollouts.find(Version);
+  return !tripped(Version) &&
+         (open(Version) ||
+          (Found != Rollouts.end() && Found->second.PartsPerMillion != 0));
+}
+
 bool VersionShare::allows(VersionId Version) const {
-  if (tripped(Version))
+  if (!usable(Version))
     return false;
   const auto Found = Rollouts.find(Version);
   if (Found == Rollouts.end())
-    return !Serving || *Serving == Version;
+    return true;
   const Rollout &Cap = Found->second;
-  if (Cap.PartsPerMillion == 0)
-    return false;
   if (Cap.PartsPerMillion >= Million)
     return true;
   if (Cap.Credit + Cap.PartsPerMillion < Million)
