--- a/packages/coordination/marjorambay/coordination/arbiter.h
+++ b/packages/coordination/marjorambay/coordination/arbiter.h
@@ -36,7 +36,6 @@
   Duration ShedHold = milliseconds(250); ///< lower tiers wait after a shed
   Duration ReleaseGrace = seconds(30); ///< after a deadline, for lost releases
   Duration TakeoverPatience = seconds(10); ///< for reports of origins
-  Duration PreemptSlack = milliseconds(500);
   Duration CapacityAge = milliseconds(20); ///< capacity is summed anew after
   std::size_t RecheckedPerTick = 256;      ///< queued reservations
   double RecheckMargin = 1.25; ///< of the time left, that the wait may take
@@ -99,8 +98,6 @@
   void grantWhatFits(TimePoint Now);
   bool serveOne(TierRank Tier, TimePoint Now);
   void grant(const Waiting &Entry, const TargetChoice &Choice, TimePoint Now);
-  void preemptFor(TierRank Tier, TimePoint Now);
-  int Preempting = 0;
   bool heldBack(TierRank Tier, TimePoint Now) const;
   bool takingOver(TimePoint Now) const;
   void hold(const Slot &Held);
--- a/packages/coordination/marjorambay/coordination/target_table.h
+++ b/packages/coordination/marjorambay/coordination/target_table.h
@@ -29,7 +29,6 @@
   double Streams = 0;       ///< at the target when it was granted
   std::uint32_t Tokens = 0; ///< at the last progress
   TimePoint TokensAt{};     ///< of the last progress, or epoch
-  bool Preempted = false;
 };
 
 /// What the choice of a target came to.
--- a/packages/coordination/src/arbiter.cpp
+++ b/packages/coordination/src/arbiter.cpp
@@ -196,8 +196,6 @@
     if (!Tier || heldBack(*Tier, Now))
       return;
     RoomMayExist = serveOne(*Tier, Now);
-    if (!RoomMayExist && Settings.PreemptSlack.count() > 0)
-      preemptFor(*Tier, Now);
   }
 }
 
@@ -219,29 +217,6 @@
   return false;
 }
 
-void Arbiter::preemptFor(TierRank Tier, TimePoint Now) {
-  int Urgent = 0;
-  for (const Waiting *Head : Queue.heads(Tier, HeadsTried))
-    Urgent += Head->LatestStart < Now + Settings.PreemptSlack ? 1 : 0;
-  while (Preempting < Urgent) {
-    Slot *Victim = nullptr;
-    for (auto &[Key, Held] : Slots) {
-      if (Held.Preempted || number(Held.Request.Tier) <= number(Tier) ||
-          Held.Cost.Output <= 16)
-        continue;
-      if (Victim == nullptr || Held.Request.Tier > Victim->Request.Tier ||
-          (Held.Request.Tier == Victim->Request.Tier &&
-           Held.Granted > Victim->Granted))
-        Victim = &Held;
-    }
-    if (Victim == nullptr)
-      return;
-    Victim->Preempted = true;
-    ++Preempting;
-    Pending.emplace_back(PreemptSlot{Victim->Request.Key});
-  }
-}
-
 void Arbiter::grant(const Waiting &Entry, const TargetChoice &Choice,
                     TimePoint Now) {
   Slot Held;
@@ -278,7 +253,6 @@
   if (Found == Slots.end())
     return std::nullopt;
   const Slot Held = Found->second;
-  Preempting -= Held.Preempted ? 1 : 0;
   Slots.erase(Found);
   unscheduleForget(Held);
   Targets.vacate(Held, Now);
