--- /dev/null
+++ b/apps/marjorambayctl/host_client.cpp
@@ -0,0 +1,130 @@
+/// Calls over evhttp; the loop runs until the one answer is there.
+#include "host_client.h"
+
+#include "marjorambay/protocol/fleet_config_json.h"
+#include "marjorambay/state/address.h"
+#include "marjorambay/transport/event_loop.h"
+#include "marjorambay/transport/http_client.h"
+
+#include <nlohmann/json.hpp>
+
+namespace marjorambay {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+constexpr Duration AnswerTimeout = seconds(40); ///< a proposal may take 30 s
+
+Json parseJson(const std::string &Text) {
+  return Json::parse(Text, /*cb=*/nullptr, /*allow_exceptions=*/false);
+}
+
+template <typename T>
+T field(const Json &Object, const char *Key, const T &Default) {
+  if (!Object.is_object() || !Object.contains(Key))
+    return Default;
+  const Json &Value = Object[Key];
+  const bool Fits = Value.type() == Json(Default).type() ||
+                    (Value.is_number() && Json(Default).is_number());
+  return Fits ? Value.get<T>() : Default;
+}
+
+/// Returns the error that a host answered with.
+Error errorIn(int Status, const std::string &Body) {
+  const Json Parsed = parseJson(Body);
+  const Json Inner = Parsed.is_object() && Parsed.contains("error")
+                         ? Parsed["error"]
+                         : Json::object();
+  const auto Kind =
+      parseEnum<ErrorKind>(field(Inner, "kind", std::string("internal")));
+  const std::string Message =
+      field(Inner, "message", "the host answered " + std::to_string(Status));
+  const auto RetryMs = field<std::int64_t>(Inner, "retry_after_ms", 0);
+  return {Kind.value_or(ErrorKind::Internal), Message, milliseconds(RetryMs)};
+}
+
+} // namespace
+
+Result<std::string> HostClient::call(const std::string &Method,
+                                     const std::string &Path,
+                                     const std::string &Body,
+                                     const std::string &BaseRevision) const {
+  const Result<SocketAddress> Parsed = parseAddress(Address);
+  if (!ok(Parsed))
+    return Error{ErrorKind::BadRequest, "--host: " + error(Parsed).Message};
+  EventLoop Loop;
+  HttpClient Client(Loop);
+  HttpCall Call;
+  Call.Address = value(Parsed).Ip;
+  Call.Port = value(Parsed).Port;
+  Call.Method = Method;
+  Call.Path = Path;
+  Call.Text = Body;
+  Call.SilenceTimeout = AnswerTimeout;
+  if (!BaseRevision.empty())
+    Call.Headers = {{"Base-Revision", BaseRevision},
+                    {"Content-Type", "application/json"}};
+  int Status = 0;
+  std::string Answer;
+  Client.fetch(std::move(Call), [&](int Got, const HttpAnswerView & /*Headers*/,
+                                    const std::string &Text, CallEnd /*How*/) {
+    Status = Got;
+    Answer = Text;
+    Loop.stop();
+  });
+  Loop.run();
+  if (Status == 200)
+    return Answer;
+  if (Status != 0)
+    return errorIn(Status, Answer);
+  if (Method == "GET")
+    return Error{ErrorKind::NotReady, "no answer from host " + Address};
+  return Error{ErrorKind::OutcomeUnknown,
+               "no answer from host " + Address +
+                   "; compare with config get before trying again"};
+}
+
+Result<std::string> HostClient::get(const std::string &Path) const {
+  return call("GET", Path, "", "");
+}
+
+Result<FleetConfig> HostClient::config() const {
+  const Result<std::string> Text = get("/config");
+  if (!ok(Text))
+    return error(Text);
+  return parseFleetConfig(value(Text));
+}
+
+Result<HostView> HostClient::inspect() const {
+  const Result<std::string> Text = get("/inspect");
+  if (!ok(Text))
+    return error(Text);
+  const Json Root = parseJson(value(Text));
+  HostView View;
+  View.Json = value(Text);
+  View.Name = field(Root, "host", std::string());
+  View.Zone = field(Root, "zone", std::string());
+  View.Rev = static_cast<Revision>(field<std::uint64_t>(Root, "revision", 0));
+  View.Draining = field(Root, "draining", false);
+  if (!Root.is_object() || !Root.contains("members"))
+    return View;
+  for (const Json &Row : Root["members"])
+    View.Members.push_back(
+        {field(Row, "address", std::string()),
+         field(Row, "state", std::string()),
+         static_cast<Revision>(field<std::uint64_t>(Row, "revision", 0))});
+  return View;
+}
+
+Result<Revision> HostClient::propose(const FleetConfig &Config) const {
+  const Result<std::string> Text =
+      call("PUT", "/config", printFleetConfig(Config),
+           std::to_string(number(Config.Rev)));
+  if (!ok(Text))
+    return error(Text);
+  const Json Root = parseJson(value(Text));
+  return static_cast<Revision>(field<std::uint64_t>(Root, "revision", 0));
+}
+
+} // namespace marjorambay
--- /dev/null
+++ b/apps/marjorambayctl/verbs.cpp
@@ -0,0 +1,57 @@
+/// The table of verbs.
+#include "verbs.h"
+
+#include <array>
+
+namespace marjorambay {
+
+namespace {
+
+constexpr std::size_t Any = 100;
+
+constexpr auto Verbs = std::to_array<Verb>({
+    {"check", "FILE", "checks a settings file (INI) or a configuration (JSON)",
+     1, 1, runCheck},
+    {"status", "", "shows a host, the hosts it knows and their revisions", 0, 0,
+     runStatus},
+    {"inspect", "", "shows the live state of every part of a host", 0, 0,
+     runInspect},
+    {"config get", "", "prints the configuration in force", 0, 0, runConfigGet},
+    {"config set", "FILE",
+     "proposes a whole configuration, on the revision "
+     "that FILE states or --base",
+     1, 1, runConfigSet},
+    {"config diff", "FILE", "shows what FILE would change", 1, 1,
+     runConfigDiff},
+    {"config wait", "[REVISION]", "waits until it is in force on every host", 0,
+     1, runConfigWait},
+    {"config effective", "host|zone|target|account|route|pool NAME",
+     "shows each value in force there, where it comes from and why", 2, 2,
+     runConfigEffective},
+    {"exception add", "SCOPE NAME KEY VALUE --reason TEXT",
+     "makes one place differ from the defaults", 4, 4, runExceptionAdd},
+    {"exception remove", "SCOPE NAME KEY", "gives a place the default back", 3,
+     3, runExceptionRemove},
+    {"exception list", "", "lists the exceptions with their reasons", 0, 0,
+     runExceptionList},
+    {"account add", "NAME --tier TIER --key-hash HASH | --key-file FILE",
+     "adds or changes a client account", 1, 1, runAccountAdd},
+    {"account remove", "NAME", "removes a client account", 1, 1,
+     runAccountRemove},
+    {"account list", "", "lists the client accounts", 0, 0, runAccountList},
+    {"tier add", "NAME RANK", "adds a tier; rank 0 is shed last", 2, 2,
+     runTierAdd},
+    {"tier remove", "NAME", "removes a tier", 1, 1, runTierRemove},
+    {"tier list", "", "lists the tiers by rank", 0, 0, runTierList},
+    {"target list", "", "lists the targets", 0, 0, runTargetList},
+    {"target drain", "NAME...", "gives targets no new work", 1, Any,
+     runTargetDrain},
+    {"target undrain", "NAME...", "gives drained targets work again", 1, Any,
+     runTargetUndrain},
+});
+
+} // namespace
+
+std::span<const Verb> verbTable() { return Verbs; }
+
+} // namespace marjorambay
--- /dev/null
+++ b/apps/marjorambayctl/verbs.h
@@ -0,0 +1,79 @@
+/// The table of verbs, and the functions behind it.
+#ifndef MARJORAMBAYCTL_VERBS_H
+#define MARJORAMBAYCTL_VERBS_H
+
+#include "command.h"
+#include "host_client.h"
+
+#include <functional>
+#include <span>
+
+namespace marjorambay {
+
+using Arguments = std::vector<std::string>;
+
+/// Returns every verb, in the order of the help. A new verb is one row here.
+std::span<const Verb> verbTable();
+
+// ---- look_verbs.cpp ---------------------------------------------------------
+int runCheck(const CommandLine &Line, const Arguments &Args, const Output &Out);
+int runStatus(const CommandLine &Line, const Arguments &Args,
+              const Output &Out);
+int runInspect(const CommandLine &Line, const Arguments &Args,
+               const Output &Out);
+
+// ---- config_verbs.cpp -------------------------------------------------------
+int runConfigGet(const CommandLine &Line, const Arguments &Args,
+                 const Output &Out);
+int runConfigSet(const CommandLine &Line, const Arguments &Args,
+                 const Output &Out);
+int runConfigDiff(const CommandLine &Line, const Arguments &Args,
+                  const Output &Out);
+int runConfigWait(const CommandLine &Line, const Arguments &Args,
+                  const Output &Out);
+int runConfigEffective(const CommandLine &Line, const Arguments &Args,
+                       const Output &Out);
+
+// ---- edit_verbs.cpp ---------------------------------------------------------
+int runExceptionAdd(const CommandLine &Line, const Arguments &Args,
+                    const Output &Out);
+int runExceptionRemove(const CommandLine &Line, const Arguments &Args,
+                       const Output &Out);
+int runExceptionList(const CommandLine &Line, const Arguments &Args,
+                     const Output &Out);
+int runAccountAdd(const CommandLine &Line, const Arguments &Args,
+                  const Output &Out);
+int runAccountRemove(const CommandLine &Line, const Arguments &Args,
+                     const Output &Out);
+int runAccountList(const CommandLine &Line, const Arguments &Args,
+                   const Output &Out);
+int runTierAdd(const CommandLine &Line, const Arguments &Args,
+               const Output &Out);
+int runTierRemove(const CommandLine &Line, const Arguments &Args,
+                  const Output &Out);
+int runTierList(const CommandLine &Line, const Arguments &Args,
+                const Output &Out);
+int runTargetList(const CommandLine &Line, const Arguments &Args,
+                  const Output &Out);
+int runTargetDrain(const CommandLine &Line, const Arguments &Args,
+                   const Output &Out);
+int runTargetUndrain(const CommandLine &Line, const Arguments &Args,
+                     const Output &Out);
+
+// ---- Shared by them ---------------------------------------------------------
+
+/// Proposes \p Config and prints the outcome; with --wait, waits until it is in
+/// force everywhere. Returns the exit code.
+int proposeAndReport(const CommandLine &Line, const FleetConfig &Config,
+                     const Output &Out);
+
+/// Waits until the host asked and every live host that it knows has \p Rev or
+/// a later revision. Returns the exit code.
+int waitForRevision(const CommandLine &Line, Revision Rev, const Output &Out);
+
+/// Reads a whole file.
+Result<std::string> readFile(const std::string &Path);
+
+} // namespace marjorambay
+
+#endif // MARJORAMBAYCTL_VERBS_H
--- a/packages/coordination/marjorambay/coordination/membership.h
+++ b/packages/coordination/marjorambay/coordination/membership.h
@@ -15,6 +15,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -44,7 +45,7 @@
   Incarnation Life{}; ///< of the target; 0: not known
   bool Back = false;  ///< this life is not leaving; it replaced one that left
 
-  auto operator<=>(const LeavingTarget &) const = default;
+  bool operator==(const LeavingTarget &) const = default;
 };
 
 /// A version whose fault has shown within a rollout; never untripped.
@@ -53,7 +54,12 @@
   VersionId Version{};
   WallTime Begun{}; ///< start of the rollout; the oldest are dropped when full
 
-  auto operator<=>(const TrippedVersion &) const = default;
+  bool operator==(const TrippedVersion &) const = default;
+  /// By age, the oldest first.
+  bool operator<(const TrippedVersion &Other) const {
+    return std::tie(Begun, Rollout, Version) <
+           std::tie(Other.Begun, Other.Rollout, Other.Version);
+  }
 };
 
 /// What a host tells of itself and of what it has heard.
--- a/packages/coordination/src/config_sync.cpp
+++ b/packages/coordination/src/config_sync.cpp
@@ -30,20 +30,43 @@
   return Parts;
 }
 
+std::string_view takeLine(std::string_view &Lines) {
+  const std::size_t End = std::min(Lines.find('\n'), Lines.size());
+  const std::string_view Line = Lines.substr(0, End);
+  Lines.remove_prefix(std::min(End + 1, Lines.size()));
+  return Line;
+}
+
+/// Returns the piece of \p Theirs around the first byte that \p Ours lacks.
+std::string excerpt(std::string_view Ours, std::string_view Theirs) {
+  constexpr std::size_t Context = 30; ///< bytes shown before the difference
+  const std::size_t Shorter = std::min(Ours.size(), Theirs.size());
+  std::size_t Same = 0;
+  while (Same < Shorter && Ours[Same] == Theirs[Same])
+    ++Same;
+  std::size_t Begin = Same > Context ? Same - Context : 0;
+  Begin =
+      std::min(std::max(Begin, Theirs.find_first_not_of(' ')), Theirs.size());
+  return (Same > Context ? "..." : "") +
+         std::string(Theirs.substr(Begin, MaxShownLine));
+}
+
 /// Returns the first lines of \p Theirs that differ from \p Ours, for a person.
 std::string describeDifference(std::string_view Ours, std::string_view Theirs) {
   std::string Text;
   std::size_t Shown = 0;
   for (const DocumentEdit &Edit : diffDocuments(Ours, Theirs)) {
-    if (Shown++ == MaxShownDifferences)
-      return Text + "; and more";
-    std::string_view Line(Edit.Inserted);
-    Line = Line.substr(0, Line.find('\n'));
-    while (!Line.empty() && Line.front() == ' ')
-      Line.remove_prefix(1);
-    Text += Text.empty() ? "" : "; ";
-    Text += Line.empty() ? "(lines that yours adds)"
-                         : std::string(Line.substr(0, MaxShownLine));
+    std::string_view OurLines = Ours.substr(Edit.Offset, Edit.Removed);
+    std::string_view TheirLines = Edit.Inserted;
+    while (!OurLines.empty() || !TheirLines.empty()) {
+      if (Shown++ == MaxShownDifferences)
+        return Text + "; and more";
+      const bool Removed = TheirLines.empty();
+      const std::string_view OurLine = takeLine(OurLines);
+      Text += Text.empty() ? "" : "; ";
+      Text += Removed ? "without " + excerpt("", OurLine)
+                      : excerpt(OurLine, takeLine(TheirLines));
+    }
   }
   return Text;
 }
--- a/packages/coordination/src/membership.cpp
+++ b/packages/coordination/src/membership.cpp
@@ -291,15 +291,11 @@
 
 template <RandomSource Random>
 bool BasicMembership<Random>::learnTrip(const TrippedVersion &Trip) {
-  const auto Older = [](const auto &Left, const auto &Right) {
-    return std::tie(Left.Begun, Left.Rollout, Left.Version) <
-           std::tie(Right.Begun, Right.Rollout, Right.Version);
-  };
   if (Trips.contains(Trip))
     return false;
   if (Trips.size() >= Settings.MaxTrips) {
-    const auto Oldest = std::min_element(Trips.begin(), Trips.end(), Older);
-    if (Older(Trip, *Oldest))
+    const auto Oldest = Trips.begin();
+    if (Trip < *Oldest)
       return false;
     SignsDigest ^= digestOf(*Oldest);
     Trips.erase(Oldest);
