--- a/tests/system_tests.cmake
+++ b/tests/system_tests.cmake
@@ -1,6 +1,13 @@
 # Tests that run whole programs; one add_test a line, each bounded by TIMEOUT.
 add_test(NAME layers COMMAND ${CMAKE_SOURCE_DIR}/scripts/check-layers)
+# Faults at every step: ours hold, and each check rejects a naive version.
+add_test(NAME fault_matrix COMMAND fault_matrix --quick)
+add_test(NAME fault_matrix_naive COMMAND fault_matrix --quick --naive)
+set_tests_properties(fault_matrix fault_matrix_naive PROPERTIES TIMEOUT 120)
 
+# Aims of the policy, in virtual time; the same figures each run.
+add_test(NAME policy_bench COMMAND policy_bench --seeds 2 --check)
+set_tests_properties(policy_bench PROPERTIES TIMEOUT 120)
 # Stand-ins, and daemons among them.
 find_package(Python3 REQUIRED COMPONENTS Interpreter)
 function(marjorambay_system_test Name File Timeout)
