Arbiter: find the batch width of an engine that is declared too wide

Cause: MaxRequestsInFlight defaults to 32 for every target.

Ruled out: a limit of two fill seconds of work at the learned speed. FillTime, which nothing read, is gone.

Change: a wait for the first token of more than 12 steps beyond the least seen shows that the engine queues; the window comes down by a tenth, at most every 500 ms, and grows by half a request for each one that did not wait. Samples that queued teach no prefill speed. The bench counts grants within 100 ms of a higher tier's shed among those that must not be.

--- a/bench/policy_bench/main.cpp
+++ b/bench/policy_bench/main.cpp
@@ -132,7 +132,7 @@
   });
   printRow("preempted requests", Seeds,
            [](const RunResult &Run) { return Run.Preempted; });
-  printRow("grants while a higher tier waited", Seeds,
+  printRow("grants before a higher tier", Seeds,
            [](const RunResult &Run) { return Run.Inversions; });
 }
 
--- a/bench/policy_bench/simulation.h
+++ b/bench/policy_bench/simulation.h
@@ -27,7 +27,8 @@
   std::uint64_t WastedPrefill = 0; ///< tokens computed for nobody
   std::uint64_t Prefill = 0;       ///< tokens computed
   std::uint64_t Preempted = 0;
-  std::uint64_t Inversions = 0; ///< grants while a higher tier waited
+  /// Grants while a higher tier waited, or just after one was shed.
+  std::uint64_t Inversions = 0;
   Duration SmallestWait{}; ///< longest wait for a slot of the smallest account
   std::array<std::uint64_t, MaxTiers> SmallestArrived{};
   std::array<std::uint64_t, MaxTiers> SmallestInTime{};
@@ -80,12 +81,13 @@
   static constexpr Duration Hop = milliseconds(1);
   static constexpr Duration ReportLag = seconds(2);
   static constexpr std::uint32_t MaxAttempts = 3;
+  static constexpr Duration ShedWindow = milliseconds(100);
 
-  static TargetInfo infoOf(const EngineSpec &Spec) {
+  TargetInfo infoOf(const EngineSpec &Spec) const {
     TargetInfo Info;
     Info.Id = Spec.Id;
     Info.TokensPerSecond = Spec.TokensPerSecond;
-    Info.MaxRequestsInFlight = Spec.Width;
+    Info.MaxRequestsInFlight = Spec.Width * What.WidthFactor;
     return Info;
   }
 
@@ -255,8 +257,11 @@
     const auto Index = static_cast<std::size_t>(number(Action.Key.Id));
     const std::size_t Rank = number(Arrivals[Index].Tier);
     untrack(Index);
-    for (std::size_t Higher = 0; Higher < Rank; ++Higher)
-      Result.Inversions += QueuedByTier[Higher] != 0 ? 1 : 0;
+    for (std::size_t Higher = 0; Higher < Rank; ++Higher) {
+      const bool JustShed = ShedAt[Higher] != TimePoint{} &&
+                            Clock.now() < ShedAt[Higher] + ShedWindow;
+      Result.Inversions += QueuedByTier[Higher] != 0 || JustShed ? 1 : 0;
+    }
     Clock.after(Hop, [this, Index, Target = Action.Target] {
       dispatch(Index, Target);
     });
@@ -265,6 +270,8 @@
   void carryOut(const RefuseSlot &Action) {
     const auto Index = static_cast<std::size_t>(number(Action.Key.Id));
     ++Result.Refused[number(Arrivals[Index].Tier)];
+    if (Action.Kind == ErrorKind::Overloaded)
+      ShedAt[number(Arrivals[Index].Tier)] = Clock.now();
     Result.RefusalSeconds +=
         toSeconds(Clock.now() - (TimePoint{} + Arrivals[Index].At));
     untrack(Index);
@@ -344,6 +351,7 @@
   std::vector<Request> Requests;
   std::unordered_map<std::size_t, bool> Tracked{};
   std::array<std::uint64_t, MaxTiers> QueuedByTier{};
+  std::array<TimePoint, MaxTiers> ShedAt{}; ///< last refusal for overload
   std::uint64_t Ticks = 0;
   RunResult Result{};
 };
--- a/bench/policy_bench/workload.cpp
+++ b/bench/policy_bench/workload.cpp
@@ -79,6 +79,14 @@
   return What;
 }
 
+/// Operators have declared batches four times as wide as they are.
+Scenario wrongWidths() {
+  Scenario What = consortium();
+  What.Name = "consortium, wrong batch widths";
+  What.WidthFactor = 4;
+  return What;
+}
+
 Scenario services(std::string Name) {
   Scenario What = common(std::move(Name), serviceEngines());
   What.Calls = {{"lodge", Top, 0.4, 0, 1, seconds(2)},
@@ -111,7 +119,7 @@
 } // namespace
 
 std::vector<Scenario> allScenarios() {
-  return {consortium(), cineclubs(), services("services")};
+  return {consortium(), cineclubs(), wrongWidths(), services("services")};
 }
 
 std::vector<Arrival> drawArrivals(const Scenario &What, std::uint64_t Seed) {
--- a/bench/policy_bench/workload.h
+++ b/bench/policy_bench/workload.h
@@ -36,7 +36,8 @@
   std::vector<LoadPhase> Phases{};
   Duration Length{}; ///< of the arrivals
   std::uint32_t Origins = 7;
-  std::size_t SlowEngine = 0; ///< runs at a fifth of its speed for a while
+  std::uint32_t WidthFactor = 1; ///< declared batch width over the real one
+  std::size_t SlowEngine = 0;    ///< runs at a fifth of its speed for a while
   Duration SlowFrom{};
   Duration SlowUntil{};
 };
--- a/packages/coordination/marjorambay/coordination/target_model.h
+++ b/packages/coordination/marjorambay/coordination/target_model.h
@@ -27,6 +27,14 @@
   void learnPrefill(std::uint32_t Prompt, std::uint32_t PromptAhead,
                     Duration Took, TimePoint Now);
 
+  /// Learns from the time that a request waited for its first token beyond its
+  /// prefill, when it was granted as one of \p Streams. A wait of many steps
+  /// means that the engine queues requests, out of our reach: its batch is
+  /// narrower than declared, and the limit comes down until it queues none.
+  /// Returns whether the engine queued this one.
+  bool learnQueueing(Duration Took, double PromptTokens, double Streams,
+                     TimePoint Now);
+
   /// Returns the seconds between two tokens of a stream, of \p Streams.
   double stepSeconds(double Streams, TimePoint Now) const;
 
@@ -48,8 +56,8 @@
   /// it is faster. A slowdown is forgotten when no samples come.
   double slowdown(TimePoint Now) const;
 
-  /// Returns how many requests the target may hold: its batch, and fewer in
-  /// proportion to its slowdown.
+  /// Returns how many requests the target may hold: its batch as declared or
+  /// found, and fewer in proportion to its slowdown.
   std::uint32_t requestLimit(TimePoint Now) const;
 
   bool learned() const { return Samples >= SamplesBeforeTrust; }
@@ -62,7 +70,10 @@
   double lineAt(double Streams) const;
   void fitLine(double Step, double Streams, TimePoint Now);
 
-  double Width = 32;
+  double Width = 32;          ///< of the batch, as declared
+  double Window = 32;         ///< of the batch, as found; at most Width
+  TimePoint NextCut{};        ///< of the window
+  double LeastExtra = 1e9;    ///< seconds to a first token beyond its prefill
   double GuessedStep = 0.032; ///< seconds, with a full batch
   std::uint32_t Samples = 0;
   double MeanStep = 0;    ///< seconds
--- a/packages/coordination/marjorambay/coordination/target_table.h
+++ b/packages/coordination/marjorambay/coordination/target_table.h
@@ -40,7 +40,6 @@
 };
 
 struct TargetTableSettings {
-  Duration FillTime = seconds(2); ///< work beyond a full batch, if it has any
   Duration FirstBackOff = milliseconds(200); ///< after a refusal
   Duration LongestBackOff = seconds(5);
   double TakeoverFraction = 0.125; ///< of a limit, before origins report
@@ -115,6 +114,8 @@
     LoadHistory History{};
   };
 
+  void learnFirstProgress(Entry &Each, const Slot &Held, std::uint32_t Tokens,
+                          TimePoint Now);
   bool available(const Entry &Each, const VersionShare &Shares) const;
   bool hasRoom(const Entry &Each, bool Takeover, TimePoint Now) const;
   double promptAhead(const Entry &Each, TimePoint Now) const;
--- a/packages/coordination/src/target_model.cpp
+++ b/packages/coordination/src/target_model.cpp
@@ -17,6 +17,12 @@
 constexpr double PriorVariance = 4.0;   // streams^2; holds the first slope
 constexpr double PrefillGain = 0.1;
 constexpr std::uint32_t LongPrompt = 256; // tokens; shorter ones show overhead
+constexpr double QueuedSteps = 12;        // waited beyond the least seen
+constexpr double LeastDrift = 0.001;      // of the least wait, towards others
+constexpr double SmallestWindow = 2;      // requests
+constexpr double WindowCut = 0.9;    // of the window, when an engine queues
+constexpr double WindowGrowth = 0.5; // requests, for each that waited not
+constexpr Duration CutInterval = milliseconds(500);
 constexpr double IdleSeconds = 30;        // before a slow line is forgotten
 constexpr double GuessedOverhead = 0.005; // seconds
 constexpr double GuessedPrefillGain = 10; // prefill speed over decode speed
@@ -24,7 +30,10 @@
 } // namespace
 
 void TargetModel::configure(double TokensPerSecond, std::uint32_t BatchWidth) {
+  const bool Redeclared = Width != std::max(1U, BatchWidth);
   Width = std::max(1U, BatchWidth);
+  if (Redeclared)
+    Window = Width;
   if (Samples != 0)
     return; // what was learned is better than the guess
   GuessedStep = Width / std::max(1e-3, TokensPerSecond);
@@ -107,6 +116,23 @@
       Gain * (std::min(Each, PrefillSeconds * LargestJump) - PrefillSeconds);
 }
 
+bool TargetModel::learnQueueing(Duration Took, double PromptTokens,
+                                double Streams, TimePoint Now) {
+  const double Extra =
+      std::max(0.0, toSeconds(Took) - PromptTokens * PrefillSeconds);
+  LeastExtra += (Extra < LeastExtra ? 1.0 : LeastDrift) * (Extra - LeastExtra);
+  const double Patience = QueuedSteps * stepSeconds(Streams, Now);
+  const bool Queued = Extra > LeastExtra + Patience;
+  const bool OfThisWindow = Streams <= Window + 1;
+  if (Queued && OfThisWindow && Now >= NextCut) {
+    Window = std::max(SmallestWindow, WindowCut * std::min(Window, Streams));
+    NextCut = Now + CutInterval;
+  }
+  if (!Queued && Streams + 1 >= Window)
+    Window = std::min(Width, Window + WindowGrowth);
+  return Queued;
+}
+
 double TargetModel::slowdown(TimePoint Now) const {
   if (Ratio <= 1.0 || !learned())
     return std::max(0.5, Ratio);
@@ -139,7 +165,7 @@
 
 std::uint32_t TargetModel::requestLimit(TimePoint Now) const {
   const double Slower = std::max(1.0, slowdown(Now));
-  const double Limit = std::ceil(Width / Slower - 1e-9);
+  const double Limit = std::ceil(std::min(Window, Width / Slower) - 1e-9);
   return static_cast<std::uint32_t>(std::max(std::min(2.0, Width), Limit));
 }
 
--- a/packages/coordination/src/target_table.cpp
+++ b/packages/coordination/src/target_table.cpp
@@ -214,6 +214,15 @@
   Each.History.note(Each.InFlight, Now);
 }
 
+void TargetTable::learnFirstProgress(Entry &Each, const Slot &Held,
+                                     std::uint32_t Tokens, TimePoint Now) {
+  // The first token came this long ago, at the speed that streams have now.
+  const double Since = Tokens * Each.Model.stepSeconds(Held.Streams, Now);
+  const Duration ToFirst = Now - Held.Granted - fromSeconds(Since);
+  Each.Model.learnQueueing(ToFirst, Held.Cost.Prompt + Held.PromptAhead,
+                           Held.Streams, Now);
+}
+
 void TargetTable::learnProgress(Slot &Held, std::uint32_t Tokens,
                                 TimePoint Now) {
   const auto Found = Places.find(Held.Target);
@@ -224,6 +233,8 @@
   if (Held.Tokens != 0)
     Each.Model.learnDecode(Tokens - Held.Tokens, Now - Held.TokensAt,
                            streams(Each, Now), Now);
+  else
+    learnFirstProgress(Each, Held, Tokens, Now);
   Held.Tokens = Tokens;
   Held.TokensAt = Now;
 }
@@ -237,9 +248,14 @@
   Each.Refusals = 0;
   const std::uint32_t Uncached =
       Used.PromptTokens - std::min(Used.PromptTokens, Used.CachedTokens);
-  Each.Model.learnPrefill(Uncached,
-                          static_cast<std::uint32_t>(Held.PromptAhead),
-                          Used.ToFirstToken, Now);
+  const bool Queued =
+      Held.Tokens == 0 &&
+      Each.Model.learnQueueing(Used.ToFirstToken, Uncached + Held.PromptAhead,
+                               Held.Streams, Now);
+  if (!Queued)
+    Each.Model.learnPrefill(Uncached,
+                            static_cast<std::uint32_t>(Held.PromptAhead),
+                            Used.ToFirstToken, Now);
   const double Streams = (Held.Streams + streams(Each, Now)) / 2;
   if (Held.Tokens != 0 && Used.OutputTokens > Held.Tokens) {
     Each.Model.learnDecode(Used.OutputTokens - Held.Tokens, Now - Held.TokensAt,
--- a/packages/coordination/tests/arbiter_test.cpp
+++ b/packages/coordination/tests/arbiter_test.cpp
@@ -171,6 +171,13 @@
     REQUIRE(granted(Hinted) == Ids{2});
     CHECK(only<GrantSlot>(Hinted)[0].Target == target("slow"));
   }
+  SUBCASE("refuses at once when no target may serve") {
+    Policy.step(TargetsChanged{{worker("w1", 8, "v2")}}, Start);
+    Policy.step(ServingVersionChanged{version("v1")}, Start);
+    const auto Actions = Policy.step(SlotRequested{reservation(1)}, Start);
+    REQUIRE(refused(Actions) == Ids{1});
+    CHECK(only<RefuseSlot>(Actions)[0].Kind == ErrorKind::NoTarget);
+  }
   SUBCASE("sends nothing to a version after its fault has shown") {
     Policy.step(TargetsChanged{{worker("w1", 8, "v1"), worker("w2", 8, "v2")}},
                 Start);
--- a/packages/coordination/tests/target_model_test.cpp
+++ b/packages/coordination/tests/target_model_test.cpp
@@ -49,6 +49,35 @@
   }
 }
 
+TEST_CASE("an engine whose batch is narrower than declared") {
+  TargetModel Model;
+  Model.configure(1000, 32);
+  Duration Now = seconds(0);
+  // Up to 8 streams wait 20 ms for their first token, more wait for a slot.
+  const auto serve = [&](int Samples) {
+    for (int Sample = 0; Sample < Samples; ++Sample) {
+      Now += milliseconds(200);
+      const double Streams = Model.requestLimit(at(Now));
+      const Duration Wait = Streams <= 8 ? milliseconds(20) : seconds(2);
+      Model.learnDecode(10, milliseconds(200), 8, at(Now));
+      Model.learnQueueing(Wait, 0, Streams, at(Now));
+    }
+  };
+  Model.learnQueueing(milliseconds(20), 0, 1, at(Now));
+  serve(200);
+
+  SUBCASE("is held to what it runs at once") {
+    CHECK(Model.requestLimit(at(Now)) <= 9);
+    CHECK(Model.requestLimit(at(Now)) >= 6);
+  }
+  SUBCASE("gets more again once it queues no longer") {
+    for (int Sample = 0; Sample < 100; ++Sample)
+      Model.learnQueueing(milliseconds(20), 0, Model.requestLimit(at(Now)),
+                          at(Now));
+    CHECK(Model.requestLimit(at(Now)) == 32);
+  }
+}
+
 TEST_CASE("the line from streams to step time is learned") {
   TargetModel Model;
   Model.configure(1000, 32);
@@ -145,6 +174,11 @@
     CHECK(Shares.allows(Old));
     CHECK(!Shares.allows(New));
   }
+  SUBCASE("leaves targets of no known version alone") {
+    CHECK(Shares.allows(VersionId{}));
+    CHECK(Shares.usable(VersionId{}));
+    CHECK(!Shares.usable(New));
+  }
   SUBCASE("never has more than floor(share * n) of the first n requests") {
     for (const double Share : {0.01, 0.05, 0.3, 0.5}) {
       VersionShare Capped;
