--- a/tests/matrix/fault_matrix/world.h
+++ b/tests/matrix/fault_matrix/world.h
@@ -21,6 +21,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <set>
 #include <string>
@@ -53,7 +54,6 @@
 inline constexpr Duration PauseLength = seconds(15); // above the retention
 inline constexpr Duration OutageLength = seconds(10);
 inline constexpr Duration RestartDelay = seconds(3);
-inline constexpr Duration AnswerMargin = milliseconds(200);
 inline constexpr Duration Horizon = seconds(60);
 
 enum class Link : std::uint8_t {
@@ -106,7 +106,6 @@
   }
   void leaveTarget(Duration At, Node Target) {
     post(Link::Command, 1, 1, Now + At, "target leaves", [this, Target] {
-      Check.targetLeft(targetId(Target), Now);
       learnSign(1, targetId(Target));
       Listed.emplace(Now + PlatformListLag, targetId(Target));
     });
@@ -177,7 +176,7 @@
     std::array<TimePoint, HostCount> Heard{};
     std::array<std::uint64_t, HostCount> LifeSeen{};
     std::set<Node> View{};
-    std::set<TargetId> Signs{}; ///< targets known to leave
+    std::map<TargetId, TimePoint> Signs{}; ///< targets known to leave, since
     Node ArbiterAt = NodeCount;
     bool ArbiterSuspect = false;
   };
@@ -439,6 +438,8 @@
       for (const bool Second : {false, true})
         post(Link::Timer, At, At, Now + milliseconds(Second ? 40 : 20),
              "targets", [this, At, Second] {
+               if (!Hosts[At].Arbiter)
+                 return; // it moved away meanwhile
                std::vector<TargetInfo> List = targetsOf(At);
                List.front().Leaving = (At == 1) != Second;
                stepArbiter(At, TargetsChanged{List});
@@ -570,14 +571,14 @@
         learnSign(At, Target);
     for (Node Peer = 0; Peer < HostCount; ++Peer)
       if (Peer != At && running(Peer) && !cut(At, Peer))
-        for (const TargetId Target : std::set(Hosts[Peer].Signs))
+        for (const auto &[Target, Since] : std::map(Hosts[Peer].Signs))
           learnSign(At, Target);
+    stepOrigin(At, LocalTargetsChanged{ThePool, targetsOf(At), hostsIn(At)});
   }
 
   void learnSign(Node At, TargetId Target) {
-    if (!Hosts[At].Signs.insert(Target).second)
+    if (!Hosts[At].Signs.try_emplace(Target, Now).second)
       return;
-    stepOrigin(At, LocalTargetsChanged{ThePool, targetsOf(At), hostsIn(At)});
     if (Hosts[At].Arbiter)
       stepArbiter(At, TargetLeft{Target});
   }
@@ -689,10 +690,19 @@
       Check.slotDropped(hostId(At), Dropped->Key);
     if (const auto *Reported = std::get_if<GrantsReported>(&Event))
       for (const HeldGrant &Grant : Reported->Grants)
-        Check.slotDropped(hostId(At), Grant.Request.Key);
+        Check.slotHeld(hostId(At), Grant.Request.Key);
+    if (const auto *Released = std::get_if<SlotReleased>(&Event))
+      Check.slotReleased(hostId(At), Released->Key);
     if (const auto *Lost = std::get_if<OriginLost>(&Event))
       Check.originLost(hostId(At), Lost->Origin, Lost->UpTo);
-    perform(At, Hosts[At].Arbiter->step(Event, Now));
+    ArbiterActions Todo = Hosts[At].Arbiter->step(Event, Now);
+    for (const ArbiterAction &Each : Todo) {
+      if (const auto *Grant = std::get_if<GrantSlot>(&Each))
+        Check.slotGranted(hostId(At), Grant->Key);
+      if (const auto *Refusal = std::get_if<RefuseSlot>(&Each))
+        Check.slotDropped(hostId(At), Refusal->Key);
+    }
+    perform(At, std::move(Todo));
   }
 
   // ---- Callers --------------------------------------------------------------
@@ -714,8 +724,7 @@
       Call.BodyHash = What.Body;
     }
     Self.Asked[Id] = What;
-    Check.requested(keyOf(At, Id), Now + What.Deadline + AnswerMargin,
-                    What.Contends);
+    Check.requested(keyOf(At, Id), Now, What.Deadline, What.Contends);
     stepOrigin(At, Call);
     if (What.Leaves)
       post(Link::Command, At, At, Now + milliseconds(4), "caller leaves",
@@ -767,7 +776,6 @@
   void act(Node At, const ReportTargetSign &Todo) {
     if (!Todo.Leaving)
       return toArbiter(At, "target_refused", TargetRefused{Todo.Target});
-    Check.targetLeft(Todo.Target, Now);
     learnSign(At, Todo.Target);
     toArbiter(At, "target_left", TargetLeft{Todo.Target});
   }
@@ -824,6 +832,10 @@
     Hosts[At].Open[Todo.Id] = {Target, Todo.Attempt};
     if (Make.ChecksNotAfter && Now > Todo.NotAfter)
       return connectionFailed(At, Key, Todo.Attempt, true);
+    const auto Sign = Hosts[At].Signs.find(Todo.Target);
+    Check.wrote(Key, Now,
+                Sign == Hosts[At].Signs.end() ? std::nullopt
+                                              : std::optional(Sign->second));
     const auto Asked = Hosts[At].Asked.find(Todo.Id);
     const Ask What = Asked == Hosts[At].Asked.end() ? Ask{} : Asked->second;
     Delivery Run{Now + PeerLatency, ++LastOrder, Link::TargetRun, At, Target};
@@ -855,9 +867,8 @@
         return OriginEvent{Event};
       });
     Check.ran(Key);
-    Check.worked(targetId(Place), Now);
     if (What.Once)
-      Check.applied({What.KeyNumber, What.KeyNumber}, Now);
+      Check.applied({What.KeyNumber, What.KeyNumber}, Key);
     Duration After = PeerLatency;
     for (std::uint32_t Part = 0; Part < AnswerParts; ++Part) {
       if (Mood == TargetMood::Breaks && Part > 0)
@@ -985,12 +996,10 @@
   // ---- Actions of the arbiter -----------------------------------------------
 
   void act(Node At, const GrantSlot &Todo) {
-    Check.slotGranted(hostId(At), Todo.Key);
     toOrigin(At, Todo.Key, "slot_granted",
              SlotGranted{Todo.Key.Id, Todo.Target, ThePool});
   }
   void act(Node At, const RefuseSlot &Todo) {
-    Check.slotDropped(hostId(At), Todo.Key);
     toOrigin(At, Todo.Key, "slot_refused",
              SlotRefused{Todo.Key.Id, Todo.Kind, Todo.RetryAfter});
   }
--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -144,7 +144,7 @@
 class StandIn(Process):
     """A stand-in; told its faults at its control port."""
 
-    def __init__(self, folder, name, program, **options):
+    def __init__(self, folder, name, program, /, **options):
         flags = [f"--{key.replace('_', '-')}={value}"
                  for key, value in options.items()]
         super().__init__(folder, name, [BIN / program, *flags])
@@ -265,8 +265,7 @@
                 self.engines.append(engine)
         for number in range(services):
             service = self.add(StandIn(
-                self.folder, f"service-{number + 1}", "service_standin",
-                name=f"service-{number + 1}"))
+                self.folder, f"service-{number + 1}", "service_standin"))
             service.zone = self.zones[number % len(self.zones)]
             self.services.append(service)
 
