--- /dev/null
+++ b/packages/coordination/marjorambay/coordination/version_guard.h
@@ -0,0 +1,103 @@
+/// Watches the versions of one pool where their answers are seen: gathers
+/// evidence, trips a bad version at once, and says what share it may get.
+///
+/// A guard needs neither the platform nor a leader to take a version back.
+#ifndef MARJORAMBAY_COORDINATION_VERSION_GUARD_H
+#define MARJORAMBAY_COORDINATION_VERSION_GUARD_H
+
+#include "marjorambay/coordination/version_test.h"
+#include "marjorambay/state/rollout_state.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace marjorambay {
+
+/// How one answer went, as the origin saw it.
+struct AnswerObserved {
+  VersionId Version{};
+  Stratum Where{};
+  bool Failed = false;     ///< error, cut, or far overdue
+  double TokenSeconds = 0; ///< mean time for each token; 0: not known
+  double FirstSeconds = 0; ///< time to the first token; 0: not known
+};
+/// A newer view of the pool's rollout, from a leader or a digest.
+struct ViewLearned {
+  RolloutView View{};
+};
+/// Another host has found the version bad.
+struct TripLearned {
+  RolloutId Rollout{};
+};
+struct GuardTicked {
+  WallTime Wall{};
+};
+using GuardEvent =
+    std::variant<AnswerObserved, ViewLearned, TripLearned, GuardTicked>;
+
+/// What the pool's arbiter may send to the new version from now on.
+struct ShareAllowed {
+  VersionId Version{};
+  double Share = 0;
+};
+/// The version is bad; final for this rollout. To be spread.
+struct TripFound {
+  RolloutId Rollout{};
+  VersionId Version{};
+  FaultKind Kind = FaultKind::Errors;
+};
+/// Counts since the last report, for the rollout's leader.
+struct EvidenceReady {
+  RolloutId Rollout{};
+  Evidence Cells{};
+};
+using GuardAction = std::variant<ShareAllowed, TripFound, EvidenceReady>;
+using GuardActions = std::vector<GuardAction>;
+
+class VersionGuard {
+public:
+  GuardActions step(const GuardEvent &Event);
+
+  bool tripped() const { return Tripped; }
+  const std::optional<RolloutView> &view() const { return Current; }
+
+  /// Share in force: 0 once tripped, taken back, or past the deadline without
+  /// news of completion.
+  double allowedShare() const { return Allowed; }
+
+private:
+  /// Recent times of the old version in a stratum, for "slow".
+  struct Reference {
+    std::vector<float> TokenSeconds{};
+    std::vector<float> FirstSeconds{};
+    std::size_t NextToken = 0;
+    std::size_t NextFirst = 0;
+    double TokenLimit = 0; ///< upper quartile as of the last tick; 0: none yet
+    double FirstLimit = 0;
+  };
+
+  void observe(const AnswerObserved &Seen);
+  void learnView(const RolloutView &View);
+  GuardActions tick(WallTime Wall);
+  GuardActions allow(double Share);
+  bool isSlow(const AnswerObserved &Seen, bool IsNew) const;
+  void count(const Stratum &Where, FaultKind Kind, bool IsNew, bool Bad);
+  void remember(const AnswerObserved &Seen);
+  void refreshLimits();
+
+  std::optional<RolloutView> Current{};
+  VersionTest Test{};
+  bool Tripped = false;
+  bool TripTold = false;
+  double Allowed = 0;
+  std::map<std::pair<Stratum, FaultKind>, EvidenceCell> Batch{};
+  std::map<Stratum, Reference> References{};
+};
+
+} // namespace marjorambay
+
+#endif // MARJORAMBAY_COORDINATION_VERSION_GUARD_H
--- /dev/null
+++ b/packages/coordination/src/version_guard.cpp
@@ -0,0 +1,157 @@
+/// Evidence, the local trip, and the share that it leaves.
+#include "marjorambay/coordination/version_guard.h"
+
+#include <algorithm>
+
+namespace marjorambay {
+
+namespace {
+
+/// Times kept of each stratum; the upper quartile of fewer is not used.
+constexpr std::size_t ReferenceSize = 256;
+constexpr std::size_t ReferenceLeast = 20;
+constexpr double ReferenceQuantile = 0.75;
+
+/// A new version may be this much slower than the old one's upper quartile
+/// before an answer counts as slow.
+constexpr double SlowTolerance = 1.2;
+
+void keepRecent(std::vector<float> &Times, std::size_t &Next, double Value) {
+  if (Value <= 0)
+    return;
+  if (Times.size() < ReferenceSize) {
+    Times.push_back(static_cast<float>(Value));
+    return;
+  }
+  Times[Next] = static_cast<float>(Value);
+  Next = (Next + 1) % ReferenceSize;
+}
+
+double upperQuartile(std::vector<float> Times) {
+  if (Times.size() < ReferenceLeast)
+    return 0;
+  const auto At = static_cast<std::ptrdiff_t>(
+      ReferenceQuantile * static_cast<double>(Times.size() - 1));
+  std::nth_element(Times.begin(), Times.begin() + At, Times.end());
+  return Times[static_cast<std::size_t>(At)];
+}
+
+bool exceeds(double Value, double Limit, double Tolerance) {
+  return Value > 0 && Limit > 0 && Value > Limit * Tolerance;
+}
+
+} // namespace
+
+GuardActions VersionGuard::step(const GuardEvent &Event) {
+  if (const auto *Seen = std::get_if<AnswerObserved>(&Event)) {
+    observe(*Seen);
+    return {};
+  }
+  if (const auto *Learned = std::get_if<ViewLearned>(&Event)) {
+    learnView(Learned->View);
+    return {};
+  }
+  if (const auto *Trip = std::get_if<TripLearned>(&Event)) {
+    if (!Current || Trip->Rollout != Current->Id || Tripped)
+      return {};
+    Tripped = true;
+    TripTold = true;
+    return allow(0);
+  }
+  return tick(std::get<GuardTicked>(Event).Wall);
+}
+
+void VersionGuard::learnView(const RolloutView &View) {
+  const bool IsNews = !Current || View.Version > Current->Version;
+  if (!IsNews)
+    return;
+  const bool IsOtherRollout = !Current || Current->Id != View.Id;
+  Current = View;
+  if (!IsOtherRollout)
+    return;
+  Test = VersionTest{};
+  Batch.clear();
+  Tripped = false;
+  TripTold = false;
+}
+
+void VersionGuard::observe(const AnswerObserved &Seen) {
+  const bool IsNew = Current && Seen.Version == Current->To;
+  const bool IsOld = !Current || Seen.Version == Current->From;
+  if (!IsNew && !IsOld)
+    return;
+  if (Current && !isFinal(Current->Phase)) {
+    count(Seen.Where, FaultKind::Errors, IsNew, Seen.Failed);
+    const auto Found = References.find(Seen.Where);
+    const bool Comparable =
+        Found != References.end() && Found->second.TokenLimit > 0;
+    if (!Seen.Failed && Comparable)
+      count(Seen.Where, FaultKind::Slowness, IsNew, isSlow(Seen, IsNew));
+  }
+  if (IsOld && !Seen.Failed)
+    remember(Seen);
+}
+
+bool VersionGuard::isSlow(const AnswerObserved &Seen, bool IsNew) const {
+  const Reference &Old = References.at(Seen.Where);
+  const double Tolerance = IsNew ? SlowTolerance : 1.0;
+  return exceeds(Seen.TokenSeconds, Old.TokenLimit, Tolerance) ||
+         exceeds(Seen.FirstSeconds, Old.FirstLimit, Tolerance);
+}
+
+void VersionGuard::count(const Stratum &Where, FaultKind Kind, bool IsNew,
+                         bool Bad) {
+  EvidenceCell &Cell = Batch[{Where, Kind}];
+  Cell.Where = Where;
+  Cell.Kind = Kind;
+  ++(IsNew ? Cell.NewAnswers : Cell.OldAnswers);
+  (IsNew ? Cell.NewBad : Cell.OldBad) += Bad ? 1 : 0;
+}
+
+void VersionGuard::remember(const AnswerObserved &Seen) {
+  Reference &Old = References[Seen.Where];
+  keepRecent(Old.TokenSeconds, Old.NextToken, Seen.TokenSeconds);
+  keepRecent(Old.FirstSeconds, Old.NextFirst, Seen.FirstSeconds);
+}
+
+void VersionGuard::refreshLimits() {
+  for (auto &[Where, Old] : References) {
+    Old.TokenLimit = upperQuartile(Old.TokenSeconds);
+    Old.FirstLimit = upperQuartile(Old.FirstSeconds);
+  }
+}
+
+GuardActions VersionGuard::tick(WallTime Wall) {
+  if (!Current)
+    return {};
+  Evidence Cells;
+  for (const auto &[Key, Cell] : Batch)
+    Cells.push_back(Cell);
+  Batch.clear();
+  refreshLimits();
+  Test.add(Cells);
+  GuardActions Actions;
+  Tripped = Tripped || (!isFinal(Current->Phase) && Test.tripped());
+  if (Tripped && !TripTold)
+    Actions.push_back(TripFound{Current->Id, Current->To, Test.trippedBy()});
+  TripTold = Tripped;
+  if (!Cells.empty())
+    Actions.push_back(EvidenceReady{Current->Id, std::move(Cells)});
+
+  // Without news of completion the version stays out once its time is over.
+  const bool Completed = Current->Phase == RolloutPhase::Completed;
+  const bool Out = Tripped || Current->Phase == RolloutPhase::TakenBack ||
+                   (!Completed && Wall >= Current->Deadline);
+  const GuardActions Shares = allow(Completed ? 1 : Out ? 0 : Current->Share);
+  Actions.insert(Actions.end(), Shares.begin(), Shares.end());
+  return Actions;
+}
+
+GuardActions VersionGuard::allow(double Share) {
+  if (Share == Allowed)
+    return {};
+  Allowed = Share;
+  return {ShareAllowed{Current->To, Share}};
+}
+
+} // namespace marjorambay
