--- a/packages/coordination/marjorambay/coordination/version_guard.h
+++ b/packages/coordination/marjorambay/coordination/version_guard.h
@@ -76,7 +76,8 @@
     std::vector<float> FirstSeconds{};
     std::size_t NextToken = 0;
     std::size_t NextFirst = 0;
-    double TokenLimit = 0; ///< upper quartile as of the last tick; 0: none yet
+    std::size_t Fresh = 0; ///< answers since the limits were worked out
+    double TokenLimit = 0; ///< upper quartile as of a tick; 0: none yet
     double FirstLimit = 0;
   };
 
--- a/packages/coordination/src/version_guard.cpp
+++ b/packages/coordination/src/version_guard.cpp
@@ -11,6 +11,8 @@
 constexpr std::size_t ReferenceSize = 256;
 constexpr std::size_t ReferenceLeast = 20;
 constexpr double ReferenceQuantile = 0.75;
+/// Limits are worked out anew after this many answers of a stratum.
+constexpr std::size_t RefreshAnswers = 16;
 
 /// A new version may be this much slower than the old one's upper quartile
 /// before an answer counts as slow.
@@ -110,12 +112,16 @@
 
 void VersionGuard::remember(const AnswerObserved &Seen) {
   Reference &Old = References[Seen.Where];
+  ++Old.Fresh;
   keepRecent(Old.TokenSeconds, Old.NextToken, Seen.TokenSeconds);
   keepRecent(Old.FirstSeconds, Old.NextFirst, Seen.FirstSeconds);
 }
 
 void VersionGuard::refreshLimits() {
   for (auto &[Where, Old] : References) {
+    if (Old.Fresh < RefreshAnswers)
+      continue;
+    Old.Fresh = 0;
     Old.TokenLimit = upperQuartile(Old.TokenSeconds);
     Old.FirstLimit = upperQuartile(Old.FirstSeconds);
   }
