--- /dev/null
+++ b/packages/coordination/tests/rollout_test.cpp
@@ -0,0 +1,262 @@
+/// Tests of a rollout's leader and of the guards that watch its version.
+#include "marjorambay/coordination/rollout.h"
+#include "marjorambay/coordination/version_guard.h"
+
+#include <doctest/doctest.h>
+
+#include <utility>
+
+namespace marjorambay {
+namespace {
+
+template <typename Wanted, typename Actions>
+const Wanted *find(const Actions &All) {
+  for (const auto &Action : All)
+    if (const auto *Found = std::get_if<Wanted>(&Action))
+      return Found;
+  return nullptr;
+}
+
+/// One platform object and the leaders that race for it.
+struct Stage {
+  RolloutState Object{};
+  ObjectVersion Version = 1;
+  Duration Time = seconds(1000);
+  bool PlatformUp = true;
+  bool LoseNextAnswer = false;
+  RolloutActions Seen{};
+
+  Stage() {
+    Object.Name = "r1";
+    Object.Pool = "pool";
+    Object.FromVersion = "v1";
+    Object.ToVersion = "v2";
+    Object.Started = Object.PhaseSince = wall();
+    Object.Deadline = wall() + minutes(10);
+    Object.History.push_back({wall(), Object.Phase, 0, "started"});
+  }
+  WallTime wall() const { return WallTime(Time); }
+
+  void feed(RolloutLeader &Leader, const RolloutEvent &Event) {
+    for (const RolloutAction &Action : Leader.step(Event, TimePoint(Time))) {
+      Seen.push_back(Action);
+      if (std::holds_alternative<ReadRollout>(Action))
+        feed(Leader, RolloutRead{PlatformUp, true, Version, Object});
+      else if (const auto *Write = std::get_if<WriteRollout>(&Action))
+        feed(Leader, write(*Write));
+    }
+  }
+  RolloutWritten write(const WriteRollout &Write) {
+    if (!PlatformUp)
+      return {WriteVerdict::Unknown, 0};
+    if (Write.IfVersion != Version)
+      return {WriteVerdict::Conflict, Version};
+    Object = Write.State;
+    ++Version;
+    if (std::exchange(LoseNextAnswer, false))
+      return {WriteVerdict::Unknown, 0};
+    return {WriteVerdict::Stood, Version};
+  }
+  /// Lets time pass with ticks of a second.
+  void pass(RolloutLeader &Leader, int Seconds) {
+    for (int Count = 0; Count < Seconds; ++Count) {
+      Time += seconds(1);
+      feed(Leader, RolloutTicked{wall(), true});
+    }
+  }
+  /// Shows two targets that have, or lack, the new version.
+  void showTargets(RolloutLeader &Leader, bool Loaded) {
+    TargetsShown Shown;
+    for (std::uint64_t Id = 1; Id <= 2; ++Id) {
+      TargetShown Target{TargetId{Id}, {idOf<VersionId>("v1")}, false};
+      if (Loaded)
+        Target.Versions.push_back(idOf<VersionId>("v2"));
+      Shown.Targets.push_back(Target);
+    }
+    feed(Leader, Shown);
+  }
+  void giveEvidence(RolloutLeader &Leader, std::uint32_t Answers,
+                    std::uint32_t Bad) {
+    EvidenceCell Cell;
+    Cell.OldAnswers = 1000;
+    Cell.OldBad = 3;
+    Cell.NewAnswers = Answers;
+    Cell.NewBad = Bad;
+    feed(Leader, EvidenceArrived{idOf<RolloutId>("r1"), {Cell}});
+  }
+};
+
+TEST_CASE("a rollout has one leader") {
+  Stage Scene;
+  RolloutLeader First("host-1");
+  RolloutLeader Second("host-2");
+  Scene.showTargets(First, false);
+  Scene.showTargets(Second, false);
+  Scene.pass(First, 3);
+  REQUIRE(First.isLeader());
+  REQUIRE(Scene.Object.Leader == "host-1");
+
+  SUBCASE("which orders the first targets to load, with its fence") {
+    Scene.pass(First, 3);
+    const auto *Order = find<OrderLoad>(Scene.Seen);
+    REQUIRE(Order != nullptr);
+    CHECK(Order->Fence == Scene.Object.Fence);
+    CHECK(Scene.Object.Phase == RolloutPhase::Loading);
+
+    SUBCASE("and begins the canary under its cap once they have") {
+      Scene.showTargets(First, true);
+      Scene.pass(First, 2);
+      CHECK(Scene.Object.Phase == RolloutPhase::Canary);
+      CHECK(Scene.Object.Share == RolloutPacing{}.CanaryShare);
+    }
+  }
+  SUBCASE("another host does not take its lease while it renews it") {
+    Scene.feed(Second, RolloutTicked{Scene.wall(), true});
+    for (int Count = 0; Count < 30; ++Count) {
+      Scene.pass(First, 1);
+      Scene.feed(Second, RolloutTicked{Scene.wall(), true});
+    }
+    CHECK(Scene.Object.Leader == "host-1");
+    CHECK_FALSE(Second.isLeader());
+  }
+  SUBCASE("a frozen leader is replaced, and fails when it wakes") {
+    const std::uint64_t OldFence = Scene.Object.Fence;
+    Scene.pass(Second, 15);
+    REQUIRE(Scene.Object.Leader == "host-2");
+    CHECK(Scene.Object.Fence > OldFence);
+    Scene.feed(First, RolloutTicked{Scene.wall(), true});
+    CHECK(Scene.Object.Leader == "host-2");
+    CHECK_FALSE(First.isLeader());
+  }
+}
+
+TEST_CASE("a rollout moves by evidence and by its deadline") {
+  Stage Scene;
+  RolloutLeader Leader("host-1");
+  Scene.showTargets(Leader, true);
+  Scene.pass(Leader, 6);
+  REQUIRE(Scene.Object.Phase == RolloutPhase::Canary);
+
+  SUBCASE("no answers of the new version: it stays a canary") {
+    Scene.pass(Leader, 300);
+    CHECK(Scene.Object.Phase == RolloutPhase::Canary);
+
+    SUBCASE("and is taken back at the deadline") {
+      Scene.pass(Leader, 310);
+      CHECK(Scene.Object.Phase == RolloutPhase::TakenBack);
+      CHECK(find<RolloutOutcome>(Scene.Seen) != nullptr);
+    }
+  }
+  SUBCASE("good answers: it ramps up and completes in time") {
+    for (int Count = 0; Count < 590; ++Count) {
+      Scene.giveEvidence(Leader, 5, 0);
+      Scene.pass(Leader, 1);
+    }
+    CHECK(Scene.Object.Phase == RolloutPhase::Completed);
+    CHECK(Scene.Object.Share == 1);
+  }
+  SUBCASE("bad answers: it is taken back at once, and for good") {
+    Scene.giveEvidence(Leader, 8, 8);
+    Scene.pass(Leader, 1);
+    REQUIRE(Scene.Object.Phase == RolloutPhase::TakenBack);
+    CHECK(Scene.Object.Share == 0);
+    Scene.giveEvidence(Leader, 1000, 0);
+    Scene.pass(Leader, 60);
+    CHECK(Scene.Object.Phase == RolloutPhase::TakenBack);
+  }
+  SUBCASE("an answer lost after the write is settled by reading") {
+    Scene.giveEvidence(Leader, 200, 0);
+    Scene.LoseNextAnswer = true;
+    Scene.pass(Leader, 12);
+    CHECK(Scene.Object.Phase == RolloutPhase::Ramping);
+    CHECK(Leader.state()->Phase == RolloutPhase::Ramping);
+  }
+  SUBCASE("a platform outage holds the share where it is") {
+    Scene.PlatformUp = false;
+    const double Before = Scene.Object.Share;
+    for (int Count = 0; Count < 60; ++Count) {
+      Scene.giveEvidence(Leader, 50, 0);
+      Scene.pass(Leader, 1);
+    }
+    CHECK(Scene.Object.Share == Before);
+    Scene.PlatformUp = true;
+    for (int Count = 0; Count < 40; ++Count) {
+      Scene.giveEvidence(Leader, 20, 0);
+      Scene.pass(Leader, 1);
+    }
+    CHECK(Scene.Object.Share > Before);
+  }
+  SUBCASE("an operator's abort is answered once it stands") {
+    RolloutCommanded Abort;
+    Abort.Call = 9;
+    Abort.Command = RolloutCommand::Abort;
+    Abort.Author = "ana";
+    Scene.feed(Leader, Abort);
+    CHECK(Scene.Object.Phase == RolloutPhase::TakenBack);
+    const auto *Answer = find<AnswerCommand>(Scene.Seen);
+    REQUIRE(Answer != nullptr);
+    CHECK(ok(Answer->Outcome));
+  }
+}
+
+TEST_CASE("a guard watches a version where its answers are seen") {
+  VersionGuard Guard;
+  RolloutView View;
+  View.Id = idOf<RolloutId>("r1");
+  View.From = idOf<VersionId>("v1");
+  View.To = idOf<VersionId>("v2");
+  View.Version = 5;
+  View.Phase = RolloutPhase::Canary;
+  View.Share = 0.01;
+  View.Deadline = WallTime(minutes(10));
+  Guard.step(ViewLearned{View});
+  Guard.step(GuardTicked{WallTime(seconds(1))});
+  REQUIRE(Guard.allowedShare() == 0.01);
+
+  SUBCASE("an older view changes nothing") {
+    RolloutView Older = View;
+    Older.Version = 4;
+    Older.Share = 0.9;
+    Guard.step(ViewLearned{Older});
+    Guard.step(GuardTicked{WallTime(seconds(2))});
+    CHECK(Guard.allowedShare() == 0.01);
+  }
+  SUBCASE("failing answers trip it here, without platform or leader") {
+    AnswerObserved Failing;
+    Failing.Version = View.To;
+    Failing.Failed = true;
+    for (int Count = 0; Count < 6; ++Count)
+      Guard.step(Failing);
+    const GuardActions Actions = Guard.step(GuardTicked{WallTime(seconds(2))});
+    CHECK(find<TripFound>(Actions) != nullptr);
+    CHECK(Guard.allowedShare() == 0);
+
+    SUBCASE("and no later share of this rollout brings it back") {
+      View.Version = 6;
+      View.Share = 0.5;
+      Guard.step(ViewLearned{View});
+      Guard.step(GuardTicked{WallTime(seconds(3))});
+      CHECK(Guard.allowedShare() == 0);
+    }
+  }
+  SUBCASE("a trip learned from another host has the same effect") {
+    Guard.step(TripLearned{View.Id});
+    CHECK(Guard.allowedShare() == 0);
+  }
+  SUBCASE("past the deadline without news the version stays out") {
+    Guard.step(GuardTicked{WallTime(minutes(11))});
+    CHECK(Guard.allowedShare() == 0);
+
+    SUBCASE("until news of its completion arrives") {
+      View.Version = 9;
+      View.Phase = RolloutPhase::Completed;
+      View.Share = 1;
+      Guard.step(ViewLearned{View});
+      Guard.step(GuardTicked{WallTime(minutes(12))});
+      CHECK(Guard.allowedShare() == 1);
+    }
+  }
+}
+
+} // namespace
+} // namespace marjorambay
