--- a/apps/marjorambayd/arbiter_side.cpp
+++ b/apps/marjorambayd/arbiter_side.cpp
@@ -79,10 +79,10 @@
   GrantsReported Report;
   Report.Origin = D.Self.Id;
   Report.OriginLife = D.Life;
-  for (HeldGrant &Grant : D.Requests.heldGrants(Pool, D.Loop.now())) {
+  for (const HeldGrant &Grant : D.Requests.heldGrants(Pool, D.Loop.now())) {
     const TargetConfig *Target = D.Config.target(Grant.Target);
     if (Target && idOf<ZoneId>(Target->Zone) == Zone)
-      Report.Grants.push_back(std::move(Grant));
+      Report.Grants.push_back(Grant);
   }
   sendArbiter(D, Pool, Zone, std::move(Report));
 }
--- a/bench/slopes/main.cpp
+++ b/bench/slopes/main.cpp
@@ -8,5 +8,7 @@
   const int Runs = ArgCount > 1 ? std::atoi(Args[1]) : DefaultRuns;
   using namespace marjorambay::bench;
   printPoints(metricsSlopes(), Runs);
+  printPoints(peerSlopes(), Runs);
+  printPoints(rolloutSlopes(), Runs);
   return 0;
 }
--- a/bench/slopes/slopes.h
+++ b/bench/slopes/slopes.h
@@ -9,6 +9,8 @@
 namespace marjorambay::bench {
 
 std::vector<Slope> metricsSlopes();
+std::vector<Slope> peerSlopes();
+std::vector<Slope> rolloutSlopes();
 
 } // namespace marjorambay::bench
 
