--- a/tests/system/bench.py
+++ b/tests/system/bench.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import json
 import pathlib
 import sys
 
@@ -131,7 +132,28 @@
     return [host.stop() for host in fleet.hosts] == [0, 0]
 
 
+def points(runs):
+    """Prints processor time an answer at several lengths, as JSON lines."""
+    def point(name, size, value):
+        print(json.dumps({"name": name, "per": "stream event of an answer",
+                          "unit": "us", "size": size, "value": value}))
+
+    with bench_fleet(STREAM_TOKENS_PER_S) as fleet:
+        for direct in (True, False):
+            run(fleet, direct, 60, 1, 2, True)
+        for tokens in (8, 100, 304):
+            for _ in range(runs):
+                ours = run(fleet, False, 120, 4, tokens, True)
+                origin = ours.cpu[fleet.hosts[0].name]
+                arbiter = sum(ours.cpu.values()) - origin
+                point("origin_answer_micros", tokens, 1e6 * origin / ours.calls)
+                point("peer_answer_micros", tokens, 1e6 * arbiter / ours.calls)
+    return 0
+
+
 def main():
+    if "--points" in sys.argv:
+        return points(int(sys.argv[sys.argv.index("--points") + 1]))
     with bench_fleet(FAST_TOKENS_PER_S) as fleet:
         compare(fleet, "whole answers of 8 tokens at 60 requests/s",
                 (60, 4, 8, False))
