--- a/apps/marjorambayd/arbiter_side.cpp
+++ b/apps/marjorambayd/arbiter_side.cpp
@@ -2,6 +2,8 @@
 #include "actions.h"
 #include "sides.h"
 
+#include "marjorambay/coordination/rendezvous.h"
+
 #include <algorithm>
 
 namespace marjorambay {
@@ -9,6 +11,23 @@
 namespace {
 
 constexpr Duration ArbiterTick = milliseconds(100);
+/// Silence after a reservation; the origin sends it again after a second.
+constexpr Duration SilentAfter = milliseconds(900);
+
+/// Returns the host that probably arbitrates \p Pool in another zone. What is
+/// known of other zones lags by minutes, so hosts that left a reservation
+/// without an answer are passed over until they are heard of again.
+std::optional<HostId> remoteArbiter(const Daemon &D, PoolId Pool, ZoneId Zone) {
+  RendezvousChoice<HostId> Choice(number(Pool));
+  for (const auto &[Id, Peer] : D.Members.members()) {
+    const bool Serves = Peer.State == HostState::Live && !Peer.Draining;
+    if (Peer.Host.Zone == Zone && Serves && !D.SilentHosts.contains(Id))
+      Choice.consider(Id);
+  }
+  if (Choice.found())
+    return Choice.best();
+  return D.Members.arbiterOf(Pool, Zone);
+}
 
 /// Returns the zone whose arbiter a request of this host asks first: the own
 /// one, or else the first zone that has targets of the pool and a known host.
@@ -16,7 +35,7 @@
   if (!D.Config.targets(Pool, D.Self.Zone).empty())
     return ArbiterPlace{D.Self.Zone, D.Members.arbiterOf(Pool)};
   for (const ZoneId Zone : D.Config.zonesOfPool(Pool))
-    if (const auto Host = D.Members.arbiterOf(Pool, Zone))
+    if (const auto Host = remoteArbiter(D, Pool, Zone))
       return ArbiterPlace{Zone, *Host};
   return std::nullopt;
 }
@@ -24,7 +43,7 @@
 std::optional<HostId> arbiterIn(const Daemon &D, PoolId Pool, ZoneId Zone) {
   if (Zone == D.Self.Zone)
     return D.Members.arbiterOf(Pool);
-  return D.Members.arbiterOf(Pool, Zone);
+  return remoteArbiter(D, Pool, Zone);
 }
 
 TargetInfo infoOf(const Daemon &D, const TargetConfig &Target) {
@@ -79,10 +98,10 @@
   GrantsReported Report;
   Report.Origin = D.Self.Id;
   Report.OriginLife = D.Life;
-  for (HeldGrant &Grant : D.Requests.heldGrants(Pool, D.Loop.now())) {
+  for (const HeldGrant &Grant : D.Requests.heldGrants(Pool, D.Loop.now())) {
     const TargetConfig *Target = D.Config.target(Grant.Target);
     if (Target && idOf<ZoneId>(Target->Zone) == Zone)
-      Report.Grants.push_back(std::move(Grant));
+      Report.Grants.push_back(Grant);
   }
   sendArbiter(D, Pool, Zone, std::move(Report));
 }
@@ -115,12 +134,12 @@
     const auto &Refused = Call.RefusedIn;
     if (std::find(Refused.begin(), Refused.end(), Zone) != Refused.end())
       continue;
-    if (!D.Members.arbiterOf(Pool, Zone))
+    if (!remoteArbiter(D, Pool, Zone))
       continue;
     Call.ReservedIn = Zone;
     Reservation Again = Call.Asked;
     Again.Remaining = Call.Deadline - D.Loop.now();
-    return sendArbiter(D, Pool, Zone, SlotRequested{Again});
+    return reserve(D, Call, Again);
   }
   return false;
 }
@@ -194,6 +213,30 @@
   std::visit([&](const auto &Known) { take(D, Pool, Known, From); }, Action);
 }
 
+void noteUnanswered(Daemon &D, const CallerCall &Call, PoolId Pool) {
+  // Reservations are also sent again at once, when an arbiter has moved.
+  if (D.Loop.now() - Call.AskedAt < SilentAfter)
+    return;
+  const std::optional<HostId> Host = arbiterIn(D, Pool, Call.ReservedIn);
+  const bool Remote = Call.ReservedIn != D.Self.Zone;
+  if (!Remote || !Host || *Host != Call.AskedHost)
+    return;
+  const auto Heard = D.Senders.find(*Host);
+  if (Heard != D.Senders.end() && Heard->second.HeardAt >= Call.AskedAt)
+    return;
+  LogLine("arbiter_silent", LogLevel::Warning)
+      .with("host", static_cast<std::int64_t>(number(*Host)));
+  D.SilentHosts.insert(*Host);
+  reviewArbiters(D);
+}
+
+bool reserve(Daemon &D, CallerCall &Call, const Reservation &Request) {
+  const auto Host = arbiterIn(D, Request.Pool, Call.ReservedIn);
+  Call.AskedAt = D.Loop.now();
+  Call.AskedHost = Host.value_or(HostId{});
+  return sendArbiter(D, Request.Pool, Call.ReservedIn, SlotRequested{Request});
+}
+
 bool sendArbiter(Daemon &D, PoolId Pool, ZoneId Zone, ArbiterEvent Event) {
   const std::optional<HostId> Host = arbiterIn(D, Pool, Zone);
   if (!Host)
--- a/apps/marjorambayd/daemon.h
+++ b/apps/marjorambayd/daemon.h
@@ -67,7 +67,10 @@
   TimePoint Deadline{};
   bool CallerHere = true;
   // Of its reservation.
-  Reservation Asked{};             ///< as last sent
+  Reservation Asked{}; ///< as last sent
+  std::uint32_t AskedAttempt = 0;
+  HostId AskedHost{};              ///< arbiter that it was last sent to
+  TimePoint AskedAt{};             ///< when it was last sent; 0: never
   ZoneId ReservedIn{};             ///< zone of the arbiter that holds it
   std::vector<ZoneId> RefusedIn{}; ///< zones whose arbiters are full
   // Of its intent, when it is not idempotent.
@@ -123,6 +126,12 @@
   auto operator<=>(const ArbiterPlace &) const = default;
 };
 
+/// A host whose envelopes arrive, and when the last one did.
+struct HeardSender {
+  PeerSender Sender{};
+  TimePoint HeardAt{};
+};
+
 /// Everything. Made once by main(); parts get it by reference.
 struct Daemon {
   explicit Daemon(HostSettings Given);
@@ -167,7 +176,9 @@
   std::unordered_map<ExchangeId, RequestId> ByExchange{};
 
   // Other hosts.
-  std::unordered_map<HostId, PeerSender> Senders{}; ///< by their envelopes
+  std::unordered_map<HostId, HeardSender> Senders{}; ///< by their envelopes
+  std::unordered_set<HostId>
+      SilentHosts{}; ///< of other zones; see arbiter_side
   std::unordered_map<std::string, EnvelopeWriter> Outgoing{}; ///< by address
   std::map<PoolId, ArbiterPlace> ArbiterOf{}; ///< as last told to the origin
 
--- a/apps/marjorambayd/peer_side.cpp
+++ b/apps/marjorambayd/peer_side.cpp
@@ -24,14 +24,34 @@
 void noteSender(Daemon &D, const PeerSender &Sender) {
   if (D.Senders.size() >= MaxSenders && !D.Senders.contains(Sender.Id))
     D.Senders.clear();
-  PeerSender &Known = D.Senders[Sender.Id];
-  if (Known.Life <= Sender.Life)
-    Known = Sender;
+  HeardSender &Known = D.Senders[Sender.Id];
+  if (Known.Sender.Life > Sender.Life)
+    return;
+  Known = {Sender, D.Loop.now()};
+  if (D.SilentHosts.erase(Sender.Id) != 0)
+    reviewArbiters(D);
 }
 
 // ---- What arrives -----------------------------------------------------------
 
-void receive(Daemon &D, ArbiterMessage Message, const PeerSender & /*From*/) {
+/// Sends an envelope to \p Address in this turn, be it an empty one.
+void touchPeer(Daemon &D, const std::string &Address) {
+  if (D.Outgoing.empty())
+    D.Loop.defer([&D]() { flushPeers(D); });
+  D.Outgoing.try_emplace(Address);
+}
+
+bool isZoneMate(const Daemon &D, HostId Id) {
+  const Member *Peer = D.Members.member(Id);
+  return Peer && Peer->Host.Zone == D.Self.Zone;
+}
+
+void receive(Daemon &D, ArbiterMessage Message, const PeerSender &From) {
+  // Hosts of other zones hear too little of this one to know that it lives
+  // while their reservation waits.
+  if (std::holds_alternative<SlotRequested>(Message.Event) &&
+      !isZoneMate(D, From.Id))
+    touchPeer(D, From.Address);
   // Without a configuration there are no targets to grant.
   if (D.Config.pool(Message.Pool))
     post(D, ArbiterInput{Message.Pool, std::move(Message.Event)});
@@ -96,15 +116,14 @@
 
 void sendPeer(Daemon &D, const std::string &Address,
               const PeerMessage &Message) {
-  if (D.Outgoing.empty())
-    D.Loop.defer([&D]() { flushPeers(D); });
+  touchPeer(D, Address);
   D.Outgoing[Address].add(Message);
 }
 
 void sendHost(Daemon &D, HostId To, const PeerMessage &Message) {
   const auto Heard = D.Senders.find(To);
   if (Heard != D.Senders.end()) {
-    sendPeer(D, Heard->second.Address, Message);
+    sendPeer(D, Heard->second.Sender.Address, Message);
     return;
   }
   if (const Member *Peer = D.Members.member(To))
@@ -128,15 +147,16 @@
   const auto Found = D.Calls.find(Request.Key.Id);
   if (Found == D.Calls.end())
     return;
-  const auto Place = D.ArbiterOf.find(Request.Pool);
   CallerCall &Call = Found->second;
+  if (Call.AskedAt != TimePoint{} && Call.Attempt == Call.AskedAttempt)
+    noteUnanswered(D, Call, Request.Pool);
+  Call.AskedAttempt = Call.Attempt;
   Call.Asked = Request;
+  const auto Place = D.ArbiterOf.find(Request.Pool);
   const bool Spilled = !Call.RefusedIn.empty();
   if (!Spilled && Place != D.ArbiterOf.end())
     Call.ReservedIn = Place->second.Zone;
-  const bool Sent =
-      Place != D.ArbiterOf.end() &&
-      sendArbiter(D, Request.Pool, Call.ReservedIn, SlotRequested{Request});
+  const bool Sent = Place != D.ArbiterOf.end() && reserve(D, Call, Request);
   if (!Sent)
     post(D, OriginEvent(SlotRefused{Call.Id, ErrorKind::NoTarget, seconds(1)}));
 }
--- a/apps/marjorambayd/sides.h
+++ b/apps/marjorambayd/sides.h
@@ -38,6 +38,10 @@
 /// Hands a word to the arbiter of \p Pool in \p Zone, here or at a peer. False:
 /// no host of that zone is known.
 bool sendArbiter(Daemon &D, PoolId Pool, ZoneId Zone, ArbiterEvent Event);
+/// Sends a reservation to the arbiter of the zone in Call.ReservedIn.
+bool reserve(Daemon &D, CallerCall &Call, const Reservation &Request);
+/// Notes that a reservation got no answer for so long that it is sent again.
+void noteUnanswered(Daemon &D, const CallerCall &Call, PoolId Pool);
 /// Handles what an arbiter has decided on a request of this host.
 void takeDecision(Daemon &D, PoolId Pool, const ArbiterAction &Action,
                   HostId From);
