Judge a remote arbiter silent after 300 ms, also when its caller gives up

Cause: requests with a deadline below the 1 s of the origin's resend were never sent again, so the silent arbiter was never noticed. Ruled out: the choice of the next host, which the log never reached. Change: giving a reservation up counts too, and 300 ms without the acknowledgement are enough. Before: failures_test DeathTest, every zone turns away, failed for SIGSTOP and SIGKILL. After: DeathTest 3 tests pass in 23.5 s.

--- a/apps/marjorambayd/arbiter_side.cpp
+++ b/apps/marjorambayd/arbiter_side.cpp
@@ -11,8 +11,8 @@
 namespace {
 
 constexpr Duration ArbiterTick = milliseconds(100);
-/// Silence after a reservation; the origin sends it again after a second.
-constexpr Duration SilentAfter = milliseconds(900);
+/// Silence after a reservation, which a live host acknowledges within a turn.
+constexpr Duration SilentAfter = milliseconds(300);
 
 /// Returns the host that probably arbitrates \p Pool in another zone. What is
 /// known of other zones lags by minutes, so hosts that left a reservation
--- a/apps/marjorambayd/peer_side.cpp
+++ b/apps/marjorambayd/peer_side.cpp
@@ -162,6 +162,9 @@
 }
 
 void performOrigin(Daemon &D, const CancelSlotRequest &Action) {
+  const auto Found = D.Calls.find(Action.Id);
+  if (Found != D.Calls.end())
+    noteUnanswered(D, Found->second, Action.Pool);
   sendArbiter(D, Action.Pool, zoneOf(D, Action.Id),
               SlotRequestCancelled{keyOf(D, Action.Id)});
 }
--- a/apps/marjorambayd/sides.h
+++ b/apps/marjorambayd/sides.h
@@ -40,7 +40,8 @@
 bool sendArbiter(Daemon &D, PoolId Pool, ZoneId Zone, ArbiterEvent Event);
 /// Sends a reservation to the arbiter of the zone in Call.ReservedIn.
 bool reserve(Daemon &D, CallerCall &Call, const Reservation &Request);
-/// Notes that a reservation got no answer for so long that it is sent again.
+/// Notes a reservation that is sent again or given up. If its arbiter gave no
+/// sign of life for long, that host is passed over.
 void noteUnanswered(Daemon &D, const CallerCall &Call, PoolId Pool);
 /// Handles what an arbiter has decided on a request of this host.
 void takeDecision(Daemon &D, PoolId Pool, const ArbiterAction &Action,
