Tell other zones of a host that fell silent

Cause: hosts of another zone took a dead or frozen host for live until 120 s had passed, and kept sending it reservations for pools that only its zone serves: deadline_passed for more than 14 s after SIGSTOP and SIGKILL in failures_test.py. Zone mates knew after 0.5 s, and told others of live hosts only. Ruled out: a shorter RemoteLostAfter, since links are rare in a large fleet and silence alone would then suspect whole zones; a new field of KnownHost, since the age that it carries says it already. Change: links name the mate that fell silent last; a host that has not heard it either suspects it, so that it arbitrates nothing, until it is heard again. Lost stays at 120 s. ZoneViewChanged now also tells of other zones, so that waiting reservations move.

--- a/packages/coordination/marjorambay/coordination/membership.h
+++ b/packages/coordination/marjorambay/coordination/membership.h
@@ -125,7 +125,8 @@
   HostId Host{};
   Incarnation Life{}; ///< lives up to this one are gone
 };
-/// A pool's arbiter in the own zone may have changed: ask arbiterOf() again.
+/// A pool's arbiter, here or in another zone, may have changed: ask
+/// arbiterOf().
 struct ZoneViewChanged {};
 /// A target is leaving, or is back in a newer life (Sign.Back).
 struct LearnedLeaving {
@@ -268,7 +269,9 @@
   enum class Admission : std::uint8_t { Refused, Known, Joined };
   Admission admitSender(const Heartbeat &Beat, TimePoint Now);
   void joinSender(Member &Peer, const Heartbeat &Beat, TimePoint Now);
-  void learnKnown(const std::vector<KnownHost> &Known, TimePoint Now);
+  void learnKnown(const Heartbeat &Beat, TimePoint Now);
+  bool isSilent(Duration Silence) const;
+  void suspectRemote(const KnownHost &Known, TimePoint Now);
   void learnRemote(const KnownHost &Known, TimePoint Now);
   void offerCandidate(const HostInfo &Host);
   bool learnSign(const LeavingTarget &Sign);
@@ -295,6 +298,7 @@
   void addRelays(Heartbeat &Beat, TimePoint Now) const;
   static KnownHost knownAs(const Member &Peer, TimePoint Now);
   void addZoneMates(Heartbeat &Beat, std::size_t Count, TimePoint Now);
+  const Member *newestSilentMate(TimePoint Now) const;
   void send(const HostInfo &To, Heartbeat Beat);
   std::optional<HostId> chooseIn(ZoneId Zone, std::uint64_t Key) const;
   std::optional<HostId> chooseIn(ZoneId Zone, std::uint64_t Key,
--- a/packages/coordination/src/membership.cpp
+++ b/packages/coordination/src/membership.cpp
@@ -124,7 +124,7 @@
   if (Admitted == Admission::Refused)
     return;
   learnSigns(Beat);
-  learnKnown(Beat.Known, Now);
+  learnKnown(Beat, Now);
   if (Beat.ConfigRevision > ConfigRevision)
     Out.emplace_back(NewerRevisionSeen{Beat.Sender.Id, Beat.ConfigRevision});
   answerIfBehind(Beat, Admitted == Admission::Joined, Now);
@@ -157,7 +157,7 @@
   Candidates.erase(Id);
   if (!inOwnZone(Peer.Host))
     Relays.push_back(Id);
-  else if (ViewChanges)
+  if (ViewChanges)
     Out.emplace_back(ZoneViewChanged{});
   return Joined ? Admission::Joined : Admission::Known;
 }
@@ -185,18 +185,37 @@
 }
 
 template <RandomSource Random>
-void BasicMembership<Random>::learnKnown(const std::vector<KnownHost> &Known,
-                                         TimePoint Now) {
-  for (const KnownHost &Entry : Known) {
+void BasicMembership<Random>::learnKnown(const Heartbeat &Beat, TimePoint Now) {
+  for (const KnownHost &Entry : Beat.Known) {
     if (isSelf(Entry.Host.Id))
       continue;
     if (inOwnZone(Entry.Host))
       offerCandidate(Entry.Host); // believed once it is heard itself
+    else if (Entry.Host.Zone == Beat.Sender.Zone && isSilent(Entry.Age))
+      suspectRemote(Entry, Now);
     else
       learnRemote(Entry, Now);
   }
 }
 
+template <RandomSource Random>
+bool BasicMembership<Random>::isSilent(Duration Silence) const {
+  return Silence >= Settings.HeartbeatInterval * Settings.MissedToSuspect;
+}
+
+/// A zone mate of a remote host misses its heartbeats, and none came here
+/// either: it arbitrates nothing until it is heard again.
+template <RandomSource Random>
+void BasicMembership<Random>::suspectRemote(const KnownHost &Known,
+                                            TimePoint Now) {
+  const auto Found = Members.find(Known.Host.Id);
+  if (Found == Members.end() || Found->second.Life != Known.Life)
+    return;
+  Member &Peer = Found->second;
+  if (Peer.State == HostState::Live && isSilent(Now - Peer.LastHeard))
+    setState(Peer, HostState::Suspect);
+}
+
 template <RandomSource Random>
 void BasicMembership<Random>::learnRemote(const KnownHost &Known,
                                           TimePoint Now) {
@@ -217,7 +236,7 @@
   if (NewLife)
     Peer = Member{.Host = Known.Host, .Life = Known.Life};
   Peer.Host = Known.Host;
-  Peer.State = HostState::Live;
+  setState(Peer, HostState::Live);
   Peer.Draining = Known.Draining;
   Peer.ConfigRevision = std::max(Peer.ConfigRevision, Known.ConfigRevision);
   Peer.LastHeard = Heard;
@@ -465,8 +484,9 @@
   Peer.State = State;
   if (State == HostState::Lost)
     Out.emplace_back(HostLost{Peer.Host.Id, Peer.Life});
-  if (inOwnZone(Peer.Host))
-    Out.emplace_back(ZoneViewChanged{});
+  if (State == HostState::Suspect && inOwnZone(Peer.Host))
+    HasNews = true; // other zones turn away from it, too
+  Out.emplace_back(ZoneViewChanged{});
 }
 
 template <RandomSource Random>
@@ -630,10 +650,14 @@
   }
 }
 
-/// Adds hosts of the own zone, in rotation.
+/// Adds hosts of the own zone: one that fell silent, then others in rotation.
 template <RandomSource Random>
 void BasicMembership<Random>::addZoneMates(Heartbeat &Beat, std::size_t Count,
                                            TimePoint Now) {
+  if (const Member *Silent = newestSilentMate(Now); Silent && Count > 0) {
+    Beat.Known.push_back(knownAs(*Silent, Now));
+    --Count;
+  }
   auto Next = Members.upper_bound(KnownCursor);
   for (std::size_t Seen = 0; Seen < Members.size() && Count > 0; ++Seen) {
     if (Next == Members.end())
@@ -647,6 +671,21 @@
   }
 }
 
+/// Returns the zone mate that fell silent last, within the time in which other
+/// zones may still take it for alive, or null.
+template <RandomSource Random>
+const Member *BasicMembership<Random>::newestSilentMate(TimePoint Now) const {
+  const Member *Newest = nullptr;
+  for (const auto &[Id, Peer] : Members) {
+    if (!inOwnZone(Peer.Host) || Peer.State == HostState::Live ||
+        Now - Peer.LastHeard >= Settings.RemoteLostAfter)
+      continue;
+    if (!Newest || Peer.LastHeard > Newest->LastHeard)
+      Newest = &Peer;
+  }
+  return Newest;
+}
+
 template <RandomSource Random>
 void BasicMembership<Random>::send(const HostInfo &To, Heartbeat Beat) {
   Beat.Sequence = ++Sequence;
--- a/packages/coordination/tests/membership_test.cpp
+++ b/packages/coordination/tests/membership_test.cpp
@@ -85,6 +85,27 @@
       }));
     }
   }
+  SUBCASE("an arbiter that freezes is passed over in the other zones, too") {
+    const std::size_t Arbiter = Fleet.indexOf(ArbiterSeenBy(0));
+    const ZoneId Zone = Fleet.host(Arbiter).Info.Zone;
+    const HostId MateId = Fleet.host(1 - Arbiter).Info.Id;
+    const HostId ArbiterId = Fleet.host(Arbiter).Info.Id;
+    const auto PassedOver = [&](HostId Chosen) {
+      return [&, Chosen] {
+        bool All = true;
+        for (std::size_t Index = 2; Index < 8; ++Index)
+          All =
+              All && Fleet.host(Index).Members->arbiterOf(Pool, Zone) == Chosen;
+        return All;
+      };
+    };
+    Fleet.pause(Arbiter);
+    CHECK(Within(seconds(15), PassedOver(MateId)));
+    Fleet.run(seconds(20));
+    CHECK(PassedOver(MateId)());
+    Fleet.resume(Arbiter);
+    CHECK(Within(seconds(15), PassedOver(ArbiterId)));
+  }
   SUBCASE("a host that drains hands over at once, and stays a member") {
     const std::size_t Arbiter = Fleet.indexOf(ArbiterSeenBy(0));
     const std::size_t Mate = 1 - Arbiter;
