--- a/packages/coordination/marjorambay/coordination/intent_codec.h
+++ b/packages/coordination/marjorambay/coordination/intent_codec.h
@@ -51,7 +51,8 @@
   HostId Writer{};
   Incarnation Life{};
   std::uint64_t Number = 0;
-  auto operator<=>(const WriteId &) const = default;
+  // clang-tidy 14 reports the names that the compiler invents here.
+  auto operator<=>(const WriteId &) const = default; // NOLINT
 };
 
 /// What one conditional update added.
--- a/packages/coordination/marjorambay/coordination/origin.h
+++ b/packages/coordination/marjorambay/coordination/origin.h
@@ -48,7 +48,8 @@
 struct KeyHash {
   std::uint64_t High = 0;
   std::uint64_t Low = 0;
-  auto operator<=>(const KeyHash &) const = default;
+  // clang-tidy 14 reports the names that the compiler invents here.
+  auto operator<=>(const KeyHash &) const = default; // NOLINT
 };
 
 } // namespace marjorambay
--- a/packages/coordination/src/intent_log.cpp
+++ b/packages/coordination/src/intent_log.cpp
@@ -451,15 +451,15 @@
     return;
   WriteBudget.borrow(Now);
   const IntentBatch &Batch = Next.Batch;
-  const auto encode = [&](bool Seal) {
+  const auto Encode = [&](bool Seal) {
     return Held.TailBytes.empty()
                ? encodeSegment({Held.Id, Held.Tail, Seal, {Batch}})
                : appendBatch(Held.TailBytes, Batch, Seal);
   };
-  Next.Bytes = encode(false);
+  Next.Bytes = Encode(false);
   Next.Sealed = Next.Bytes.size() >= Settings.SegmentBytes;
   if (Next.Sealed)
-    Next.Bytes = encode(true);
+    Next.Bytes = Encode(true);
   Held.Writing = std::move(Next);
   sendAppend(Held);
 }
@@ -702,12 +702,12 @@
     Held.Index.expire(oldestKept());
     Due.push_back(&Held);
   }
-  const auto waitsSince = [](const Shard &Held) {
+  const auto WaitsSince = [](const Shard &Held) {
     return Held.Intents.empty() ? TimePoint::max()
                                 : Held.Intents.front().Deadline;
   };
   std::sort(Due.begin(), Due.end(), [&](const Shard *A, const Shard *B) {
-    return std::pair(waitsSince(*A), A->Id) < std::pair(waitsSince(*B), B->Id);
+    return std::pair(WaitsSince(*A), A->Id) < std::pair(WaitsSince(*B), B->Id);
   });
   for (Shard *Held : Due)
     advance(*Held);
--- a/packages/state/marjorambay/state/ids.h
+++ b/packages/state/marjorambay/state/ids.h
@@ -59,7 +59,8 @@
   Incarnation OriginLife{}; ///< that host's incarnation
   RequestId Id{};           ///< counts up within the incarnation
 
-  auto operator<=>(const RequestKey &) const = default;
+  // clang-tidy 14 reports the names that the compiler invents here.
+  auto operator<=>(const RequestKey &) const = default; // NOLINT
 };
 
 /// Returns "origin-incarnation-id" in hexadecimal, as callers and logs see it.
--- a/tests/matrix/fault_matrix/world.h
+++ b/tests/matrix/fault_matrix/world.h
@@ -256,7 +256,7 @@
 
   void deliver(Delivery Due) {
     if (pausedUntil(Due.To) > Now)
-      return putOff(std::move(Due), pausedUntil(Due.To));
+      return putOff(Due, pausedUntil(Due.To));
     if (Due.Kind == Link::Command && !Hosts[Due.To].Alive)
       return putOff(std::move(Due), Now + milliseconds(100));
     if (Due.Kind == Link::TargetAnswer && pausedUntil(Due.From) > Now)
@@ -306,27 +306,27 @@
 
   static FaultSet fits(const Delivery &Due) {
     FaultSet Set;
-    const auto add = [&Set](std::initializer_list<Fault> Kinds) {
+    const auto Add = [&Set](std::initializer_list<Fault> Kinds) {
       for (const Fault Kind : Kinds)
         Set.set(bit(Kind));
     };
-    add({Fault::CutZones, Fault::PlatformDown, Fault::OperatorRace});
+    Add({Fault::CutZones, Fault::PlatformDown, Fault::OperatorRace});
     if (Due.To != PlatformNode)
-      add({Fault::Crash, Fault::Pause});
+      Add({Fault::Crash, Fault::Pause});
     if (Due.To < HostCount)
-      add({Fault::FreezeBeforeWrite});
+      Add({Fault::FreezeBeforeWrite});
     if (Due.Kind == Link::Command)
       return Set;
-    add({Fault::Drop, Fault::ShortDelay, Fault::LongDelay});
+    Add({Fault::Drop, Fault::ShortDelay, Fault::LongDelay});
     if (Due.Kind == Link::Peer || Due.Kind == Link::PlatformRead ||
         Due.Kind == Link::PlatformWrite || Due.Kind == Link::PlatformAnswer)
-      add({Fault::Duplicate, Fault::Reorder});
+      Add({Fault::Duplicate, Fault::Reorder});
     if (Due.Kind == Link::PlatformWrite)
-      add({Fault::LostAnswer});
+      Add({Fault::LostAnswer});
     if (Due.Kind == Link::PlatformRead)
-      add({Fault::StaleRead});
+      Add({Fault::StaleRead});
     if (Due.Kind == Link::TargetRun)
-      add({Fault::SlowTarget, Fault::BadVersion, Fault::LeavingTarget});
+      Add({Fault::SlowTarget, Fault::BadVersion, Fault::LeavingTarget});
     return Set;
   }
 
@@ -675,7 +675,8 @@
       return;
     }
     for (const auto &Action : Todo)
-      std::visit([this, At](const auto &Known) { act(At, Known); }, Action);
+      std::visit([this, At](const auto &Known) { this->act(At, Known); },
+                 Action);
   }
   void stepOrigin(Node At, const OriginEvent &Event) {
     perform(At, Hosts[At].Origin->step(Event, Now));
@@ -904,7 +905,7 @@
     Part.What = std::move(What);
     Part.Key = Key;
     Part.Attempt = Attempt;
-    Part.Run = [this, At, Place, Key, Attempt, Make] {
+    Part.Run = [this, At, Key, Attempt, Make] {
       if (connected(At, Key, Attempt) && !Hosts[At].Open.at(Key.Id).Broken)
         finishAnswer(At, Key, Make());
     };
