--- a/packages/coordination/marjorambay/coordination.h
+++ b/packages/coordination/marjorambay/coordination.h
@@ -4,8 +4,13 @@
 /// [SECTION] Index
 ///   1. coordination/requests.h     values exchanged about requests
 ///   2. coordination/origin.h       one caller's request, dispatched once
+///        retry_budget.h            retries as a share of requests
+///        local_share.h             slots while no arbiter is in reach
 ///   3. coordination/arbiter.h      slots of one pool in one zone
 ///   4. coordination/idempotency.h  intents of non-idempotent calls
+///        intent_codec.h            bytes of a segment of intents
+///        intent_index.h            what a holder knows of its keys
+///        token_bucket.h            budget of platform writes
 ///   5. coordination/membership.h   live hosts, arbiters, spreading of signs
 ///   6. coordination/config_sync.h  one configuration revision for all
 #ifndef MARJORAMBAY_COORDINATION_H
