Forget targets that are unlisted and hold no slots

Change: setTargets() drops entries that are neither listed nor hold slots; one that comes back later is learned anew. A test covers both. Lambda names follow the linter.

Conclusion: memory is bounded by what is listed and what is in flight.

--- a/packages/coordination/marjorambay/coordination/target_table.h
+++ b/packages/coordination/marjorambay/coordination/target_table.h
@@ -98,6 +98,7 @@
   double expectedSeconds(TargetId Target, const TokenCost &Cost,
                          TimePoint Now) const;
 
+  std::size_t size() const { return Entries.size(); }
   std::uint32_t inFlight(TargetId Target) const;
   std::uint32_t limit(TargetId Target, TimePoint Now) const;
 
@@ -125,6 +126,7 @@
     double AloneStep = 0;
   };
 
+  void forgetUnlisted();
   void learnFirstProgress(Entry &Each, const Slot &Held, std::uint32_t Tokens,
                           TimePoint Now);
   bool available(const Entry &Each, const VersionShare &Shares) const;
--- a/packages/coordination/src/target_table.cpp
+++ b/packages/coordination/src/target_table.cpp
@@ -34,8 +34,18 @@
     Each.Listed = true;
     Each.Model.configure(Info.TokensPerSecond, Info.MaxRequestsInFlight);
   }
-  for (Entry &Each : Entries)
-    Each.Left = Each.Left && Each.Listed;
+  forgetUnlisted();
+}
+
+void TargetTable::forgetUnlisted() {
+  std::erase_if(Entries, [](const Entry &Each) {
+    return !Each.Listed && Each.InFlight == 0;
+  });
+  Places.clear();
+  for (std::size_t Place = 0; Place < Entries.size(); ++Place) {
+    Entries[Place].Left = Entries[Place].Left && Entries[Place].Listed;
+    Places.emplace(Entries[Place].Info.Id, Place);
+  }
 }
 
 void TargetTable::markLeft(TargetId Target, Incarnation Life) {
--- a/packages/coordination/tests/arbiter_test.cpp
+++ b/packages/coordination/tests/arbiter_test.cpp
@@ -147,6 +147,18 @@
     CHECK(Policy.targets().inFlight(target("w1")) == 4);
     CHECK(Policy.targets().inFlight(target("w2")) == 6);
   }
+  SUBCASE("remembers an unlisted one only while it holds slots") {
+    Policy.step(TargetsChanged{{worker("w1", 4), worker("w2", 4)}}, Start);
+    const Ids Held = ask(Policy, 1, 5, Start);
+    REQUIRE(Held.size() == 5);
+    Policy.step(TargetsChanged{{worker("w3", 4)}}, Start);
+    CHECK(Policy.targets().size() == 3);
+    for (const std::uint64_t Id : Held)
+      Policy.step(SlotReleased{key(Id), {}}, Start);
+    Policy.step(TargetsChanged{{worker("w3", 4)}}, Start);
+    CHECK(Policy.targets().size() == 1);
+    CHECK(ask(Policy, 10, 9, Start).size() == 4);
+  }
   SUBCASE("counts what a late report shows of others") {
     Policy.step(TargetsChanged{{worker("w1", 8)}}, Start);
     LoadReported Report;
--- a/packages/coordination/tests/target_model_test.cpp
+++ b/packages/coordination/tests/target_model_test.cpp
@@ -17,20 +17,20 @@
   TargetModel Model;
   Model.configure(1000, 32);
   Duration Now = seconds(0);
-  const auto feed = [&](double StepSeconds, int Samples) {
+  const auto Feed = [&](double StepSeconds, int Samples) {
     for (int Sample = 0; Sample < Samples; ++Sample) {
       Now += milliseconds(500);
       Model.learnDecode(10, fromSeconds(10 * StepSeconds), 20, at(Now));
     }
   };
-  feed(0.010, 40);
+  Feed(0.010, 40);
 
   SUBCASE("from what streams get, not from the first guess") {
     CHECK(Model.stepSeconds(20, at(Now)) == doctest::Approx(0.010));
     CHECK(Model.requestLimit(at(Now)) == 32);
   }
   SUBCASE("a slowdown to a fifth shows, and cuts the limit in proportion") {
-    feed(0.050, 20);
+    Feed(0.050, 20);
     CHECK(Model.slowdown(at(Now)) > 4);
     CHECK(Model.requestLimit(at(Now)) <= 8);
 
@@ -39,12 +39,12 @@
       CHECK(Model.requestLimit(at(Now + minutes(5))) == 32);
     }
     SUBCASE("and is over once samples are quick again") {
-      feed(0.010, 30);
+      Feed(0.010, 30);
       CHECK(Model.requestLimit(at(Now)) == 32);
     }
   }
   SUBCASE("one wild sample moves little") {
-    feed(10, 1);
+    Feed(10, 1);
     CHECK(Model.stepSeconds(20, at(Now)) < 0.03);
   }
 }
@@ -54,7 +54,7 @@
   Model.configure(1000, 32);
   Duration Now = seconds(0);
   // Up to 8 streams wait 20 ms for their first token, more wait for a slot.
-  const auto serve = [&](int Samples) {
+  const auto Serve = [&](int Samples) {
     for (int Sample = 0; Sample < Samples; ++Sample) {
       Now += milliseconds(200);
       const double Streams = Model.requestLimit(at(Now));
@@ -64,7 +64,7 @@
     }
   };
   Model.learnQueueing(milliseconds(20), 0, 1, at(Now));
-  serve(200);
+  Serve(200);
 
   SUBCASE("is held to what it runs at once") {
     CHECK(Model.requestLimit(at(Now)) <= 9);
