Put configuration, signs and trips through the fault matrix

Cause: the invariants on configuration and leaving targets had tests of their own but no fault at every step, and no naive version that breaks them. Change: a scenario of eight hosts in four zones, half a second a step: three proposals, a sign, a trip; crash, freeze, loss, delays, duplicates, crossing, cuts, platform down, lost answer, lagging reads, racing operators; six invariants. Naive: last write wins with a time-out taken for a refusal, and signs sent once and forgotten by a timer.

--- a/tests/matrix/fault_matrix/main.cpp
+++ b/tests/matrix/fault_matrix/main.cpp
@@ -3,6 +3,7 @@
 /// fault_matrix [--seed N] [--quick] [--naive] [--replay SCENARIO
 /// FAULT@STEP...] Exit code 0: nothing broken (with --naive: every invariant
 /// was broken by some naive version), 1 otherwise, 2 for bad usage.
+#include "fleet_scenarios.h"
 #include "matrix.h"
 #include "request_scenarios.h"
 
@@ -144,18 +145,31 @@
               All, Sum.Pairs, Sum.PairsMissed);
 }
 
+std::vector<Model> ourModels() { return {requestModel(), fleetModel()}; }
+
+std::vector<Model> naiveModels() {
+  std::vector<Model> Versions = naiveRequestModels();
+  for (Model &Version : naiveFleetModels())
+    Versions.push_back(std::move(Version));
+  return Versions;
+}
+
 int runOurs(const Options &Wanted) {
-  const Model Ours = requestModel();
-  const Tally Sum = Runner(Wanted).run(Ours);
-  printCells(Sum);
+  std::size_t Failures = 0;
+  for (const Model &Ours : ourModels()) {
+    const Tally Sum = Runner(Wanted).run(Ours);
+    std::printf("%s\n", Ours.Name.c_str());
+    printCells(Sum);
+    Failures += Sum.Failures;
+  }
   std::printf("seed %llu: %zu of the cells failed\n",
-              static_cast<unsigned long long>(Wanted.Seed), Sum.Failures);
-  return Sum.Failures == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+              static_cast<unsigned long long>(Wanted.Seed), Failures);
+  return Failures == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
 int runNaive(const Options &Wanted) {
   std::map<Invariant, std::string> Rejected;
-  for (const Model &Version : naiveRequestModels()) {
+  for (const Model &Version : naiveModels()) {
     const Tally Sum = Runner(Wanted).run(Version);
     std::printf("%s: %zu cells failed\n", Version.Name.c_str(), Sum.Failures);
     for (const auto &[Broken, Where] : Sum.FirstBreak) {
@@ -188,9 +202,8 @@
 
 /// Prints each step of one cell.
 int replay(const Options &Wanted) {
-  std::vector<Model> Versions = naiveRequestModels();
-  if (!Wanted.Naive)
-    Versions = {requestModel()};
+  const std::vector<Model> Versions =
+      Wanted.Naive ? naiveModels() : ourModels();
   std::vector<Injection> Faults;
   for (std::size_t Row = 1; Row < Wanted.Replay.size(); ++Row) {
     const std::optional<Injection> Parsed = parseInjection(Wanted.Replay[Row]);
--- a/tests/matrix/fault_matrix/matrix.h
+++ b/tests/matrix/fault_matrix/matrix.h
@@ -54,8 +54,14 @@
   StopCutsNothing,
   DispatchInTime, ///< no first byte after the request's deadline
   Completes,      ///< without a fault, every request succeeds
+  RevisionRises,  ///< on each host, for as long as it lives
+  AcceptedStands, ///< an accepted change overwrote nothing that was not read
+  RefusedIsOut,   ///< what was told as not accepted is in force nowhere
+  InForceSoon,    ///< on every reachable host within 5 s
+  SignSpreads,    ///< a leaving target is known everywhere within 3 s
+  TripStays,      ///< a trip that a host knew is never undone
 };
-inline constexpr std::size_t InvariantCount = 11;
+inline constexpr std::size_t InvariantCount = 17;
 
 struct StepInfo {
   std::string What{};
@@ -110,7 +116,8 @@
         {"dispatch-once", "whole-answer", "not-run-is-true", "apply-once",
          "replay-is-true", "answered-in-time", "tier-order",
          "leaving-target-idle", "stop-cuts-nothing", "dispatch-in-time",
-         "completes"});
+         "completes", "revision-rises", "accepted-stands", "refused-is-out",
+         "in-force-soon", "sign-spreads", "trip-stays"});
 static_assert(NamesOf<matrix::Invariant>.size() == matrix::InvariantCount);
 } // namespace marjorambay
 
--- a/tests/support/fake_fleet.cpp
+++ b/tests/support/fake_fleet.cpp
@@ -61,7 +61,7 @@
   ++Reads;
   if (!Up)
     return {Wanted.Call, false};
-  const auto &Shown = Stale ? Frozen : Objects;
+  const auto &Shown = shown();
   const auto Found = Shown.find(Wanted.Name);
   if (Found == Shown.end())
     return {Wanted.Call, true, false};
@@ -77,8 +77,10 @@
     return {Wanted.Call, WriteVerdict::Unknown};
   }
   Object &Target = Objects[Wanted.Name];
-  if (Target.Version != Wanted.IfVersion)
+  if (Target.Version != Wanted.IfVersion && Wanted.IfVersion != AnyVersion)
     return {Wanted.Call, WriteVerdict::Conflict, Target.Version};
+  if (Target.Version > 0)
+    Before[Wanted.Name] = Target;
   ++Target.Version;
   Target.Bytes = Wanted.Bytes;
   if (LoseAnswers > 0) {
@@ -90,8 +92,14 @@
   return {Wanted.Call, WriteVerdict::Stood, Target.Version};
 }
 
+const std::map<std::string, FakePlatform::Object> &FakePlatform::shown() const {
+  if (Lags)
+    return Before;
+  return Stale ? Frozen : Objects;
+}
+
 ObjectVersion FakePlatform::versionOf(const std::string &Name) const {
-  const auto &Shown = Stale ? Frozen : Objects;
+  const auto &Shown = shown();
   const auto Found = Shown.find(Name);
   return Found == Shown.end() ? 0 : Found->second.Version;
 }
@@ -140,7 +148,7 @@
   Sync.Self = Host.Info.Id;
   Sync.Life = Host.Life;
   Sync.Codec = fakeManifestCodec();
-  Host.Config = std::make_unique<ConfigSync>(Sync);
+  Host.Config = Options.MakeConfig(Sync);
   assignWatcher(Index);
   const Duration Phase = Duration(Random.next() % Tick.count());
   const Incarnation Life = Host.Life;
@@ -234,16 +242,18 @@
 
 /// Messages to a paused host wait for it, as bytes in its sockets do.
 void FakeFleet::deliver(std::size_t From, std::size_t To,
-                        std::function<void()> Act) {
+                        std::function<void()> Act) { // NOLINT: copied twice
   if (!reaches(From, To) || drawLoss())
     return;
   const bool Near = Hosts[From].Info.Region == Hosts[To].Info.Region;
-  const Duration Delay = Near ? milliseconds(1) : milliseconds(40);
-  schedule(To, Delay + Duration(Random.next() % 1000),
-           [this, To, Act = std::move(Act)] {
-             if (Hosts[To].Up && !Hosts[To].Paused)
-               Act();
-           });
+  const auto Jitter = static_cast<std::uint64_t>(ExtraJitter.count()) + 1000;
+  const Duration Delay =
+      (Near ? milliseconds(1) : milliseconds(40)) + ExtraDelay;
+  for (int Copy = 0; Copy < (Duplicates ? 2 : 1); ++Copy)
+    schedule(To, Delay + Duration(Random.next() % Jitter), [this, To, Act] {
+      if (Hosts[To].Up && !Hosts[To].Paused)
+        Act();
+    });
 }
 
 void FakeFleet::perform(std::size_t Index, const MembershipActions &Actions) {
@@ -254,7 +264,12 @@
       const std::uint64_t Size = HeartbeatSize ? HeartbeatSize(Send->Beat) : 0;
       Host.BytesSent += Size;
       ++Host.MessagesSent;
-      deliver(Index, To, [this, To, Size, Beat = Send->Beat] {
+      Heartbeat Beat = Send->Beat;
+      if (Options.ForgetSigns != Duration(0)) {
+        Beat.Leaving.clear();
+        Beat.Tripped.clear();
+      }
+      deliver(Index, To, [this, To, Size, Beat = std::move(Beat)] {
         Hosts[To].BytesReceived += Size;
         ++Hosts[To].MessagesReceived;
         feed(To, MembershipEvent(HeartbeatReceived{Beat}));
@@ -277,9 +292,30 @@
       else
         Host.Leaving.insert(Sign->Sign.Target);
     }
+    if (Options.ForgetSigns != Duration(0))
+      learnOnce(Index, Action);
   }
 }
 
+/// The naive way with signs: told to every host once, forgotten by a timer.
+void FakeFleet::learnOnce(std::size_t Index, const MembershipAction &Action) {
+  const auto *Sign = std::get_if<LearnedLeaving>(&Action);
+  const auto *Trip = std::get_if<LearnedTrip>(&Action);
+  if (!Sign && !Trip)
+    return;
+  for (std::size_t To = 0; To < Hosts.size(); ++To)
+    deliver(Index, To, [this, To, Action] {
+      if (const auto *Told = std::get_if<LearnedLeaving>(&Action))
+        Hosts[To].Leaving.insert(Told->Sign.Target);
+      if (const auto *Told = std::get_if<LearnedTrip>(&Action))
+        Hosts[To].Tripped.insert(Told->Trip.Version);
+      schedule(To, Options.ForgetSigns, [this, To] {
+        Hosts[To].Leaving.clear();
+        Hosts[To].Tripped.clear();
+      });
+    });
+}
+
 void FakeFleet::perform(std::size_t Index, const ConfigSyncActions &Actions) {
   const Incarnation Life = Hosts[Index].Life;
   const auto Answer = [&](Duration After, ConfigSyncEvent Event) {
--- a/tests/support/fake_fleet.h
+++ b/tests/support/fake_fleet.h
@@ -33,6 +33,7 @@
   int LoseAnswers = 0;  ///< writes that take effect and whose answer is lost
   int LoseRequests = 0; ///< writes that are lost on their way
   bool Stale = false;   ///< reads show the objects as of freeze()
+  bool Lags = false;    ///< reads show each object before its last write
   std::function<void()> OnLostAnswer{};
   std::uint64_t Reads = 0;
   std::uint64_t Writes = 0;
@@ -46,15 +47,48 @@
 private:
   std::map<std::string, Object> Objects{};
   std::map<std::string, Object> Frozen{};
+  std::map<std::string, Object> Before{}; ///< as they were one write ago
+
+  const std::map<std::string, Object> &shown() const;
+};
+
+/// The configuration part of a host: the system's own, or a naive one.
+class ConfigSide {
+public:
+  virtual ~ConfigSide() = default;
+  virtual ConfigSyncActions step(const ConfigSyncEvent &Event,
+                                 TimePoint Now) = 0;
+  virtual Revision revision() const = 0;
+  virtual const std::string &document() const = 0;
+  virtual bool ready() const = 0;
+  virtual bool watching() const = 0;
 };
 
+template <typename Part> class ConfigSideOf final : public ConfigSide {
+public:
+  explicit ConfigSideOf(const ConfigSyncSettings &Settings) : Inner(Settings) {}
+  ConfigSyncActions step(const ConfigSyncEvent &Event, TimePoint Now) override {
+    return Inner.step(Event, Now);
+  }
+  Revision revision() const override { return Inner.revision(); }
+  const std::string &document() const override { return Inner.document(); }
+  bool ready() const override { return Inner.ready(); }
+  bool watching() const override { return Inner.watching(); }
+
+private:
+  Part Inner;
+};
+
+/// As IfVersion of a write: no condition. Only naive parts write so.
+inline constexpr ObjectVersion AnyVersion = ~ObjectVersion(0);
+
 struct FakeHost {
   HostInfo Info{};
   Incarnation Life{};
   bool Up = true;
   bool Paused = false;
   std::unique_ptr<Membership> Members{};
-  std::unique_ptr<ConfigSync> Config{};
+  std::unique_ptr<ConfigSide> Config{};
   std::vector<Revision> Adopted{};                     ///< in order
   std::map<std::uint64_t, Result<Revision>> Answers{}; ///< to proposals
   std::set<TargetId> Leaving{};
@@ -75,6 +109,12 @@
   std::uint64_t Seed = 1;
   std::size_t SeedHosts = 2; ///< hosts of each zone that all others know
   bool JoinKnown = false;    ///< every host starts with all hosts as seeds
+  /// Naive: a sign is sent once, to all, and forgotten after this; 0: ours.
+  Duration ForgetSigns{};
+  std::function<std::unique_ptr<ConfigSide>(const ConfigSyncSettings &)>
+      MakeConfig = [](const ConfigSyncSettings &Settings) {
+        return std::make_unique<ConfigSideOf<ConfigSync>>(Settings);
+      };
 };
 
 class FakeFleet {
@@ -88,6 +128,10 @@
   FakePlatform &platform() { return Platform; }
   std::set<std::pair<ZoneId, ZoneId>> CutZones{}; ///< both ways, when either
   std::set<ZoneId> NoPlatform{};                  ///< cut off from it
+  Duration ExtraDelay{};  ///< of every message between hosts
+  Duration ExtraJitter{}; ///< drawn for each message, so that they cross
+  bool Duplicates = false;
+  void lose(double Share) { Options.Loss = Share; }
   std::function<std::uint64_t(const Heartbeat &)> HeartbeatSize{};
   std::function<std::uint64_t(const ConfigReceived &)> ConfigSize{};
   /// Called after every step of a host.
@@ -154,6 +198,7 @@
   bool reaches(std::size_t From, std::size_t To) const;
   bool reachesPlatform(std::size_t Index) const;
   void deliver(std::size_t From, std::size_t To, std::function<void()> Act);
+  void learnOnce(std::size_t Index, const MembershipAction &Action);
   void answerWatches();
   bool drawLoss() {
     return static_cast<double>(Random.next() >> 11) * 0x1p-53 < Options.Loss;
