--- a/tests/matrix/fault_matrix/fleet_scenarios.cpp
+++ b/tests/matrix/fault_matrix/fleet_scenarios.cpp
@@ -403,7 +403,7 @@
   }
 };
 
-Scenario scenario(const std::string &Name, FakeFleetOptions Options) {
+Scenario scenario(const std::string &Name, const FakeFleetOptions &Options) {
   return {Name, [Options](const std::vector<Injection> &Faults) {
             return FleetRun(Options, Faults).run();
           }};
--- a/tests/support/fake_fleet.cpp
+++ b/tests/support/fake_fleet.cpp
@@ -112,7 +112,7 @@
 // ---- Fleet ------------------------------------------------------------------
 
 FakeFleet::FakeFleet(FakeFleetOptions Wanted)
-    : Options(Wanted), Random(Wanted.Seed) {
+    : Options(std::move(Wanted)), Random(Options.Seed) {
   Hosts.resize(Options.Zones * Options.HostsPerZone);
   for (std::size_t Index = 0; Index < Hosts.size(); ++Index) {
     const std::size_t Zone = Index / Options.HostsPerZone;
@@ -242,7 +242,7 @@
 
 /// Messages to a paused host wait for it, as bytes in its sockets do.
 void FakeFleet::deliver(std::size_t From, std::size_t To,
-                        std::function<void()> Act) { // NOLINT: copied twice
+                        const std::function<void()> &Act) {
   if (!reaches(From, To) || drawLoss())
     return;
   const bool Near = Hosts[From].Info.Region == Hosts[To].Info.Region;
--- a/tests/support/fake_fleet.h
+++ b/tests/support/fake_fleet.h
@@ -197,7 +197,8 @@
   void perform(std::size_t Index, const ConfigSyncActions &Actions);
   bool reaches(std::size_t From, std::size_t To) const;
   bool reachesPlatform(std::size_t Index) const;
-  void deliver(std::size_t From, std::size_t To, std::function<void()> Act);
+  void deliver(std::size_t From, std::size_t To,
+               const std::function<void()> &Act);
   void learnOnce(std::size_t Index, const MembershipAction &Action);
   void answerWatches();
   bool drawLoss() {
