Test a host that dies with orders on it, and an arbiter that is stopped

Cause: kill -9 was tested for waiting streams only, and SIGTERM for an origin only. Change: the same keys come again at other hosts after the death of the first; the arbiter of a full pool stops by SIGTERM while 60 streams wait.

--- a/tests/system/failures_test.py
+++ b/tests/system/failures_test.py
@@ -132,6 +132,34 @@
                    "the thawed host to serve orders")
         self.stop_hosts(fleet)
 
+    def test_host_dies_with_orders_on_it(self):
+        fleet = self.fleet(hosts=3)
+        dying, others = fleet.hosts[0], fleet.hosts[1:]
+        fleet.services[0].fault("slow", ms=100)
+        options = {"kind": "call", "path": "/orders", "key_prefix": "d-",
+                   "count": 100, "details": 1, "deadline_ms": 20000}
+        first = fleet.load(hosts=[dying], rate=200, **options)
+        wait_until(lambda: fleet.services[0].stats()["keys"], "first orders")
+        dying.kill()
+        first.finish()
+        second = fleet.load(hosts=others, rate=100, **options).finish()
+        runs, keys = self.assert_run_once(fleet)
+        self.assert_not_run_is_true(second, runs, keys)
+        self.assertGreater(second["verdicts"].get("whole", 0), 0, second)
+
+    def test_arbiter_stops_while_requests_wait(self):
+        fleet = self.fleet(zones=1, hosts=3, engine_speeds=(100,),
+                           max_requests_in_flight=8)
+        arbiter = self.arbiter_of(fleet)
+        load = fleet.load(count=60, stream=1, max_tokens=50, details=1,
+                          hosts=[h for h in fleet.hosts if h is not arbiter],
+                          deadline_ms=60000)
+        wait_until(lambda: in_flight(fleet) >= 4, "streams to run")
+        self.assertEqual(arbiter.stop(), 0)
+        results = load.finish()
+        self.assertEqual(results["verdicts"], {"whole": 60}, results)
+        self.assert_run_once(fleet)
+
     def test_every_zone_turns_away_from_a_lost_host(self):
         for loss in (signal.SIGSTOP, signal.SIGKILL):
             with self.subTest(loss.name):
