A returned grant tells the arbiter to back off, not that the target leaves

Cause: an operator's drain that reached the origin before the arbiter made the origin report a sign of leaving, which stands for the target's life, so that the target stayed out after the drain was ended.

--- a/packages/coordination/src/origin.cpp
+++ b/packages/coordination/src/origin.cpp
@@ -229,11 +229,12 @@
 }
 
 /// Gives back the slot of a target that is known here to leave: the grant was
-/// long under way, or its arbiter has not heard of it.
+/// long under way, or its arbiter has not heard of it. The arbiter is told to
+/// back off only: a sign of leaving would stand after an operator's drain ends.
 void Origin::returnGrant(Request &Held, TargetId Target) {
   Actions.push_back(
       ReleaseSlot{Held.Call.Pool, Held.Call.Id, Target, {UsageEnd::NotRun}});
-  Actions.push_back(ReportTargetSign{Target, true});
+  Actions.push_back(ReportTargetSign{Target, false});
   Held.SendSlotRequestAt = Now + Settings.RetryDelay;
   schedule(Held);
 }
--- a/packages/coordination/tests/origin_test.cpp
+++ b/packages/coordination/tests/origin_test.cpp
@@ -171,6 +171,7 @@
     const auto Again = It.step(SlotGranted{First, Slow, Pool});
     CHECK(count<Dispatch>(Again) == 0);
     CHECK(only<ReleaseSlot>(Again).Target == Slow);
+    CHECK_FALSE(only<ReportTargetSign>(Again).Leaving);
     CHECK(count<RequestSlot>(It.after(milliseconds(100))) == 1);
   }
 }
