--- a/bench/intent_bench/main.cpp
+++ b/bench/intent_bench/main.cpp
@@ -43,6 +43,9 @@
   double Tail99Ms = 0;
   double MicrosPerIntent = 0;
   std::size_t Keys = 0;
+  IntentLogStats Load{}; ///< of a new holder that reads all of it
+  double LoadMicros = 0; ///< its processor time
+  double LoadMs = 0;     ///< virtual time until its first answer
 };
 
 /// Virtual time, a platform in a map, and one intent log.
@@ -61,6 +64,7 @@
     std::sort(LatenciesMs.begin(), LatenciesMs.end());
     Result.MedianMs = LatenciesMs[LatenciesMs.size() / 2];
     Result.Tail99Ms = LatenciesMs[LatenciesMs.size() * 99 / 100];
+    loadAgain(Result);
     return Result;
   }
 
@@ -96,6 +100,27 @@
     }
   }
 
+  /// Another host becomes the holder of all shards.
+  void loadAgain(Measured &Result) {
+    Log = IntentLog(settingsOf(Wanted));
+    Due.clear();
+    Began.clear();
+    const TimePoint Start = Now;
+    Result.LoadMicros = microsOf([&] {
+      step(IntentLogTicked{WallTime(Now.time_since_epoch() + hours(1))});
+      for (std::uint32_t Shard = 0; Shard < Wanted.Shards; ++Shard)
+        step(IntentRequested{{}, {Shard, 0}, 1, seconds(30)});
+      while (!Due.empty()) {
+        Now = Due.begin()->first;
+        const IntentLogEvent Event = Due.begin()->second;
+        Due.erase(Due.begin());
+        step(Event);
+      }
+    });
+    Result.Load = Log.stats();
+    Result.LoadMs = 1e3 * toSeconds(Now - Start);
+  }
+
   Duration gap() {
     const double Draw = 1.0 - drawFraction(Random);
     return fromSeconds(-std::log(Draw) / Wanted.IntentsPerSecond) +
@@ -160,15 +185,19 @@
   const double Seconds = toSeconds(RunTime);
   const double Intents = static_cast<double>(Result.Intents);
   const auto Written = static_cast<double>(Result.Stats.BytesWritten);
+  const IntentLogStats &Load = Result.Load;
   const char *Format =
       Json ? "{\"intents_per_s\": %g, \"shards\": %u, \"segment_bytes\": %u, "
              "\"write_budget_per_s\": %g, \"writes_per_s\": %.2f, "
              "\"reads_per_s\": %.2f, \"bytes_written_per_s\": %.0f, "
              "\"bytes_per_intent\": %.0f, \"intents_per_write\": %.2f, "
              "\"median_ms\": %.1f, \"tail99_ms\": %.1f, "
-             "\"micros_per_intent\": %.2f, \"open_at_end\": %llu}\n"
+             "\"micros_per_intent\": %.2f, \"open_at_end\": %llu, \"keys\": "
+             "%zu, "
+             "\"load_reads\": %llu, \"load_bytes\": %llu, "
+             "\"load_micros\": %.0f, \"load_ms\": %.0f}\n"
            : "%9g %6u %8u %7g | %8.2f %7.2f %9.0f %9.0f %7.2f %8.1f %8.1f "
-             "%7.2f %6llu\n";
+             "%7.2f %6llu | %7zu %6llu %9llu %8.0f %7.0f\n";
   std::printf(Format, Wanted.IntentsPerSecond, Wanted.Shards,
               Wanted.SegmentBytes, Wanted.WritesPerSecond,
               static_cast<double>(Result.Stats.Writes) / Seconds,
@@ -176,7 +205,10 @@
               Written / Seconds, Written / Intents,
               Intents / static_cast<double>(Result.Stats.Writes),
               Result.MedianMs, Result.Tail99Ms, Result.MicrosPerIntent,
-              static_cast<unsigned long long>(Result.OpenAtEnd));
+              static_cast<unsigned long long>(Result.OpenAtEnd), Result.Keys,
+              static_cast<unsigned long long>(Load.Reads),
+              static_cast<unsigned long long>(Load.BytesRead),
+              Result.LoadMicros, Result.LoadMs);
 }
 
 std::vector<Row> rows() {
@@ -205,7 +237,9 @@
   const bool Json = Count > 1 && std::strcmp(Words[1], "--json") == 0;
   if (!Json)
     std::printf("intents/s shards  segment  budget | writes/s reads/s "
-                "bytes/s   B/intent int/wr  median ms  p99 ms  us/int  open\n");
+                "bytes/s   B/intent int/wr  median ms  p99 ms  us/int  open | "
+                "keys, and to load them: reads "
+                "bytes us virtual-ms\n");
   for (const Row &Each : rows())
     print(Each, Json);
   return 0;
