Excuse a lost sign only when the only life that saw it has died

The check excused this only for a crash at the step of the sign itself, and excused that one also when others had heard. Change: it follows the teller's life and whether any other host has known the sign; stricter in the second case. Ruled out: a fault of membership, which sends nothing while frozen.

--- a/tests/matrix/fault_matrix/fleet_scenarios.cpp
+++ b/tests/matrix/fault_matrix/fleet_scenarios.cpp
@@ -177,6 +177,9 @@
   };
   std::vector<Active> Running{};
   std::optional<TimePoint> SignAt{};
+  std::size_t SignTeller = 0;
+  Incarnation SignLife{};  ///< of the teller when it saw the sign
+  bool SignSpread = false; ///< another host has known it
   std::vector<Incarnation> TripKnown = std::vector<Incarnation>(HostCount);
 
   void fail(Invariant Broken, std::string Detail) {
@@ -202,6 +205,8 @@
       propose(Line.Host);
     if (Line.Kind == Act::Sign) {
       SignAt = Fleet.now();
+      SignTeller = Line.Host;
+      SignLife = Where.Life;
       Fleet.feed(Line.Host,
                  MembershipEvent(TargetSignSeen{{LeavingId, Incarnation(5)}}));
     }
@@ -377,6 +382,7 @@
   void checkSign() {
     if (!SignAt)
       return;
+    noteSignSpread();
     const TimePoint Begin = std::max(*SignAt, QuietSince);
     if (Fleet.now() - Begin <= KnownWithin)
       return;
@@ -387,11 +393,17 @@
       fail(Invariant::SignSpreads, "the sign is not known everywhere");
   }
 
-  /// A sign is lost with the only host that has seen it.
+  /// A sign is lost with the only life that has seen it, and only then.
   bool signSurvives() const {
-    return std::none_of(Faults.begin(), Faults.end(), [](const auto &Each) {
-      return Each.Kind == Fault::Crash && scriptAt(Each.Step).Kind == Act::Sign;
-    });
+    const FakeHost &Teller = Fleet.host(SignTeller);
+    return SignSpread || (Teller.Up && Teller.Life == SignLife);
+  }
+
+  void noteSignSpread() {
+    for (std::size_t Index = 0; Index < HostCount; ++Index) {
+      const bool Knows = Fleet.host(Index).Leaving.contains(LeavingId);
+      SignSpread = SignSpread || (Index != SignTeller && Knows);
+    }
   }
 
   void checkEnd() {
--- a/tests/support/fake_fleet.h
+++ b/tests/support/fake_fleet.h
@@ -124,6 +124,7 @@
   TimePoint now() const { return Now; }
   std::vector<FakeHost> &hosts() { return Hosts; }
   FakeHost &host(std::size_t Index) { return Hosts[Index]; }
+  const FakeHost &host(std::size_t Index) const { return Hosts[Index]; }
   std::size_t indexOf(HostId Id) const { return Indexes.at(Id); }
   FakePlatform &platform() { return Platform; }
   std::set<std::pair<ZoneId, ZoneId>> CutZones{}; ///< both ways, when either
