Arbiter: end the search for slots once the last one is granted

After each grant into a full pool a second look at all 150 targets found that none had room.

Change: the choice counts the targets with room; when the granted one was the only one and is full now, the search ends.

--- a/packages/coordination/marjorambay/coordination/arbiter.h
+++ b/packages/coordination/marjorambay/coordination/arbiter.h
@@ -97,6 +97,7 @@
   void refuseLate(TimePoint Now);
   void refuseUnservable(TimePoint Now);
   void grantWhatFits(TimePoint Now);
+  /// Grants or gives up one reservation; returns whether another may fit.
   bool serveOne(TierRank Tier, TimePoint Now);
   void grant(const Waiting &Entry, const TargetChoice &Choice, TimePoint Now);
   bool heldBack(TierRank Tier, TimePoint Now) const;
--- a/packages/coordination/marjorambay/coordination/target_table.h
+++ b/packages/coordination/marjorambay/coordination/target_table.h
@@ -35,6 +35,7 @@
 struct TargetChoice {
   bool AnyRoom = false; ///< some target could take a request, if not this one
   bool Found = false;
+  std::size_t Roomy = 0; ///< targets with room, whatever their version's turn
   TargetId Target{};
   double FinishSeconds = 0; ///< expected, from now
 };
@@ -66,6 +67,9 @@
   TargetChoice choose(const Waiting &Entry, const VersionShare &Shares,
                       bool Takeover, TimePoint Now) const;
 
+  /// Returns whether \p Target has room for one more request.
+  bool hasRoom(TargetId Target, bool Takeover, TimePoint Now) const;
+
   /// Returns whether some target, busy or not, is expected to meet the
   /// deadline as it is loaded now.
   bool canMeet(const Waiting &Entry, const VersionShare &Shares,
--- a/packages/coordination/src/arbiter.cpp
+++ b/packages/coordination/src/arbiter.cpp
@@ -210,7 +210,8 @@
       return false;
     if (Choice.Found) {
       grant(*Queue.take(Head->Request.Key), Choice, Now);
-      return true;
+      return Choice.Roomy > 1 ||
+             Targets.hasRoom(Choice.Target, takingOver(Now), Now);
     }
     if (!Targets.canMeet(*Head, Shares, Now)) {
       giveUp(Head->Request.Key, Now);
--- a/packages/coordination/src/target_table.cpp
+++ b/packages/coordination/src/target_table.cpp
@@ -118,6 +118,11 @@
          Each.SinceTakeover + 1 <= Limit * Settings.TakeoverFraction;
 }
 
+bool TargetTable::hasRoom(TargetId Target, bool Takeover, TimePoint Now) const {
+  const Entry *Each = find(Target);
+  return Each != nullptr && hasRoom(*Each, Takeover, Now);
+}
+
 double TargetTable::finishSeconds(const Entry &Each, const TokenCost &Cost,
                                   TimePoint Now) const {
   return Each.Model.totalSeconds(Cost, promptAhead(Each, Now),
@@ -133,8 +138,10 @@
   TargetChoice Best;
   double BestScore = std::numeric_limits<double>::infinity();
   for (const auto &Each : Entries) {
-    if (!available(Each, Shares) || !hasRoom(Each, Takeover, Now) ||
-        !Shares.allows(Each.Info.Version))
+    if (!available(Each, Shares) || !hasRoom(Each, Takeover, Now))
+      continue;
+    ++Best.Roomy;
+    if (!Shares.allows(Each.Info.Version))
       continue;
     Best.AnyRoom = true;
     if (number(Wanted) != 0 && Each.Info.Version != Wanted)
@@ -151,7 +158,9 @@
     if (Score >= BestScore)
       continue;
     BestScore = Score;
-    Best = {true, true, Each.Info.Id, Finish};
+    Best.Found = true;
+    Best.Target = Each.Info.Id;
+    Best.FinishSeconds = Finish;
   }
   return Best;
 }
