Wire rollouts into the daemon and the operator's tool

Cause: the rollout core had no way to act. Change: each pool has a leader and a guard on every host; arbiters feed the guard from released slots, so evidence needs no messages of its own within a zone; a grant names the version; views spread with heartbeats when they change and with each 40th otherwise (with every one they would cost up to 31 KB/s at 11 rollouts); state as JSON at the platform; six verbs. Not built yet on this commit.

--- a/apps/marjorambayctl/command.h
+++ b/apps/marjorambayctl/command.h
@@ -28,6 +28,8 @@
   std::string KeyHash{};
   std::string KeyFile{};
   std::string Zone{};
+  std::string Name{};                 ///< of a rollout
+  std::uint64_t WithinSeconds = 3600; ///< a rollout's time to its deadline
   double Weight = 1.0;
   std::uint32_t MaxQueued = 1000;
 };
--- a/apps/marjorambayctl/host_client.cpp
+++ b/apps/marjorambayctl/host_client.cpp
@@ -89,6 +89,11 @@
   return call("GET", Path, "", "");
 }
 
+Result<std::string> HostClient::post(const std::string &Path,
+                                     const std::string &Body) const {
+  return call("POST", Path, Body, "");
+}
+
 Result<FleetConfig> HostClient::config() const {
   const Result<std::string> Text = get("/config");
   if (!ok(Text))
--- a/apps/marjorambayctl/host_client.h
+++ b/apps/marjorambayctl/host_client.h
@@ -35,6 +35,8 @@
   explicit HostClient(const CommandLine &Line) : Address(Line.Host) {}
 
   Result<std::string> get(const std::string &Path) const;
+  Result<std::string> post(const std::string &Path,
+                           const std::string &Body) const;
   Result<FleetConfig> config() const;
   Result<HostView> inspect() const;
   /// Proposes \p Config on its own revision; returns the accepted one.
--- a/apps/marjorambayctl/main.cpp
+++ b/apps/marjorambayctl/main.cpp
@@ -33,7 +33,10 @@
                        "of an account")("key-hash", po::value(&Line.KeyHash),
                                         "SHA-256 of an account's API key")(
       "key-file", po::value(&Line.KeyFile), "file with an account's API key")(
-      "zone", po::value(&Line.Zone), "zone of a host, for config effective");
+      "zone", po::value(&Line.Zone), "zone of a host, for config effective")(
+      "name", po::value(&Line.Name), "of a rollout; POOL-VERSION by default")(
+      "within", po::value(&Line.WithinSeconds)->default_value(3600),
+      "seconds from now to a rollout's deadline");
   return Table;
 }
 
--- /dev/null
+++ b/apps/marjorambayctl/rollout_verbs.cpp
@@ -0,0 +1,124 @@
+/// Verbs of rollouts: start, status, wait, pause, resume, abort.
+#include "verbs.h"
+
+#include "marjorambay/protocol/rollout_json.h"
+
+#include <chrono>
+#include <sstream>
+#include <thread>
+
+namespace marjorambay {
+
+namespace {
+
+constexpr auto PollInterval = std::chrono::milliseconds(500);
+
+std::string pathOf(const std::string &Pool) { return "/rollouts/" + Pool; }
+
+Result<RolloutState> stateOf(const CommandLine &Line, const std::string &Pool) {
+  const Result<std::string> Text = HostClient(Line).get(pathOf(Pool));
+  if (!ok(Text))
+    return error(Text);
+  return parseRolloutState(value(Text));
+}
+
+int sendCommand(const CommandLine &Line, const std::string &Pool,
+                const RolloutRequest &Request, const Output &Out) {
+  if (Line.Author.empty())
+    return Out.fail({ErrorKind::BadRequest, "say --author NAME"});
+  const Result<std::string> Answer =
+      HostClient(Line).post(pathOf(Pool), printRolloutRequest(Request));
+  if (!ok(Answer))
+    return Out.fail(error(Answer));
+  Out.print(Request.Command + " accepted", value(Answer));
+  return 0;
+}
+
+int command(const char *Name, const CommandLine &Line, const Arguments &Args,
+            const Output &Out) {
+  RolloutRequest Request;
+  Request.Command = Name;
+  Request.Author = Line.Author;
+  return sendCommand(Line, Args[0], Request, Out);
+}
+
+std::string describe(const RolloutState &State) {
+  std::ostringstream Text;
+  Text << State.Name << " of pool " << State.Pool << ": " << State.FromVersion
+       << " -> " << State.ToVersion << ", " << nameOf(State.Phase) << ", share "
+       << State.Share << (State.Paused ? ", paused" : "");
+  for (const RolloutStep &Step : State.History)
+    Text << "\n  " << nameOf(Step.Phase) << " " << Step.Share << "  "
+         << Step.Note;
+  return Text.str();
+}
+
+int reportEnd(const RolloutState &State, const Output &Out) {
+  if (State.Phase == RolloutPhase::Completed) {
+    Out.print(describe(State), printRolloutState(State));
+    return 0;
+  }
+  const std::string Reason =
+      State.History.empty() ? "" : State.History.back().Note;
+  return Out.fail({ErrorKind::RolloutTakenBack,
+                   "rollout " + State.Name + " was taken back: " + Reason});
+}
+
+} // namespace
+
+int runRolloutStart(const CommandLine &Line, const Arguments &Args,
+                    const Output &Out) {
+  RolloutRequest Request;
+  Request.Command = "start";
+  Request.ToVersion = Args[1];
+  Request.Name = Line.Name.empty() ? Args[0] + "-" + Args[1] : Line.Name;
+  Request.Within = seconds(Line.WithinSeconds);
+  Request.Author = Line.Author;
+  return sendCommand(Line, Args[0], Request, Out);
+}
+
+int runRolloutStatus(const CommandLine &Line, const Arguments &Args,
+                     const Output &Out) {
+  const Result<RolloutState> State = stateOf(Line, Args[0]);
+  if (!ok(State))
+    return Out.fail(error(State));
+  Out.print(describe(value(State)), printRolloutState(value(State)));
+  return 0;
+}
+
+int runRolloutWait(const CommandLine &Line, const Arguments &Args,
+                   const Output &Out) {
+  const auto Begin = std::chrono::steady_clock::now();
+  std::string Shown;
+  while (std::chrono::steady_clock::now() - Begin < Line.Timeout) {
+    const Result<RolloutState> State = stateOf(Line, Args[0]);
+    if (!ok(State))
+      return Out.fail(error(State));
+    if (isFinal(value(State).Phase))
+      return reportEnd(value(State), Out);
+    const std::string Now = std::string(nameOf(value(State).Phase)) +
+                            ", share " + std::to_string(value(State).Share);
+    if (Now != Shown)
+      Out.progress(Now);
+    Shown = Now;
+    std::this_thread::sleep_for(PollInterval);
+  }
+  return Out.fail({ErrorKind::Timeout, "the rollout is still running"});
+}
+
+int runRolloutPause(const CommandLine &Line, const Arguments &Args,
+                    const Output &Out) {
+  return command("pause", Line, Args, Out);
+}
+
+int runRolloutResume(const CommandLine &Line, const Arguments &Args,
+                     const Output &Out) {
+  return command("resume", Line, Args, Out);
+}
+
+int runRolloutAbort(const CommandLine &Line, const Arguments &Args,
+                    const Output &Out) {
+  return command("abort", Line, Args, Out);
+}
+
+} // namespace marjorambay
--- a/apps/marjorambayctl/verbs.cpp
+++ b/apps/marjorambayctl/verbs.cpp
@@ -48,6 +48,20 @@
      runTargetDrain},
     {"target undrain", "NAME...", "gives drained targets work again", 1, Any,
      runTargetUndrain},
+    {"rollout start", "POOL VERSION [--name N] [--within S]",
+     "moves a pool to a version by a deadline, or takes it back", 2, 2,
+     runRolloutStart},
+    {"rollout status", "POOL", "shows the pool's rollout and its history", 1, 1,
+     runRolloutStatus},
+    {"rollout wait", "POOL",
+     "waits until it is completed (exit 0) or taken back (exit 7)", 1, 1,
+     runRolloutWait},
+    {"rollout pause", "POOL", "holds the share; the deadline still counts", 1,
+     1, runRolloutPause},
+    {"rollout resume", "POOL", "lets the share move again", 1, 1,
+     runRolloutResume},
+    {"rollout abort", "POOL", "takes the new version back", 1, 1,
+     runRolloutAbort},
 });
 
 } // namespace
--- a/apps/marjorambayctl/verbs.h
+++ b/apps/marjorambayctl/verbs.h
@@ -60,6 +60,20 @@
 int runTargetUndrain(const CommandLine &Line, const Arguments &Args,
                      const Output &Out);
 
+// ---- rollout_verbs.cpp ------------------------------------------------------
+int runRolloutStart(const CommandLine &Line, const Arguments &Args,
+                    const Output &Out);
+int runRolloutStatus(const CommandLine &Line, const Arguments &Args,
+                     const Output &Out);
+int runRolloutWait(const CommandLine &Line, const Arguments &Args,
+                   const Output &Out);
+int runRolloutPause(const CommandLine &Line, const Arguments &Args,
+                    const Output &Out);
+int runRolloutResume(const CommandLine &Line, const Arguments &Args,
+                     const Output &Out);
+int runRolloutAbort(const CommandLine &Line, const Arguments &Args,
+                    const Output &Out);
+
 // ---- Shared by them ---------------------------------------------------------
 
 /// Proposes \p Config and prints the outcome; with --wait, waits until it is in
--- a/apps/marjorambayd/arbiter_side.cpp
+++ b/apps/marjorambayd/arbiter_side.cpp
@@ -1,5 +1,6 @@
 /// Arbiters held by this host, and the way to those of others.
 #include "actions.h"
+#include "rollout_side.h"
 #include "sides.h"
 
 #include <algorithm>
@@ -32,8 +33,9 @@
   Info.Id = idOf<TargetId>(Target.Name);
   Info.Pool = idOf<PoolId>(Target.Pool);
   Info.Zone = idOf<ZoneId>(Target.Zone);
-  if (!Target.Version.empty())
-    Info.Version = idOf<VersionId>(Target.Version);
+  const std::string Version = servedVersion(D, Target);
+  if (!Version.empty())
+    Info.Version = idOf<VersionId>(Version);
   Info.TokensPerSecond = Target.TokensPerSecond;
   Info.MaxTokensInFlight = Target.MaxTokensInFlight;
   Info.MaxRequestsInFlight = Target.MaxRequestsInFlight;
@@ -64,9 +66,8 @@
 void tellArbiter(Daemon &D, PoolId Pool) {
   post(D, ArbiterInput{Pool, TargetsChanged{targetsOf(D, Pool, D.Self.Zone)}});
   const PoolConfig *Known = D.Config.pool(Pool);
-  if (Known && !Known->Version.empty())
-    post(D, ArbiterInput{
-                Pool, ServingVersionChanged{idOf<VersionId>(Known->Version)}});
+  if (Known)
+    tellVersions(D, *Known);
   for (const AccountConfig &Account : D.Config.config().Accounts)
     post(D,
          ArbiterInput{Pool, AccountWeightChanged{idOf<AccountId>(Account.Name),
@@ -130,7 +131,9 @@
 }
 
 void take(Daemon &D, PoolId Pool, const GrantSlot &Grant, HostId From) {
-  if (isOwn(D, Grant.Key) && D.Calls.contains(Grant.Key.Id)) {
+  const auto Call = D.Calls.find(Grant.Key.Id);
+  if (isOwn(D, Grant.Key) && Call != D.Calls.end()) {
+    Call->second.Granted = Grant.Version;
     post(D, OriginEvent(SlotGranted{Grant.Key.Id, Grant.Target, Pool}));
     return;
   }
@@ -268,6 +271,7 @@
 void performMembership(Daemon &D, const LearnedTrip &Action) {
   for (const auto &[Pool, Held] : D.Arbiters)
     post(D, ArbiterInput{Pool, VersionTripped{Action.Trip.Version}});
+  takeTrip(D, Action.Trip);
 }
 
 } // namespace marjorambay
--- a/apps/marjorambayd/daemon.cpp
+++ b/apps/marjorambayd/daemon.cpp
@@ -2,6 +2,7 @@
 #include "daemon.h"
 
 #include "actions.h"
+#include "rollout_side.h"
 
 #include "marjorambay/protocol/config_manifest_json.h"
 
@@ -117,6 +118,9 @@
 
 void perform(Daemon &D, const ArbiterInput &Input) {
   HeldArbiter &Held = heldArbiter(D, Input.Pool);
+  if (const auto *Released = std::get_if<SlotReleased>(&Input.Event))
+    if (const Slot *Ended = Held.Policy.slot(Released->Key))
+      observeAnswer(D, *Ended, Released->Used);
   const ArbiterActions Actions = Held.Policy.step(Input.Event, D.Loop.now());
   for (const ArbiterAction &Action : Actions)
     performArbiter(D, Input.Pool, Action);
--- a/apps/marjorambayd/daemon.h
+++ b/apps/marjorambayd/daemon.h
@@ -77,6 +77,7 @@
   std::optional<CallId> Call{};
   std::uint32_t Attempt = 0;
   std::string TargetName{};
+  VersionId Granted{}; ///< version that the arbiter granted
   VersionId Version{};
   std::string VersionName{};
   TimePoint DispatchedAt{};
@@ -116,6 +117,17 @@
   TimePoint UsedAt{};
 };
 
+/// A pool's rollout as this host sees it, and its part in it.
+struct PoolRollout {
+  explicit PoolRollout(const std::string &HostName) : Leader(HostName) {}
+
+  RolloutLeader Leader;
+  VersionGuard Guard{};
+  std::optional<RolloutView> View{}; ///< newest known
+  TimePoint MovedAt{};               ///< when the view's phase or share changed
+  TimePoint LookedAt{};              ///< a leader's last look at other zones
+};
+
 /// Where a pool's reservations go.
 struct ArbiterPlace {
   ZoneId Zone{};
@@ -177,6 +189,12 @@
   // Targets.
   std::unordered_set<TargetId> LoadPolls{}; ///< answers that are awaited
   std::unordered_map<TargetId, Incarnation> TargetLives{};
+  std::unordered_map<TargetId, std::vector<VersionId>> ShownVersions{};
+
+  // Rollouts.
+  std::map<PoolId, PoolRollout> Rollouts{};
+  std::unordered_map<std::uint64_t, ExchangeId> RolloutCalls{}; ///< operators'
+  std::uint64_t LastRolloutCall = 0;
 };
 
 /// Hands an event to its decision part. Actions are performed in order, after
--- a/apps/marjorambayd/lifecycle.cpp
+++ b/apps/marjorambayd/lifecycle.cpp
@@ -1,4 +1,5 @@
 /// Start, graceful stop, and the ticks of the decision parts.
+#include "rollout_side.h"
 #include "sides.h"
 
 #include <csignal>
@@ -53,6 +54,7 @@
   startIntentSide(D);
   startPlatformSide(D);
   startConfigSide(D);
+  startRolloutSide(D);
   post(D, IntentLogInput{IntentLogTicked{D.Loop.wallNow()}});
   D.WatchesConfig = D.Members.watchesConfig();
   post(D, ConfigInput{WatcherRoleChanged{D.WatchesConfig}});
--- a/apps/marjorambayd/load_reports.cpp
+++ b/apps/marjorambayd/load_reports.cpp
@@ -1,4 +1,5 @@
 /// Load reports of the model engines that this host's arbiters grant.
+#include "rollout_side.h"
 #include "sides.h"
 
 #include "marjorambay/protocol/load_report.h"
@@ -21,6 +22,7 @@
     D.TargetLives[Target] = Report.Life;
     post(D, MembershipEvent(TargetLifeSeen{Target, Report.Life}));
   }
+  showVersions(D, Target, Report.Versions);
   if (Report.Leaving)
     post(D, MembershipEvent(TargetSignSeen{{Target, Report.Life}}));
   if (!D.Arbiters.contains(Pool))
@@ -32,8 +34,22 @@
                                           Report.CacheTokensFree}});
 }
 
-void readReport(Daemon &D, PoolId Pool, TargetId Target) {
+void pollLoads(Daemon &D) {
+  for (const auto &[Pool, Place] : D.ArbiterOf) {
+    const PoolConfig *Known = D.Config.pool(Pool);
+    if (Place.Host != D.Self.Id || !Known || Known->Kind != PoolKind::Model)
+      continue;
+    for (const TargetId Target : D.Config.targets(Pool, D.Self.Zone))
+      readLoadReport(D, Pool, Target);
+  }
+}
+
+} // namespace
+
+void readLoadReport(Daemon &D, PoolId Pool, TargetId Target) {
   const TargetConfig *Known = D.Config.target(Target);
+  if (!Known)
+    return;
   const Result<SocketAddress> Address = parseAddress(Known->Address);
   if (!ok(Address) || !D.LoadPolls.insert(Target).second)
     return;
@@ -52,18 +68,6 @@
                  });
 }
 
-void pollLoads(Daemon &D) {
-  for (const auto &[Pool, Place] : D.ArbiterOf) {
-    const PoolConfig *Known = D.Config.pool(Pool);
-    if (Place.Host != D.Self.Id || !Known || Known->Kind != PoolKind::Model)
-      continue;
-    for (const TargetId Target : D.Config.targets(Pool, D.Self.Zone))
-      readReport(D, Pool, Target);
-  }
-}
-
-} // namespace
-
 void startLoadReports(Daemon &D) {
   D.Subscriptions.push_back(
       D.Timers.every(D.Settings.LoadPollInterval, [&D]() { pollLoads(D); }));
--- a/apps/marjorambayd/operator_side.cpp
+++ b/apps/marjorambayd/operator_side.cpp
@@ -1,5 +1,6 @@
 /// The operator port: health, readiness, metrics, inspection, configuration.
 #include "answers.h"
+#include "rollout_side.h"
 #include "sides.h"
 
 #include "marjorambay/protocol/error_body.h"
@@ -137,6 +138,15 @@
     return answerConfig(D, View.Id);
   if (View.Method == "PUT" && View.Path == "/config")
     return takeConfig(D, View);
+  constexpr std::string_view Rollouts = "/rollouts/";
+  if (View.Path.starts_with(Rollouts)) {
+    const std::string_view Pool =
+        std::string_view(View.Path).substr(Rollouts.size());
+    if (Get)
+      return answerRollout(D, View.Id, Pool);
+    if (View.Method == "POST")
+      return commandRollout(D, View.Id, Pool, View.Body);
+  }
   if (Get && View.Path == "/metrics") {
     countPeers(D);
     return D.Operators.answer(View.Id, 200, PlainText,
--- a/apps/marjorambayd/peer_codec.cpp
+++ b/apps/marjorambayd/peer_codec.cpp
@@ -3,6 +3,7 @@
 
 #include "marjorambay/protocol/peer.pb.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -41,6 +42,7 @@
   Out->set_output_tokens(Request.Cost.Output);
   Out->set_prefix_hash(Request.PrefixHash);
   Out->set_remaining_us(Request.Remaining.count());
+  Out->set_route(number(Request.Route));
 }
 
 Reservation take(const peer::Reservation &In) {
@@ -54,9 +56,40 @@
   Request.Cost = {In.prompt_tokens(), In.output_tokens()};
   Request.PrefixHash = In.prefix_hash();
   Request.Remaining = Duration(In.remaining_us());
+  Request.Route = RouteId{In.route()};
   return Request;
 }
 
+void put(const RolloutView &View, peer::RolloutView *Out) {
+  Out->set_id(number(View.Id));
+  Out->set_pool(number(View.Pool));
+  Out->set_from(number(View.From));
+  Out->set_to(number(View.To));
+  Out->set_version(View.Version);
+  Out->set_phase(static_cast<std::uint32_t>(View.Phase));
+  Out->set_share(View.Share);
+  Out->set_deadline_us(View.Deadline.time_since_epoch().count());
+  Out->set_to_name(View.ToName);
+  Out->set_leader(number(View.Leader));
+}
+
+RolloutView take(const peer::RolloutView &In) {
+  RolloutView View;
+  View.Id = RolloutId{In.id()};
+  View.Pool = PoolId{In.pool()};
+  View.From = VersionId{In.from()};
+  View.To = VersionId{In.to()};
+  View.Version = In.version();
+  constexpr auto LastPhase =
+      static_cast<std::uint32_t>(RolloutPhase::TakenBack);
+  View.Phase = static_cast<RolloutPhase>(std::min(In.phase(), LastPhase));
+  View.Share = In.share();
+  View.Deadline = WallTime(Duration(In.deadline_us()));
+  View.ToName = In.to_name();
+  View.Leader = HostId{In.leader()};
+  return View;
+}
+
 void put(const Usage &Used, peer::Usage *Out) {
   Out->set_end(static_cast<std::uint32_t>(Used.End));
   Out->set_prompt_tokens(Used.PromptTokens);
@@ -159,6 +192,7 @@
 void putAction(const GrantSlot &Action, peer::Message *Out) {
   put(Action.Key, Out->mutable_grant()->mutable_key());
   Out->mutable_grant()->set_target(number(Action.Target));
+  Out->mutable_grant()->set_version(number(Action.Version));
 }
 void putAction(const RefuseSlot &Action, peer::Message *Out) {
   peer::Refuse *Refusal = Out->mutable_refuse();
@@ -212,6 +246,23 @@
   }
   for (const KnownHost &Host : Beat.Known)
     put(Host, To->add_known());
+  for (const RolloutView &View : Beat.Rollouts)
+    put(View, To->add_rollouts());
+}
+void putMessage(const EvidenceArrived &Arrived, peer::Message *Out) {
+  peer::Evidence *To = Out->mutable_evidence();
+  To->set_rollout(number(Arrived.Rollout));
+  for (const EvidenceCell &Cell : Arrived.Cells) {
+    peer::EvidenceCell *Each = To->add_cells();
+    Each->set_route(number(Cell.Where.Route));
+    Each->set_load(Cell.Where.Load);
+    Each->set_speed_class(Cell.Where.SpeedClass);
+    Each->set_kind(static_cast<std::uint32_t>(Cell.Kind));
+    Each->set_old_answers(Cell.OldAnswers);
+    Each->set_old_bad(Cell.OldBad);
+    Each->set_new_answers(Cell.NewAnswers);
+    Each->set_new_bad(Cell.NewBad);
+  }
 }
 void putMessage(const ConfigAsked &Asked, peer::Message *Out) {
   Out->mutable_config_ask()->set_have(number(Asked.Have));
@@ -272,9 +323,29 @@
                             WallTime(Duration(Each.begun_us()))});
   for (const peer::KnownHost &Each : In.known())
     Beat.Known.push_back(take(Each));
+  for (const peer::RolloutView &Each : In.rollouts())
+    Beat.Rollouts.push_back(take(Each));
   return Beat;
 }
 
+EvidenceArrived takeEvidence(const peer::Evidence &In) {
+  EvidenceArrived Arrived;
+  Arrived.Rollout = RolloutId{In.rollout()};
+  for (const peer::EvidenceCell &Each : In.cells()) {
+    EvidenceCell Cell;
+    Cell.Where = {RouteId{Each.route()}, static_cast<std::uint8_t>(Each.load()),
+                  static_cast<std::uint8_t>(Each.speed_class())};
+    Cell.Kind = static_cast<FaultKind>(
+        std::min<std::uint32_t>(Each.kind(), FaultKindCount - 1));
+    Cell.OldAnswers = Each.old_answers();
+    Cell.OldBad = Each.old_bad();
+    Cell.NewAnswers = Each.new_answers();
+    Cell.NewBad = Each.new_bad();
+    Arrived.Cells.push_back(Cell);
+  }
+  return Arrived;
+}
+
 ConfigReceived takeConfig(const peer::Config &In) {
   ConfigReceived Content;
   Content.Rev = Revision{In.revision()};
@@ -318,8 +389,9 @@
   case peer::Message::kTargetSign:
     return ArbiterMessage{Pool, takeSign(In.target_sign())};
   case peer::Message::kGrant:
-    return OriginMessage{
-        Pool, GrantSlot{take(In.grant().key()), TargetId{In.grant().target()}}};
+    return OriginMessage{Pool, GrantSlot{take(In.grant().key()),
+                                         TargetId{In.grant().target()},
+                                         VersionId{In.grant().version()}}};
   case peer::Message::kRefuse:
     return OriginMessage{Pool, takeRefusal(In.refuse())};
   case peer::Message::kPreempt:
@@ -343,6 +415,8 @@
     return OutcomeReported{take(In.outcome().request()),
                            take(In.outcome().key()), In.outcome().released(),
                            In.outcome().http_status()};
+  case peer::Message::kEvidence:
+    return takeEvidence(In.evidence());
   case peer::Message::BODY_NOT_SET:
     return std::nullopt;
   }
--- a/apps/marjorambayd/peer_codec.h
+++ b/apps/marjorambayd/peer_codec.h
@@ -24,9 +24,10 @@
   ArbiterAction Action{};
 };
 
-using PeerMessage = std::variant<ArbiterMessage, OriginMessage, Heartbeat,
-                                 ConfigAsked, ConfigReceived, IntentRequested,
-                                 AnswerIntent, OutcomeReported>;
+using PeerMessage =
+    std::variant<ArbiterMessage, OriginMessage, Heartbeat, ConfigAsked,
+                 ConfigReceived, IntentRequested, AnswerIntent, OutcomeReported,
+                 EvidenceArrived>;
 
 /// Who sent an envelope, and where answers go.
 struct PeerSender {
--- a/apps/marjorambayd/peer_side.cpp
+++ b/apps/marjorambayd/peer_side.cpp
@@ -1,5 +1,6 @@
 /// Messages to and from other entry hosts, one envelope a peer and turn.
 #include "actions.h"
+#include "rollout_side.h"
 #include "sides.h"
 
 #include <utility>
@@ -39,7 +40,13 @@
 void receive(Daemon &D, const OriginMessage &Message, const PeerSender &From) {
   takeDecision(D, Message.Pool, Message.Action, From.Id);
 }
+void receive(Daemon &D, const EvidenceArrived &Arrived,
+             const PeerSender & /*From*/) {
+  takeEvidence(D, Arrived);
+}
 void receive(Daemon &D, Heartbeat Beat, const PeerSender & /*From*/) {
+  for (const RolloutView &View : Beat.Rollouts)
+    learnRollout(D, View);
   post(D, MembershipEvent(HeartbeatReceived{std::move(Beat)}));
 }
 void receive(Daemon &D, ConfigAsked Asked, const PeerSender & /*From*/) {
@@ -169,7 +176,9 @@
 }
 
 void performMembership(Daemon &D, const SendHeartbeat &Action) {
-  sendPeer(D, Action.To.Address, Action.Beat);
+  Heartbeat Beat = Action.Beat;
+  addRollouts(D, Beat);
+  sendPeer(D, Action.To.Address, Beat);
 }
 
 void performMembership(Daemon &D, const HostJoined &Action) {
--- a/apps/marjorambayd/platform_side.cpp
+++ b/apps/marjorambayd/platform_side.cpp
@@ -1,8 +1,10 @@
 /// Calls of the platform's object API, for the intent log and configuration.
 #include "actions.h"
+#include "rollout_side.h"
 #include "sides.h"
 
 #include "marjorambay/protocol/platform_api.h"
+#include "marjorambay/protocol/rollout_json.h"
 
 namespace marjorambay {
 
@@ -135,6 +137,49 @@
         [&D](const ObjectWritten &Written) { post(D, ConfigInput{Written}); });
 }
 
+namespace {
+
+std::string rolloutObject(const Daemon &D, PoolId Pool) {
+  const PoolConfig *Known = D.Config.pool(Pool);
+  return "rollouts/" + (Known ? Known->Name : "");
+}
+
+RolloutRead rolloutRead(const ObjectRead &Object) {
+  RolloutRead Read;
+  Read.Reachable = Object.Reachable;
+  if (!Object.Found)
+    return Read;
+  const Result<RolloutState> State = parseRolloutState(Object.Bytes);
+  Read.Reachable = ok(State); // what can't be read is taken for an outage
+  if (!ok(State))
+    return Read;
+  Read.Found = true;
+  Read.Version = Object.Version;
+  Read.State = value(State);
+  return Read;
+}
+
+} // namespace
+
+void readRollout(Daemon &D, PoolId Pool,
+                 std::function<void(const RolloutRead &)> Take) {
+  read(D, ReadObject{{}, rolloutObject(D, Pool)},
+       [Take = std::move(Take)](const ObjectRead &Object) {
+         Take(rolloutRead(Object));
+       });
+}
+
+void writeRollout(Daemon &D, PoolId Pool, const WriteRollout &Action) {
+  write(D,
+        WriteObject{{},
+                    rolloutObject(D, Pool),
+                    Action.IfVersion,
+                    printRolloutState(Action.State)},
+        [&D, Pool](const ObjectWritten &Written) {
+          stepLeader(D, Pool, RolloutWritten{Written.Verdict, Written.Version});
+        });
+}
+
 void performConfig(Daemon &D, const WatchObject &Action) {
   D.Numbers.add(HostCount::PlatformWatches);
   HttpCall What = platformCall(
--- /dev/null
+++ b/apps/marjorambayd/rollout_side.cpp
@@ -0,0 +1,376 @@
+/// Rollouts: the leader and the guard of each pool, and what they decide.
+#include "rollout_side.h"
+
+#include "answers.h"
+#include "sides.h"
+
+#include "marjorambay/protocol/rollout_json.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace marjorambay {
+
+namespace {
+
+constexpr Duration RolloutTick = milliseconds(250);
+/// Between two looks of a leader at targets of other zones.
+constexpr Duration ShownInterval = seconds(5);
+/// A changed view goes with every heartbeat for this long, then now and then.
+constexpr Duration FreshView = seconds(5);
+constexpr std::uint64_t HeartbeatsBetweenViews = 40;
+
+PoolRollout &poolRollout(Daemon &D, PoolId Pool) {
+  return D.Rollouts.try_emplace(Pool, D.Settings.HostName).first->second;
+}
+
+bool arbitratesHere(const Daemon &D, PoolId Pool) {
+  const auto Place = D.ArbiterOf.find(Pool);
+  return Place != D.ArbiterOf.end() && Place->second.Host == D.Self.Id &&
+         Place->second.Zone == D.Self.Zone;
+}
+
+bool takenBack(const PoolRollout &Held) {
+  return Held.View->Phase == RolloutPhase::TakenBack || Held.Guard.tripped();
+}
+
+// ---- What a guard decides ---------------------------------------------------
+
+void sendEvidence(Daemon &D, PoolId Pool, const EvidenceReady &Ready) {
+  const EvidenceArrived Arrived{Ready.Rollout, Ready.Cells};
+  const HostId Leader = poolRollout(D, Pool).View->Leader;
+  if (Leader == D.Self.Id)
+    stepLeader(D, Pool, Arrived);
+  else
+    sendHost(D, Leader, Arrived);
+}
+
+void performGuard(Daemon &D, PoolId Pool, const GuardActions &Actions) {
+  for (const GuardAction &Action : Actions) {
+    if (const auto *Allowed = std::get_if<ShareAllowed>(&Action)) {
+      if (D.Arbiters.contains(Pool))
+        post(D, ArbiterInput{Pool, VersionShareChanged{Allowed->Version,
+                                                       Allowed->Share}});
+    } else if (const auto *Trip = std::get_if<TripFound>(&Action)) {
+      LogLine("version_tripped", LogLevel::Warning)
+          .with("pool", static_cast<std::int64_t>(number(Pool)))
+          .with("fault", std::string(nameOf(Trip->Kind)));
+      const TrippedVersion Found{Trip->Rollout, Trip->Version,
+                                 D.Loop.wallNow()};
+      post(D, MembershipEvent(VersionFaultSeen{Found}));
+      takeTrip(D, Found);
+    } else if (const auto *Ready = std::get_if<EvidenceReady>(&Action)) {
+      sendEvidence(D, Pool, *Ready);
+    }
+  }
+}
+
+// ---- What a leader decides --------------------------------------------------
+
+void orderLoad(Daemon &D, const OrderLoad &Order) {
+  const TargetConfig *Target = D.Config.target(Order.Target);
+  const Result<SocketAddress> Address =
+      parseAddress(Target ? Target->Address : "");
+  if (!ok(Address))
+    return;
+  LogLine("load_ordered")
+      .with("target", Target->Name)
+      .with("version", Order.Version)
+      .with("fence", static_cast<std::int64_t>(Order.Fence));
+  HttpCall What;
+  What.Address = value(Address).Ip;
+  What.Port = value(Address).Port;
+  What.Method = "POST";
+  What.Path = "/orders";
+  What.Headers = {{"Content-Type", "application/json"}};
+  What.Text = printLoadOrder(Order.Version, Order.Fence);
+  What.ConnectTimeout = D.Settings.ConnectTimeout;
+  What.SilenceTimeout = seconds(5);
+  // Whether it took effect shows in the target's load report.
+  D.Client.fetch(std::move(What), [](int, const HttpAnswerView &,
+                                     const std::string &, CallEnd) {});
+}
+
+void answerCommand(Daemon &D, const AnswerCommand &Answer) {
+  const auto Found = D.RolloutCalls.find(Answer.Call);
+  if (Found == D.RolloutCalls.end())
+    return;
+  const ExchangeId Exchange = Found->second;
+  D.RolloutCalls.erase(Found);
+  if (!ok(Answer.Outcome))
+    return answerOperatorError(D, Exchange, error(Answer.Outcome));
+  D.Operators.answer(Exchange, 200, {{"Content-Type", "application/json"}},
+                     "{\"accepted\": true}\n");
+}
+
+void performLeader(Daemon &D, PoolId Pool, const RolloutAction &Action) {
+  if (std::holds_alternative<ReadRollout>(Action))
+    readRollout(D, Pool, [&D, Pool](const RolloutRead &Read) {
+      stepLeader(D, Pool, Read);
+    });
+  else if (const auto *Write = std::get_if<WriteRollout>(&Action))
+    writeRollout(D, Pool, *Write);
+  else if (const auto *Order = std::get_if<OrderLoad>(&Action))
+    orderLoad(D, *Order);
+  else if (const auto *Publish = std::get_if<PublishView>(&Action))
+    learnRollout(D, Publish->View);
+  else if (const auto *Answer = std::get_if<AnswerCommand>(&Action))
+    answerCommand(D, *Answer);
+  else if (const auto *Ended = std::get_if<RolloutOutcome>(&Action))
+    LogLine("rollout_ended")
+        .with("rollout", Ended->State.Name)
+        .with("phase", std::string(nameOf(Ended->State.Phase)))
+        .with("reason", Ended->State.History.empty()
+                            ? ""
+                            : Ended->State.History.back().Note);
+}
+
+TargetsShown shownTargets(const Daemon &D, PoolId Pool) {
+  TargetsShown Shown;
+  for (const ZoneId Zone : D.Config.zonesOfPool(Pool))
+    for (const TargetId Id : D.Config.targets(Pool, Zone)) {
+      TargetShown Target;
+      Target.Target = Id;
+      const TargetConfig *Known = D.Config.target(Id);
+      Target.Leaving = Known->Draining || D.Members.isLeaving(Id);
+      const auto Loaded = D.ShownVersions.find(Id);
+      if (Loaded != D.ShownVersions.end())
+        Target.Versions = Loaded->second;
+      Shown.Targets.push_back(std::move(Target));
+    }
+  return Shown;
+}
+
+void lookAtTargets(Daemon &D, PoolId Pool, PoolRollout &Held) {
+  if (D.Loop.now() - Held.LookedAt >= ShownInterval) {
+    Held.LookedAt = D.Loop.now();
+    for (const ZoneId Zone : D.Config.zonesOfPool(Pool))
+      if (Zone != D.Self.Zone)
+        for (const TargetId Target : D.Config.targets(Pool, Zone))
+          readLoadReport(D, Pool, Target);
+  }
+  stepLeader(D, Pool, shownTargets(D, Pool));
+}
+
+void tickPool(Daemon &D, PoolId Pool) {
+  PoolRollout &Held = poolRollout(D, Pool);
+  const WallTime Wall = D.Loop.wallNow();
+  performGuard(D, Pool, Held.Guard.step(GuardTicked{Wall}));
+  const bool Preferred = arbitratesHere(D, Pool) && !D.Draining;
+  if (Preferred && Held.Leader.isLeader())
+    lookAtTargets(D, Pool, Held);
+  stepLeader(D, Pool, RolloutTicked{Wall, Preferred});
+}
+
+std::uint8_t loadLevel(const Slot &Held, const TargetConfig &Target) {
+  const double Limit = std::max(1U, Target.MaxRequestsInFlight);
+  const double Fill = Held.Streams / Limit;
+  return Fill < 1.0 / 3 ? 0 : Fill < 2.0 / 3 ? 1 : 2;
+}
+
+/// Targets within a factor of two of each other's speed are one class.
+std::uint8_t speedClass(const TargetConfig &Target) {
+  const double Speed = std::max(1.0, Target.TokensPerSecond);
+  return static_cast<std::uint8_t>(std::log2(Speed));
+}
+
+const PoolConfig *poolNamed(const Daemon &D, std::string_view Name) {
+  return D.Config.pool(idOf<PoolId>(Name));
+}
+
+} // namespace
+
+void stepLeader(Daemon &D, PoolId Pool, const RolloutEvent &Event) {
+  const RolloutActions Actions =
+      poolRollout(D, Pool).Leader.step(Event, D.Loop.now());
+  for (const RolloutAction &Action : Actions)
+    performLeader(D, Pool, Action);
+}
+
+void startRolloutSide(Daemon &D) {
+  D.Subscriptions.push_back(D.Timers.every(RolloutTick, [&D]() {
+    for (const PoolConfig &Pool : D.Config.config().Pools)
+      if (Pool.Kind == PoolKind::Model)
+        tickPool(D, idOf<PoolId>(Pool.Name));
+  }));
+}
+
+// ---- Versions in force ------------------------------------------------------
+
+std::string servedVersion(const Daemon &D, const TargetConfig &Target) {
+  const auto Held = D.Rollouts.find(idOf<PoolId>(Target.Pool));
+  if (Held == D.Rollouts.end() || !Held->second.View || takenBack(Held->second))
+    return Target.Version;
+  const RolloutView &View = *Held->second.View;
+  const auto Shown = D.ShownVersions.find(idOf<TargetId>(Target.Name));
+  const bool HasNew =
+      Shown != D.ShownVersions.end() &&
+      std::count(Shown->second.begin(), Shown->second.end(), View.To) > 0;
+  return HasNew ? View.ToName : Target.Version;
+}
+
+std::string grantedVersion(const Daemon &D, PoolId Pool, VersionId Granted) {
+  const auto Held = D.Rollouts.find(Pool);
+  const bool IsNew = Held != D.Rollouts.end() && Held->second.View &&
+                     Held->second.View->To == Granted;
+  return IsNew ? Held->second.View->ToName : "";
+}
+
+void tellVersions(Daemon &D, const PoolConfig &Pool) {
+  const auto Id = idOf<PoolId>(Pool.Name);
+  VersionId Serving =
+      Pool.Version.empty() ? VersionId{} : idOf<VersionId>(Pool.Version);
+  const auto Held = D.Rollouts.find(Id);
+  const bool Known = Held != D.Rollouts.end() && Held->second.View.has_value();
+  if (Known && Held->second.View->Phase == RolloutPhase::Completed)
+    Serving = Held->second.View->To;
+  if (Serving != VersionId{})
+    post(D, ArbiterInput{Id, ServingVersionChanged{Serving}});
+  if (!Known || Serving == Held->second.View->To)
+    return;
+  post(D, ArbiterInput{Id,
+                       VersionShareChanged{Held->second.View->To,
+                                           Held->second.Guard.allowedShare()}});
+  if (takenBack(Held->second))
+    post(D, ArbiterInput{Id, VersionTripped{Held->second.View->To}});
+}
+
+// ---- What is seen -----------------------------------------------------------
+
+void observeAnswer(Daemon &D, const Slot &Held, const Usage &Used) {
+  const bool Judged =
+      Used.End == UsageEnd::Complete || Used.End == UsageEnd::Failed;
+  const TargetConfig *Target = D.Config.target(Held.Target);
+  if (!Judged || !Target || Held.Version == VersionId{})
+    return;
+  AnswerObserved Seen;
+  Seen.Version = Held.Version;
+  Seen.Where = {Held.Request.Route, loadLevel(Held, *Target),
+                speedClass(*Target)};
+  Seen.Failed = Used.End == UsageEnd::Failed;
+  Seen.FirstSeconds = toSeconds(Used.ToFirstToken);
+  if (Used.OutputTokens > 1)
+    Seen.TokenSeconds = toSeconds(Used.Total - Used.ToFirstToken) /
+                        static_cast<double>(Used.OutputTokens);
+  poolRollout(D, Held.Request.Pool).Guard.step(Seen);
+}
+
+void showVersions(Daemon &D, TargetId Target,
+                  const std::vector<std::string> &Versions) {
+  std::vector<VersionId> Ids;
+  for (const std::string &Name : Versions)
+    Ids.push_back(idOf<VersionId>(Name));
+  std::vector<VersionId> &Shown = D.ShownVersions[Target];
+  if (Shown == Ids)
+    return;
+  Shown = std::move(Ids);
+  tellTargets(D);
+}
+
+void learnRollout(Daemon &D, const RolloutView &View) {
+  if (!D.Config.pool(View.Pool))
+    return;
+  PoolRollout &Held = poolRollout(D, View.Pool);
+  if (Held.View && Held.View->Version >= View.Version)
+    return;
+  const bool Moved = !Held.View || Held.View->Phase != View.Phase ||
+                     Held.View->Share != View.Share ||
+                     Held.View->Leader != View.Leader ||
+                     Held.View->Id != View.Id;
+  Held.View = View;
+  Held.Guard.step(ViewLearned{View});
+  stepLeader(D, View.Pool, ViewSeen{View});
+  if (!Moved)
+    return;
+  Held.MovedAt = D.Loop.now();
+  LogLine("rollout_moved")
+      .with("version", View.ToName)
+      .with("phase", std::string(nameOf(View.Phase)))
+      .with("share", std::to_string(View.Share));
+  D.Numbers.nameLabel(LabelKind::Version, number(View.To), View.ToName);
+  performGuard(D, View.Pool, Held.Guard.step(GuardTicked{D.Loop.wallNow()}));
+  tellTargets(D);
+}
+
+void addRollouts(Daemon &D, Heartbeat &Beat) {
+  const bool All = Beat.Sequence % HeartbeatsBetweenViews == 0;
+  for (const auto &[Pool, Held] : D.Rollouts)
+    if (Held.View && (All || D.Loop.now() - Held.MovedAt < FreshView))
+      Beat.Rollouts.push_back(*Held.View);
+}
+
+void takeEvidence(Daemon &D, const EvidenceArrived &Arrived) {
+  for (const auto &[Pool, Held] : D.Rollouts)
+    if (Held.View && Held.View->Id == Arrived.Rollout)
+      return stepLeader(D, Pool, Arrived);
+}
+
+void takeTrip(Daemon &D, const TrippedVersion &Trip) {
+  for (auto &[Pool, Held] : D.Rollouts) {
+    if (!Held.View || Held.View->Id != Trip.Rollout)
+      continue;
+    performGuard(D, Pool, Held.Guard.step(TripLearned{Trip.Rollout}));
+    stepLeader(D, Pool,
+               RolloutTripped{Trip.Rollout, "the new version was tripped"});
+    tellTargets(D);
+    return;
+  }
+}
+
+// ---- Operators --------------------------------------------------------------
+
+void answerRollout(Daemon &D, ExchangeId Exchange, std::string_view Pool) {
+  if (!poolNamed(D, Pool))
+    return answerOperatorError(D, Exchange,
+                               {ErrorKind::NotFound, "no such pool"});
+  const auto Id = idOf<PoolId>(Pool);
+  readRollout(D, Id, [&D, Id, Exchange](const RolloutRead &Read) {
+    const auto &Known = poolRollout(D, Id).Leader.state();
+    if (!Read.Found && (Read.Reachable || !Known))
+      return answerOperatorError(D, Exchange,
+                                 {Read.Reachable
+                                      ? ErrorKind::NotFound
+                                      : ErrorKind::PlatformUnavailable,
+                                  "no rollout of this pool is known"});
+    // In an outage, what this host has last read.
+    D.Operators.answer(Exchange, 200, {{"Content-Type", "application/json"}},
+                       printRolloutState(Read.Found ? Read.State : *Known));
+  });
+}
+
+void commandRollout(Daemon &D, ExchangeId Exchange, std::string_view Pool,
+                    std::string_view Body) {
+  const PoolConfig *Known = poolNamed(D, Pool);
+  const Result<RolloutRequest> Read = parseRolloutRequest(Body);
+  if (!Known)
+    return answerOperatorError(D, Exchange,
+                               {ErrorKind::NotFound, "no such pool"});
+  if (!ok(Read))
+    return answerOperatorError(D, Exchange, error(Read));
+  const RolloutRequest &Request = value(Read);
+  const auto Command = parseEnum<RolloutCommand>(Request.Command);
+  const bool IsStart = Command == RolloutCommand::Start;
+  const bool Whole = !Request.Name.empty() && !Request.ToVersion.empty() &&
+                     Request.Within >= minutes(1) && !Known->Version.empty() &&
+                     Known->Version != Request.ToVersion;
+  if (!Command || Request.Author.empty() || (IsStart && !Whole))
+    return answerOperatorError(
+        D, Exchange,
+        {ErrorKind::BadRequest,
+         "needs command (start, pause, resume, abort) and author; start needs "
+         "name, to_version other than the pool's own, and within_ms of at "
+         "least 60000"});
+  RolloutCommanded Commanded;
+  Commanded.Call = ++D.LastRolloutCall;
+  Commanded.Command = *Command;
+  Commanded.Author = Request.Author;
+  Commanded.Wanted.Name = Request.Name;
+  Commanded.Wanted.Pool = Known->Name;
+  Commanded.Wanted.FromVersion = Known->Version;
+  Commanded.Wanted.ToVersion = Request.ToVersion;
+  Commanded.Wanted.Deadline = D.Loop.wallNow() + Request.Within;
+  D.RolloutCalls[Commanded.Call] = Exchange;
+  stepLeader(D, idOf<PoolId>(Known->Name), Commanded);
+}
+
+} // namespace marjorambay
--- a/apps/marjorambayd/sides.h
+++ b/apps/marjorambayd/sides.h
@@ -16,6 +16,8 @@
 
 // load_reports: of the targets that arbiters here grant.
 void startLoadReports(Daemon &D);
+/// Reads one target's report, of any zone.
+void readLoadReport(Daemon &D, PoolId Pool, TargetId Target);
 
 // target_side: dispatches.
 /// Reads on from a target whose answer had run ahead of its caller.
--- a/apps/marjorambayd/target_side.cpp
+++ b/apps/marjorambayd/target_side.cpp
@@ -1,6 +1,7 @@
 /// Dispatches to targets and what comes back of them.
 #include "actions.h"
 #include "answers.h"
+#include "rollout_side.h"
 #include "sides.h"
 
 #include "marjorambay/protocol/completion.h"
@@ -160,9 +161,11 @@
              const TargetConfig &Target) {
   Call.Attempt = Action.Attempt;
   Call.TargetName = Target.Name;
-  Call.VersionName = Target.Version;
-  Call.Version =
-      Target.Version.empty() ? VersionId{} : idOf<VersionId>(Target.Version);
+  Call.VersionName = grantedVersion(D, Call.Pool, Call.Granted);
+  if (Call.VersionName.empty())
+    Call.VersionName = Target.Version;
+  Call.Version = Call.VersionName.empty() ? VersionId{}
+                                          : idOf<VersionId>(Call.VersionName);
   Call.Mode = RelayMode::Undecided;
   Call.DispatchedAt = D.Loop.now();
   D.Numbers.observe(Span::QueueWait, {Call.Tier, Call.Account, Call.Version},
--- a/packages/coordination/marjorambay/coordination.h
+++ b/packages/coordination/marjorambay/coordination.h
@@ -17,5 +17,7 @@
 #include "marjorambay/coordination/membership.h"
 #include "marjorambay/coordination/origin.h"
 #include "marjorambay/coordination/requests.h"
+#include "marjorambay/coordination/rollout.h"
+#include "marjorambay/coordination/version_guard.h"
 
 #endif // MARJORAMBAY_COORDINATION_H
--- a/packages/coordination/marjorambay/coordination/arbiter.h
+++ b/packages/coordination/marjorambay/coordination/arbiter.h
@@ -62,6 +62,11 @@
 
   ArbiterView view(TimePoint Now) const;
   const TargetTable &targets() const { return Targets; }
+  /// Returns the slot that a request holds, or nullptr.
+  const Slot *slot(const RequestKey &Key) const {
+    const auto Found = Slots.find(Key);
+    return Found == Slots.end() ? nullptr : &Found->second;
+  }
 
 private:
   void apply(const TargetsChanged &Event, TimePoint Now);
--- a/packages/coordination/marjorambay/coordination/arbiter_events.h
+++ b/packages/coordination/marjorambay/coordination/arbiter_events.h
@@ -121,6 +121,7 @@
 struct GrantSlot {
   RequestKey Key{};
   TargetId Target{};
+  VersionId Version{}; ///< that the request must name; 0: the target has none
 };
 /// Given up on a reservation; the caller is told at once.
 struct RefuseSlot {
--- a/packages/coordination/marjorambay/coordination/membership.h
+++ b/packages/coordination/marjorambay/coordination/membership.h
@@ -6,6 +6,7 @@
 #include "marjorambay/state/enum_names.h"
 #include "marjorambay/state/ids.h"
 #include "marjorambay/state/random.h"
+#include "marjorambay/state/rollout_state.h"
 #include "marjorambay/state/time.h"
 
 #include <array>
@@ -73,7 +74,8 @@
   std::uint8_t Hop = 0; ///< 0: on its own account; 1, 2: answers a heartbeat
   std::vector<LeavingTarget> Leaving{}; ///< only while digests differ
   std::vector<TrippedVersion> Tripped{};
-  std::vector<KnownHost> Known{}; ///< a few other hosts, in rotation
+  std::vector<KnownHost> Known{};      ///< a few other hosts, in rotation
+  std::vector<RolloutView> Rollouts{}; ///< filled in by the sending daemon
 };
 
 // ---- Events -----------------------------------------------------------------
--- a/packages/coordination/src/arbiter.cpp
+++ b/packages/coordination/src/arbiter.cpp
@@ -230,7 +230,8 @@
   Held.ForgetAt = std::max(Entry.Deadline, Finish) + Settings.ReleaseGrace;
   Targets.occupy(Held, takingOver(Now), Now);
   hold(Held);
-  Pending.emplace_back(GrantSlot{Entry.Request.Key, Choice.Target});
+  Pending.emplace_back(
+      GrantSlot{Entry.Request.Key, Choice.Target, Held.Version});
 }
 
 void Arbiter::hold(const Slot &Held) {
--- a/packages/coordination/src/origin.cpp
+++ b/packages/coordination/src/origin.cpp
@@ -199,6 +199,7 @@
   Sent.Account = Held.Call.Account;
   Sent.Tier = Held.Call.Tier;
   Sent.Pool = Held.Call.Pool;
+  Sent.Route = Held.Call.Route;
   Sent.Model = Held.Call.Model;
   Sent.Cost = {Held.Call.PromptTokens, expectedOutput(Held.Call)};
   Sent.PrefixHash = Held.Call.PrefixHash;
--- a/packages/coordination/src/rollout_leader.cpp
+++ b/packages/coordination/src/rollout_leader.cpp
@@ -26,6 +26,9 @@
   View.Phase = State.Phase;
   View.Share = State.Share;
   View.Deadline = State.Deadline;
+  View.ToName = State.ToVersion;
+  if (!State.Leader.empty())
+    View.Leader = idOf<HostId>(State.Leader);
   return View;
 }
 
--- /dev/null
+++ b/packages/protocol/src/rollout_json.cpp
@@ -0,0 +1,121 @@
+/// JSON of rollouts.
+#include "marjorambay/protocol/rollout_json.h"
+
+#include <nlohmann/json.hpp>
+
+namespace marjorambay {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+std::int64_t micros(WallTime Time) { return Time.time_since_epoch().count(); }
+
+WallTime wallTime(const Json &From, const char *Key) {
+  return WallTime(Duration(From.value(Key, std::int64_t{0})));
+}
+
+RolloutPhase phaseOf(const Json &From) {
+  const auto Name = From.value("phase", std::string());
+  return parseEnum<RolloutPhase>(Name).value_or(RolloutPhase::TakenBack);
+}
+
+Json printStep(const RolloutStep &Step) {
+  return {{"at_us", micros(Step.At)},
+          {"phase", nameOf(Step.Phase)},
+          {"share", Step.Share},
+          {"note", Step.Note}};
+}
+
+RolloutStep readStep(const Json &From) {
+  return {wallTime(From, "at_us"), phaseOf(From), From.value("share", 0.0),
+          From.value("note", std::string())};
+}
+
+RolloutState readState(const Json &From) {
+  RolloutState State;
+  State.Name = From.at("name").get<std::string>();
+  State.Pool = From.at("pool").get<std::string>();
+  State.FromVersion = From.at("from_version").get<std::string>();
+  State.ToVersion = From.at("to_version").get<std::string>();
+  State.Started = wallTime(From, "started_us");
+  State.Deadline = wallTime(From, "deadline_us");
+  State.Phase = phaseOf(From);
+  State.Share = From.value("share", 0.0);
+  State.PhaseSince = wallTime(From, "phase_since_us");
+  State.Paused = From.value("paused", false);
+  State.Leader = From.value("leader", std::string());
+  State.LeaseUntil = wallTime(From, "lease_until_us");
+  State.Fence = From.value("fence", std::uint64_t{0});
+  for (const Json &Step : From.value("history", Json::array()))
+    State.History.push_back(readStep(Step));
+  return State;
+}
+
+/// Reads with \p Reader, and turns what the library throws into an error.
+template <typename Value, typename Function>
+Result<Value> readWith(std::string_view Text, Function Reader) {
+  try {
+    return Reader(Json::parse(Text));
+  } catch (const Json::exception &Caught) {
+    return Error{ErrorKind::BadRequest, Caught.what()};
+  }
+}
+
+} // namespace
+
+std::string printRolloutState(const RolloutState &State) {
+  Json History = Json::array();
+  for (const RolloutStep &Step : State.History)
+    History.push_back(printStep(Step));
+  const Json Root{{"name", State.Name},
+                  {"pool", State.Pool},
+                  {"from_version", State.FromVersion},
+                  {"to_version", State.ToVersion},
+                  {"started_us", micros(State.Started)},
+                  {"deadline_us", micros(State.Deadline)},
+                  {"phase", nameOf(State.Phase)},
+                  {"share", State.Share},
+                  {"phase_since_us", micros(State.PhaseSince)},
+                  {"paused", State.Paused},
+                  {"leader", State.Leader},
+                  {"lease_until_us", micros(State.LeaseUntil)},
+                  {"fence", State.Fence},
+                  {"history", History}};
+  return Root.dump(1) + "\n";
+}
+
+Result<RolloutState> parseRolloutState(std::string_view Text) {
+  return readWith<RolloutState>(Text, readState);
+}
+
+Result<RolloutRequest> parseRolloutRequest(std::string_view Text) {
+  return readWith<RolloutRequest>(Text, [](const Json &From) {
+    RolloutRequest Request;
+    Request.Command = From.at("command").get<std::string>();
+    Request.Name = From.value("name", std::string());
+    Request.ToVersion = From.value("to_version", std::string());
+    Request.Within = milliseconds(From.value("within_ms", std::int64_t{0}));
+    Request.Author = From.value("author", std::string());
+    return Request;
+  });
+}
+
+std::string printRolloutRequest(const RolloutRequest &Request) {
+  const auto WithinMs =
+      std::chrono::duration_cast<milliseconds>(Request.Within).count();
+  const Json Root{{"command", Request.Command},
+                  {"name", Request.Name},
+                  {"to_version", Request.ToVersion},
+                  {"within_ms", WithinMs},
+                  {"author", Request.Author}};
+  return Root.dump();
+}
+
+std::string printLoadOrder(std::string_view Version, std::uint64_t Fence) {
+  const Json Root{
+      {"order", "load_version"}, {"version", Version}, {"fence", Fence}};
+  return Root.dump();
+}
+
+} // namespace marjorambay
--- a/packages/state/marjorambay/state/rollout_state.h
+++ b/packages/state/marjorambay/state/rollout_state.h
@@ -73,6 +73,8 @@
   RolloutPhase Phase = RolloutPhase::Loading;
   double Share = 0;
   WallTime Deadline{};
+  std::string ToName{}; ///< name of To, as orders and requests need it
+  HostId Leader{};      ///< gathers the evidence; 0: none yet
 };
 
 } // namespace marjorambay
