Count a server error of a target as a failed answer; keep an order's body alive

Cause: on real processes a version that answered each request with 500 stayed a canary for 60 s: the origin released its slots as complete, so the guard saw no fault (30 of 6,000 requests went to it, 1% of its zone). And the body of an order to load was a view of a temporary, so no order arrived. Ruled out: the share (exactly the cap), the spreading of views (all four hosts had it). Change: status 500 and above releases the slot as failed; the body is held.

--- a/apps/marjorambayd/operator_side.cpp
+++ b/apps/marjorambayd/operator_side.cpp
@@ -28,14 +28,14 @@
 
 void countPeers(Daemon &D) {
   const PeerTraffic &Now = D.Peers.traffic();
-  const auto raise = [&D](HostCount What, std::uint64_t To) {
+  const auto Raise = [&D](HostCount What, std::uint64_t To) {
     D.Numbers.add(What, To - D.Numbers.count(What));
   };
-  raise(HostCount::PeerMessagesSent, Now.MessagesSent);
-  raise(HostCount::PeerMessagesReceived, Now.MessagesReceived);
-  raise(HostCount::PeerBytesSent, Now.BytesSent);
-  raise(HostCount::PeerBytesReceived, Now.BytesReceived);
-  raise(HostCount::PeerMessagesDropped, Now.MessagesDropped);
+  Raise(HostCount::PeerMessagesSent, Now.MessagesSent);
+  Raise(HostCount::PeerMessagesReceived, Now.MessagesReceived);
+  Raise(HostCount::PeerBytesSent, Now.BytesSent);
+  Raise(HostCount::PeerBytesReceived, Now.BytesReceived);
+  Raise(HostCount::PeerMessagesDropped, Now.MessagesDropped);
 }
 
 Json inspectRequests(const Daemon &D) {
--- a/apps/marjorambayd/rollout_side.cpp
+++ b/apps/marjorambayd/rollout_side.cpp
@@ -83,7 +83,8 @@
   What.Method = "POST";
   What.Path = "/orders";
   What.Headers = {{"Content-Type", "application/json"}};
-  What.Text = printLoadOrder(Order.Version, Order.Fence);
+  const std::string Body = printLoadOrder(Order.Version, Order.Fence);
+  What.Text = Body;
   What.ConnectTimeout = D.Settings.ConnectTimeout;
   What.SilenceTimeout = seconds(5);
   // Whether it took effect shows in the target's load report.
--- a/packages/coordination/marjorambay/coordination/requests.h
+++ b/packages/coordination/marjorambay/coordination/requests.h
@@ -26,7 +26,6 @@
   RouteId Route{}; ///< answers differ in length by route; 0: not told
   PoolId Pool{};
   ModelId Model{};
-  RouteId Route{};
   VersionId Version{}; ///< 0: whatever the rollout's share draws
   TokenCost Cost{};
   std::uint64_t PrefixHash = 0; ///< of the prompt's head; 0: no affinity
--- a/packages/coordination/src/origin.cpp
+++ b/packages/coordination/src/origin.cpp
@@ -402,7 +402,10 @@
     Held->OutputTokens = Event.OutputTokens;
   if (Held->OutputTokens != 0)
     learnOutput(Held->Call, Held->OutputTokens);
+  constexpr int FirstServerError = 500;
   Usage Used;
+  Used.End = Event.HttpStatus < FirstServerError ? UsageEnd::Complete
+                                                 : UsageEnd::Failed;
   Used.PromptTokens =
       Event.PromptTokens != 0 ? Event.PromptTokens : Held->Call.PromptTokens;
   Used.CachedTokens = Event.CachedTokens;
