--- a/apps/marjorambayd/peer_codec.cpp
+++ b/apps/marjorambayd/peer_codec.cpp
@@ -43,6 +43,7 @@
   Out->set_prefix_hash(Request.PrefixHash);
   Out->set_remaining_us(Request.Remaining.count());
   Out->set_route(number(Request.Route));
+  Out->set_max_output_tokens(Request.Cost.MaxOutput);
 }
 
 Reservation take(const peer::Reservation &In) {
@@ -53,7 +54,8 @@
   Request.Pool = PoolId{In.pool()};
   Request.Model = ModelId{In.model()};
   Request.Version = VersionId{In.version()};
-  Request.Cost = {In.prompt_tokens(), In.output_tokens()};
+  Request.Cost = {In.prompt_tokens(), In.output_tokens(),
+                  In.max_output_tokens()};
   Request.PrefixHash = In.prefix_hash();
   Request.Remaining = Duration(In.remaining_us());
   Request.Route = RouteId{In.route()};
