--- a/packages/coordination/src/origin.cpp
+++ b/packages/coordination/src/origin.cpp
@@ -199,6 +199,7 @@
   Sent.Account = Held.Call.Account;
   Sent.Tier = Held.Call.Tier;
   Sent.Pool = Held.Call.Pool;
+  Sent.Route = Held.Call.Route;
   Sent.Model = Held.Call.Model;
   Sent.Cost = {Held.Call.PromptTokens, expectedOutput(Held.Call)};
   Sent.PrefixHash = Held.Call.PrefixHash;
@@ -402,7 +403,10 @@
     Held->OutputTokens = Event.OutputTokens;
   if (Held->OutputTokens != 0)
     learnOutput(Held->Call, Held->OutputTokens);
+  constexpr int FirstServerError = 500;
   Usage Used;
+  Used.End = Event.HttpStatus < FirstServerError ? UsageEnd::Complete
+                                                 : UsageEnd::Failed;
   Used.PromptTokens =
       Event.PromptTokens != 0 ? Event.PromptTokens : Held->Call.PromptTokens;
   Used.CachedTokens = Event.CachedTokens;
