--- a/packages/coordination/marjorambay/coordination/arbiter.h
+++ b/packages/coordination/marjorambay/coordination/arbiter.h
@@ -62,6 +62,11 @@
 
   ArbiterView view(TimePoint Now) const;
   const TargetTable &targets() const { return Targets; }
+  /// Returns the slot that a request holds, or nullptr.
+  const Slot *slot(const RequestKey &Key) const {
+    const auto Found = Slots.find(Key);
+    return Found == Slots.end() ? nullptr : &Found->second;
+  }
 
 private:
   void apply(const TargetsChanged &Event, TimePoint Now);
@@ -97,6 +102,7 @@
   void refuseLate(TimePoint Now);
   void refuseUnservable(TimePoint Now);
   void grantWhatFits(TimePoint Now);
+  /// Grants or gives up one reservation; returns whether another may fit.
   bool serveOne(TierRank Tier, TimePoint Now);
   void grant(const Waiting &Entry, const TargetChoice &Choice, TimePoint Now);
   bool heldBack(TierRank Tier, TimePoint Now) const;
--- a/packages/coordination/src/arbiter.cpp
+++ b/packages/coordination/src/arbiter.cpp
@@ -210,7 +210,8 @@
       return false;
     if (Choice.Found) {
       grant(*Queue.take(Head->Request.Key), Choice, Now);
-      return true;
+      return Choice.Roomy > 1 ||
+             Targets.hasRoom(Choice.Target, takingOver(Now), Now);
     }
     if (!Targets.canMeet(*Head, Shares, Now)) {
       giveUp(Head->Request.Key, Now);
@@ -233,7 +234,8 @@
   Held.ForgetAt = std::max(Entry.Deadline, Finish) + Settings.ReleaseGrace;
   Targets.occupy(Held, takingOver(Now), Now);
   hold(Held);
-  Pending.emplace_back(GrantSlot{Entry.Request.Key, Choice.Target});
+  Pending.emplace_back(
+      GrantSlot{Entry.Request.Key, Choice.Target, Held.Version});
 }
 
 void Arbiter::hold(const Slot &Held) {
--- a/packages/coordination/src/origin.cpp
+++ b/packages/coordination/src/origin.cpp
@@ -199,6 +199,7 @@
   Sent.Account = Held.Call.Account;
   Sent.Tier = Held.Call.Tier;
   Sent.Pool = Held.Call.Pool;
+  Sent.Route = Held.Call.Route;
   Sent.Model = Held.Call.Model;
   Sent.Cost = {Held.Call.PromptTokens, expectedOutput(Held.Call)};
   Sent.PrefixHash = Held.Call.PrefixHash;
@@ -229,11 +230,12 @@
 }
 
 /// Gives back the slot of a target that is known here to leave: the grant was
-/// long under way, or its arbiter has not heard of it.
+/// long under way, or its arbiter has not heard of it. The arbiter is told to
+/// back off only: a sign of leaving would stand after an operator's drain ends.
 void Origin::returnGrant(Request &Held, TargetId Target) {
   Actions.push_back(
       ReleaseSlot{Held.Call.Pool, Held.Call.Id, Target, {UsageEnd::NotRun}});
-  Actions.push_back(ReportTargetSign{Target, true});
+  Actions.push_back(ReportTargetSign{Target, false});
   Held.SendSlotRequestAt = Now + Settings.RetryDelay;
   schedule(Held);
 }
@@ -401,7 +403,10 @@
     Held->OutputTokens = Event.OutputTokens;
   if (Held->OutputTokens != 0)
     learnOutput(Held->Call, Held->OutputTokens);
+  constexpr int FirstServerError = 500;
   Usage Used;
+  Used.End = Event.HttpStatus < FirstServerError ? UsageEnd::Complete
+                                                 : UsageEnd::Failed;
   Used.PromptTokens =
       Event.PromptTokens != 0 ? Event.PromptTokens : Held->Call.PromptTokens;
   Used.CachedTokens = Event.CachedTokens;
