Mend what the linter found on the merged tree

Change: each mended in the code; no check was turned off. The large test answer keeps its 10,000,000 bytes.

--- a/apps/marjorambayd/rollout_side.cpp
+++ b/apps/marjorambayd/rollout_side.cpp
@@ -259,6 +259,7 @@
 void showVersions(Daemon &D, TargetId Target,
                   const std::vector<std::string> &Versions) {
   std::vector<VersionId> Ids;
+  Ids.reserve(Versions.size());
   for (const std::string &Name : Versions)
     Ids.push_back(idOf<VersionId>(Name));
   std::vector<VersionId> &Shown = D.ShownVersions[Target];
--- a/bench/rollout_bench/fake_pool.cpp
+++ b/bench/rollout_bench/fake_pool.cpp
@@ -12,7 +12,6 @@
 constexpr Duration DigestDelay = milliseconds(750);
 constexpr Duration PlatformDelay = milliseconds(20);
 constexpr Duration LoadTime = seconds(8);
-constexpr Duration ReportLag = seconds(2);
 constexpr Duration OverdueAfter = seconds(12);
 constexpr Duration TripGrace = seconds(2);
 constexpr std::uint64_t Routes = 4;
--- a/packages/coordination/marjorambay/coordination/version_test.h
+++ b/packages/coordination/marjorambay/coordination/version_test.h
@@ -20,6 +20,8 @@
 #include <cstdint>
 #include <map>
 #include <string_view>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 namespace marjorambay {
@@ -39,7 +41,10 @@
   RouteId Route{};
   std::uint8_t Load = 0;       ///< fill of the target: 0 low, 1 mid, 2 high
   std::uint8_t SpeedClass = 0; ///< hardware generation of the target
-  auto operator<=>(const Stratum &) const = default;
+  bool operator<(const Stratum &Other) const {
+    return std::tie(Route, Load, SpeedClass) <
+           std::tie(Other.Route, Other.Load, Other.SpeedClass);
+  }
 };
 
 /// Counts of one stratum and fault kind over one batch.
@@ -97,7 +102,10 @@
     FaultKind Kind = FaultKind::Errors;
     Group Over = Group::All;
     std::uint64_t Which = 0;
-    auto operator<=>(const DetectorKey &) const = default;
+    bool operator<(const DetectorKey &Other) const {
+      return std::tie(Kind, Over, Which) <
+             std::tie(Other.Kind, Other.Over, Other.Which);
+    }
   };
   using LogFactors = std::array<double, GridSize>;
 
--- a/packages/protocol/tests/completion_test.cpp
+++ b/packages/protocol/tests/completion_test.cpp
@@ -50,12 +50,12 @@
   }
   SUBCASE("whose head decides on its prefix hash") {
     const std::string Head(PrefixBytes, 'h');
-    const auto hashOf = [](const std::string &Prompt) {
+    const auto HashOf = [](const std::string &Prompt) {
       return read(Text, R"({"model":"m","prompt":")" + Prompt + R"("})")
           .PrefixHash;
     };
-    CHECK(hashOf(Head + "one") == hashOf(Head + "two"));
-    CHECK(hashOf("one" + Head) != hashOf("two" + Head));
+    CHECK(HashOf(Head + "one") == HashOf(Head + "two"));
+    CHECK(HashOf("one" + Head) != HashOf("two" + Head));
   }
   SUBCASE("as a chat, with parts of a message") {
     const auto Request =
--- a/packages/transport/tests/http_test.cpp
+++ b/packages/transport/tests/http_test.cpp
@@ -283,7 +283,9 @@
 TEST_CASE("a target's answer is paused until its caller has read") {
   HttpFixture Test;
   Test.Server.RequestArrived.connect([&](const HttpRequestView &View) {
-    Test.Server.answer(View.Id, 200, {}, std::string(10'000'000, 'x'));
+    std::string Large;
+    Large.resize(10'000'000, 'x');
+    Test.Server.answer(View.Id, 200, {}, Large);
   });
   std::size_t Got = 0;
   bool Over = false;
