--- a/bench/policy_bench/simulation.h
+++ b/bench/policy_bench/simulation.h
@@ -311,9 +311,9 @@
 
   void tick() {
     decide(ArbiterTicked{});
-    const bool WholeSecond = Ticks % 10 == 0;
+    const bool ReportDue = Ticks % 30 == 0; // each 3 s, as origins do
     ++Ticks;
-    if (WholeSecond)
+    if (ReportDue)
       reportProgress();
     Clock.after(milliseconds(100), [this] { tick(); });
   }
--- a/packages/coordination/marjorambay/coordination/arbiter_events.h
+++ b/packages/coordination/marjorambay/coordination/arbiter_events.h
@@ -53,7 +53,7 @@
   Usage Used{};
 };
 /// Tokens that a dispatched request has produced so far; speeds up the
-/// detection of a target that slows down. Sent at most once a second.
+/// detection of a target that slows down. Sent at most each 3 s.
 struct SlotProgressed {
   RequestKey Key{};
   std::uint32_t OutputTokens = 0;
--- a/packages/coordination/src/origin.cpp
+++ b/packages/coordination/src/origin.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr Duration ProgressInterval = seconds(1);
+constexpr Duration ProgressInterval = seconds(3);
 constexpr Duration MaxReservationResend = seconds(16);
 /// How long a late answer of the intent log is still acted on.
 constexpr Duration AbandonedMemory = minutes(2);
--- a/scripts/lib/capacity_model.py
+++ b/scripts/lib/capacity_model.py
@@ -31,6 +31,7 @@
 LIMIT_MEMORY = 128    # MB
 PLATFORM_WRITES = 300  # "several hundred" a second
 PLATFORM_READS = 2000
+MESSAGES_PER_REQUEST = 7  # as bench/slopes/peer_slopes.cpp sends them
 
 
 class Slopes:
@@ -109,7 +110,7 @@
     events = size.tokens_per_s / size.daemons
     tokens = size.tokens_per_s / size.requests_per_s
     streams = own * tokens * size.stream_gap_s
-    messages = 3 + tokens * size.stream_gap_s  # of a request: see peer_slopes
+    messages = MESSAGES_PER_REQUEST
     request_bytes = slopes.per("request_peer_bytes")
     request_micros = slopes.per("request_peer_micros")
     arbiters = size.models / hosts_in_zone
