Rollouts: stay a canary longer, spread the leader's trip at once

The ramp went on early, so a fault that shows late met a large share; a leader's own trip spread only with its write, which an outage holds back; evidence was dropped while a lease had lapsed in an outage. Ruled out: a lower trip threshold (detection was not what was late), counting less.

--- a/apps/marjorambayd/rollout_side.cpp
+++ b/apps/marjorambayd/rollout_side.cpp
@@ -34,6 +34,11 @@
   return Held.View->Phase == RolloutPhase::TakenBack || Held.Guard.tripped();
 }
 
+void spreadTrip(Daemon &D, const TrippedVersion &Found) {
+  post(D, MembershipEvent(VersionFaultSeen{Found}));
+  takeTrip(D, Found);
+}
+
 // ---- What a guard decides ---------------------------------------------------
 
 void sendEvidence(Daemon &D, PoolId Pool, const EvidenceReady &Ready) {
@@ -55,10 +60,7 @@
       LogLine("version_tripped", LogLevel::Warning)
           .with("pool", static_cast<std::int64_t>(number(Pool)))
           .with("fault", std::string(nameOf(Trip->Kind)));
-      const TrippedVersion Found{Trip->Rollout, Trip->Version,
-                                 D.Loop.wallNow()};
-      post(D, MembershipEvent(VersionFaultSeen{Found}));
-      takeTrip(D, Found);
+      spreadTrip(D, {Trip->Rollout, Trip->Version, D.Loop.wallNow()});
     } else if (const auto *Ready = std::get_if<EvidenceReady>(&Action)) {
       sendEvidence(D, Pool, *Ready);
     }
@@ -115,6 +117,8 @@
     orderLoad(D, *Order);
   else if (const auto *Publish = std::get_if<PublishView>(&Action))
     learnRollout(D, Publish->View);
+  else if (const auto *Trip = std::get_if<TripVersion>(&Action))
+    spreadTrip(D, {Trip->Rollout, Trip->Version, D.Loop.wallNow()});
   else if (const auto *Answer = std::get_if<AnswerCommand>(&Action))
     answerCommand(D, *Answer);
   else if (const auto *Ended = std::get_if<RolloutOutcome>(&Action))
--- a/packages/coordination/marjorambay/coordination/rollout.h
+++ b/packages/coordination/marjorambay/coordination/rollout.h
@@ -28,11 +28,9 @@
 /// How a rollout is paced.
 struct RolloutPacing {
   double CanaryShare = 0.01;            ///< hard cap until there is evidence
-  double CanaryFraction = 0.35;         ///< of the time, at most, as a canary
-  std::uint32_t CanaryAnswers = 100;    ///< enough evidence to go on early
-  std::uint32_t LeastCanaryAnswers = 8; ///< fewer: wait for the planned end
+  double CanaryFraction = 0.6;          ///< of the time, as a canary
+  std::uint32_t LeastCanaryAnswers = 8; ///< fewer: it stays a canary
   Duration LeastStep = seconds(10);     ///< between two changes of the share
-  std::uint32_t StepAnswers = 60;       ///< enough in a step to go on early
   Duration LeastSoak = seconds(20);     ///< at full share before completion
   double Margin = 0.08;                 ///< of the time, kept before deadline
   Duration Lease = seconds(6);
@@ -118,6 +116,12 @@
 struct PublishView {
   RolloutView View{};
 };
+/// The leader's own test has found the version bad: to be spread at once, for
+/// the platform may be out of reach.
+struct TripVersion {
+  RolloutId Rollout{};
+  VersionId Version{};
+};
 /// Told once it is certain: for the event feed, logs and waiting operators.
 struct RolloutOutcome {
   RolloutState State{};
@@ -126,8 +130,9 @@
   std::uint64_t Call = 0;
   Result<Done> Outcome{};
 };
-using RolloutAction = std::variant<ReadRollout, WriteRollout, OrderLoad,
-                                   PublishView, RolloutOutcome, AnswerCommand>;
+using RolloutAction =
+    std::variant<ReadRollout, WriteRollout, OrderLoad, PublishView, TripVersion,
+                 RolloutOutcome, AnswerCommand>;
 using RolloutActions = std::vector<RolloutAction>;
 
 /// Returns the view that hosts need of \p State at object version \p Version.
--- a/packages/coordination/src/rollout_leader.cpp
+++ b/packages/coordination/src/rollout_leader.cpp
@@ -135,14 +135,22 @@
   Actions.push_back(WriteRollout{KnownVersion, std::move(State)});
 }
 
-void RolloutLeader::handle(const EvidenceArrived &Arrived, RolloutActions &) {
-  if (!isLeader() || Arrived.Rollout != idOf<RolloutId>(Known->Name))
+void RolloutLeader::handle(const EvidenceArrived &Arrived,
+                           RolloutActions &Actions) {
+  // A lease that has lapsed in an outage does not make the evidence less true.
+  const bool Leads = Known && !isFinal(Known->Phase) &&
+                     Known->Leader == HostName &&
+                     Arrived.Rollout == idOf<RolloutId>(Known->Name);
+  if (!Leads)
     return;
   Test.add(Arrived.Cells);
-  if (Test.tripped() && TripReason.empty())
-    TripReason = "the new version shows " +
-                 std::string(nameOf(Test.trippedBy())) +
-                 " over all availability zones";
+  if (!Test.tripped() || !TripReason.empty())
+    return;
+  TripReason = "the new version shows " +
+               std::string(nameOf(Test.trippedBy())) +
+               " over all availability zones";
+  Actions.push_back(
+      TripVersion{Arrived.Rollout, idOf<VersionId>(Known->ToVersion)});
 }
 
 void RolloutLeader::handle(const TargetsShown &Shown, RolloutActions &) {
--- a/packages/coordination/src/rollout_plan.cpp
+++ b/packages/coordination/src/rollout_plan.cpp
@@ -72,25 +72,21 @@
 std::optional<RolloutState> RolloutLeader::nextStep() const {
   const Duration Spent = timeInPhase();
   const std::uint64_t Answers = Test.newAnswers() - AnswersAtStep;
-  const bool Enough = Answers >= Pace.StepAnswers && Spent >= Pace.LeastStep;
-  const bool PlannedEnd = Wall - Known->PhaseSince >= plannedStep();
+  const bool PlannedEnd =
+      Wall - Known->PhaseSince >= plannedStep() && Spent >= Pace.LeastStep;
 
   switch (Known->Phase) {
   case RolloutPhase::Loading:
     if (loadedTargets() < wantedTargets())
       return std::nullopt;
     return moved(RolloutPhase::Canary, Pace.CanaryShare, "first targets ready");
-  case RolloutPhase::Canary: {
-    const bool Early = Answers >= Pace.CanaryAnswers && Spent >= Pace.LeastStep;
-    const bool Late = PlannedEnd && Answers >= Pace.LeastCanaryAnswers;
-    if (!Early && !Late)
+  case RolloutPhase::Canary:
+    if (!PlannedEnd || Answers < Pace.LeastCanaryAnswers)
       return std::nullopt;
     return moved(RolloutPhase::Ramping, RampShares.front(),
                  std::to_string(Answers) + " canary answers");
-  }
   case RolloutPhase::Ramping: {
-    const bool Ready = Enough || (PlannedEnd && Answers > 0);
-    if (!Ready || loadedTargets() < wantedTargets())
+    if (!PlannedEnd || Answers == 0 || loadedTargets() < wantedTargets())
       return std::nullopt;
     if (stepsLeft(Known->Share) == 0)
       return moved(RolloutPhase::Soaking, 1, "all traffic moved");
@@ -110,7 +106,8 @@
   return std::nullopt;
 }
 
-// ---- Orders to targets ------------------------------------------------------
+// ---- Orders to targets
+// ------------------------------------------------------
 
 bool RolloutLeader::hasNewVersion(const TargetShown &Target) const {
   const auto To = idOf<VersionId>(Known->ToVersion);
