--- a/bench/rollout_bench/fake_pool.cpp
+++ b/bench/rollout_bench/fake_pool.cpp
@@ -187,7 +187,7 @@
   }
 
   void spreadTrip(std::size_t From, const TripFound &Trip) {
-    noteTrip();
+    noteTrip(From);
     for (std::size_t To = 0; To < Zones.size(); ++To) {
       if (!connected(From, To))
         continue;
@@ -254,10 +254,11 @@
       Object.Phase = RolloutPhase::Completed;
   }
 
-  void noteTrip() {
+  void noteTrip(std::size_t From) {
     if (TripAt)
       return;
     TripAt = Time;
+    TrippedWhileCut = cut(From);
     Out.DetectSeconds = toSeconds(Time - faultOnset());
   }
 
@@ -379,10 +380,12 @@
     return Slow ? 2 : Scene.Fault == VersionFault::LoadSlow ? 3 : 1;
   }
 
-  /// Whether a zone is cut off, or was until the grace for a trip.
+  /// Whether a zone is cut off from where the trip was found, or was until the
+  /// grace for a trip.
   bool lately(std::size_t Index) const {
     const double Grace = toSeconds(TripGrace) / toSeconds(Scene.Window);
-    return Scene.Troubles.ZoneCut && Index == 0 && within(0.4, 0.6 + Grace);
+    const bool Apart = TrippedWhileCut != (Index == 0);
+    return Scene.Troubles.ZoneCut && Apart && within(0.4, 0.6 + Grace);
   }
 
   void countBad(std::size_t Index) {
@@ -401,6 +404,7 @@
   std::vector<Zone> Zones{};
   std::vector<FakeTarget> Targets{};
   std::optional<Duration> TripAt{};
+  bool TrippedWhileCut = false; ///< in zone 0, when it was alone
   ScenarioResult Out{};
 };
 
