--- a/apps/marjorambayd/config_side.cpp
+++ b/apps/marjorambayd/config_side.cpp
@@ -19,6 +19,13 @@
   }
 }
 
+void tellDefaults(Daemon &D) {
+  const FleetDefaults Here = D.Config.effective(
+      {.Host = D.Settings.HostName, .Zone = D.Settings.ZoneName});
+  post(D, OriginEvent(DefaultsChanged{Here.MaxDeadline, Here.DispatchTimeout,
+                                      Here.DefaultOutputTokens}));
+}
+
 void nameLabels(Daemon &D) {
   const FleetConfig &Config = D.Config.config();
   for (const TierConfig &Tier : Config.Tiers)
@@ -59,6 +66,7 @@
       .with("revision", static_cast<std::int64_t>(number(Action.Rev)));
   nameLabels(D);
   tellMembers(D, Action.Rev);
+  tellDefaults(D);
   tellAccounts(D);
   tellTargets(D);
   reviewArbiters(D);
--- a/packages/coordination/marjorambay/coordination/origin.h
+++ b/packages/coordination/marjorambay/coordination/origin.h
@@ -158,6 +158,12 @@
   std::vector<TargetInfo> Targets{};
   std::uint32_t HostsInZone = 1; ///< live entry hosts that share the targets
 };
+/// Defaults of the configuration in force here; for requests that come after.
+struct DefaultsChanged {
+  Duration MaxDeadline = minutes(30);
+  Duration DispatchTimeout = seconds(30);
+  std::uint32_t DefaultOutputTokens = 256;
+};
 /// Limit of requests that one account may have waiting at this host.
 struct AccountLimitChanged {
   AccountId Account{};
@@ -173,7 +179,7 @@
                  SlotPreempted, DispatchNotSent, TargetDeclined,
                  AnswerProgressed, AnswerCompleted, AnswerBroken, IntentSettled,
                  ArbiterMoved, LocalTargetsChanged, AccountLimitChanged,
-                 OriginTicked, DrainStarted>;
+                 DefaultsChanged, OriginTicked, DrainStarted>;
 
 // ---- Actions ----------------------------------------------------------------
 
@@ -357,6 +363,7 @@
   void on(const ArbiterMoved &Event);
   void on(const LocalTargetsChanged &Event);
   void on(const AccountLimitChanged &Event);
+  void on(const DefaultsChanged &Event);
   void on(const OriginTicked &Event);
   void on(const DrainStarted &Event);
 
--- a/packages/coordination/src/origin.cpp
+++ b/packages/coordination/src/origin.cpp
@@ -580,6 +580,12 @@
   AbandonedUntil.erase(AbandonedUntil.begin(), Kept);
 }
 
+void Origin::on(const DefaultsChanged &Event) {
+  Settings.MaxDeadline = Event.MaxDeadline;
+  Settings.DispatchTimeout = Event.DispatchTimeout;
+  Settings.DefaultOutputTokens = Event.DefaultOutputTokens;
+}
+
 void Origin::on(const AccountLimitChanged &Event) {
   auto [Entry, New] = Accounts.try_emplace(Event.Account);
   if (New)
--- a/packages/coordination/tests/origin_test.cpp
+++ b/packages/coordination/tests/origin_test.cpp
@@ -226,6 +226,15 @@
     CHECK(only<FailCaller>(Refused).Reason.Kind == ErrorKind::ShuttingDown);
     CHECK(count<Dispatch>(It.step(SlotGranted{First, Fast, Pool})) == 1);
   }
+  SUBCASE("is cut off after the silence that the configuration allows") {
+    DefaultsChanged Defaults;
+    Defaults.DispatchTimeout = seconds(2);
+    It.step(Defaults);
+    It.step(SlotGranted{First, Fast, Pool});
+    It.Now += seconds(3);
+    const auto Cut = It.step(OriginTicked{});
+    CHECK(only<FailCaller>(Cut).Reason.Kind == ErrorKind::AnswerTimeout);
+  }
   SUBCASE("counts against its account's limit") {
     It.step(AccountLimitChanged{AccountId{9}, 1});
     const auto Refused = It.step(completion(RequestId{2}));
