--- a/packages/state/marjorambay/state.h
+++ b/packages/state/marjorambay/state.h
@@ -13,6 +13,9 @@
 ///   10. config_fields.h the names of its fields, for all codecs
 ///   11. config_rules.h what a configuration must meet as a whole
 ///   12. config_index.h  a configuration by ids, and values in force
+///   13. config_manifest.h  a large document in parts
+///   14. rollout_state.h one rollout, and the view of it that spreads
+///   15. random.h        a random source, passed to what needs one
 ///
 /// This package includes none of the others and does no I/O.
 #ifndef MARJORAMBAY_STATE_H
