--- a/tests/system/config_test.py
+++ b/tests/system/config_test.py
@@ -13,21 +13,11 @@
 import threading
 import time
 
-from fleet import BIN, Fleet, call, wait_until
+from fleet import BIN, Fleet, call, ctl, wait_until
 
 CTL = BIN / "marjorambayctl"
 
 
-def ctl(host, *words, code=0):
-    """Runs marjorambayctl with --json and returns what it printed."""
-    command = [str(CTL), "--host", host.operator, "--json",
-               *[str(word) for word in words]]
-    done = subprocess.run(command, capture_output=True, text=True, timeout=120,
-                          env={"USER": "anna"})
-    assert done.returncode == code, (words, done)
-    return json.loads(done.stdout)
-
-
 class RevisionWatch(threading.Thread):
     """Reads every host's revision again and again; notes one that falls."""
 
--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -207,6 +207,16 @@
     return hashlib.sha256(api_key.encode()).hexdigest()
 
 
+def ctl(host, *words, code=0):
+    """Runs marjorambayctl with --json and returns what it printed."""
+    command = [str(BIN / "marjorambayctl"), "--host", host.operator, "--json",
+               *[str(word) for word in words]]
+    done = subprocess.run(command, capture_output=True, text=True, timeout=120,
+                          env={"USER": "anna"})
+    assert done.returncode == code, (words, done)
+    return json.loads(done.stdout)
+
+
 TIERS = ["interactive", "standard", "batch"]
 ACCOUNTS = {"gold": "interactive", "silver": "standard", "bronze": "batch"}
 ROUTES = [
--- a/tests/system/rollout_test.py
+++ b/tests/system/rollout_test.py
@@ -1,26 +1,13 @@
 #!/usr/bin/env python3
 """Rollouts on real processes: a bad version is taken back, an operator aborts."""
 
-import json
-import subprocess
 import unittest
 
-from fleet import BIN, Fleet, wait_until
+from fleet import Fleet, ctl, wait_until
 
-CTL = BIN / "marjorambayctl"
 TAKEN_BACK = 7
 
 
-def ctl(host, *words, code=0):
-    """Runs marjorambayctl with --json and returns what it printed."""
-    done = subprocess.run(
-        [str(CTL), "--host", host.operator, "--json", *words],
-        capture_output=True, text=True, timeout=120, env={"USER": "anna"})
-    if done.returncode != code:
-        raise AssertionError((words, done))
-    return json.loads(done.stdout) if code == 0 else {}
-
-
 class RolloutTest(unittest.TestCase):
     def setUp(self):
         self.fleet = Fleet(zones=2, hosts=2, engine_speeds=(2000, 2000),
