--- /dev/null
+++ b/apps/marjorambayd/forward_answers.cpp
@@ -0,0 +1,295 @@
+/// Dispatch of a request to a target, and its answer on the way back.
+#include "forward_host.h"
+
+#include <algorithm>
+
+namespace marjorambay {
+
+namespace {
+
+/// A call that may run once goes over a connection that idled no longer: the
+/// target may be closing an older one, and would leave open whether it ran.
+constexpr Duration FreshEnough = milliseconds(250);
+constexpr Duration KeptIdle = seconds(4);
+/// Answers of a kind other than events are gathered whole, up to this.
+constexpr std::size_t MaxGathered = 8 << 20;
+/// Unread bytes of a stream at which its caller counts as gone.
+constexpr std::size_t MaxUnread = 1 << 20;
+
+constexpr Duration ConnectTimeout = milliseconds(300);
+
+void finishRelay(ForwardHost &H, ForwardCall &Call);
+
+Usage usageOf(const ForwardHost &H, const ForwardCall &Call, UsageEnd How) {
+  const ForwardPool *Pool = Call.Table->pool(Call.Pool);
+  const std::uint32_t Each = Pool == nullptr ? 1 : Pool->TokensPerEvent;
+  Usage Used;
+  Used.End = How;
+  Used.PromptTokens = Call.PromptTokens;
+  Used.OutputTokens =
+      std::max(1U, (Call.Events.events() - Call.EventsBefore) * Each);
+  const TimePoint Now = H.Loop.now();
+  Used.Total = Now - Call.DispatchedAt;
+  Used.ToFirstToken = Call.LastBytesAt == TimePoint{} || !Call.Begun
+                          ? Used.Total
+                          : Call.FirstEventAt - Call.DispatchedAt;
+  return Used;
+}
+
+/// Ends the stay at a target: its slot, what is learned of it, its call.
+void leave(ForwardHost &H, ForwardCall &Call, UsageEnd How, bool Cancel) {
+  if (Call.Stage != CallStage::Dispatched)
+    return;
+  if (Cancel)
+    H.Client.cancel(Call.Call);
+  H.ByCall.erase(Call.Call);
+  const Usage Used = usageOf(H, Call, How);
+  LocalTarget &Local = H.Local[Call.At];
+  Local.InFlight -= std::min(Local.InFlight, 1U);
+  if (How == UsageEnd::Complete) {
+    constexpr double Gain = 0.1;
+    const double Took = toSeconds(Used.ToFirstToken);
+    Local.Seconds = Local.Seconds == 0
+                        ? Took
+                        : Local.Seconds + Gain * (Took - Local.Seconds);
+  }
+  if (How == UsageEnd::Complete || How == UsageEnd::Failed) {
+    constexpr double PoolGain = 0.03;
+    const bool Failed = How == UsageEnd::Failed;
+    PoolState &Pool = H.Pools[Call.Pool];
+    H.Health[Call.At].noteAnswer(!Failed, Pool.FailureShare, H.Loop.now());
+    Pool.FailureShare += PoolGain * ((Failed ? 1.0 : 0.0) - Pool.FailureShare);
+    observeVersion(H, Call, Used, Failed);
+  }
+  releaseSlot(H, Call, Used);
+  Call.Stage = CallStage::Waiting;
+  Call.Call = CallId{};
+}
+
+bool mayRepeat(ForwardHost &H, const ForwardCall &Call, bool NotRun) {
+  const bool Allowed = NotRun || isRepeatable(Call.Route->Kind);
+  if (!Allowed || H.Loop.now() >= Call.Deadline)
+    return false;
+  if (Call.Attempts == 0)
+    return true; // nothing has left yet
+  return Call.Attempts < Call.Route->MaxAttempts &&
+         H.Pools[Call.Pool].Repeats.take();
+}
+
+/// The target did not answer the call. \p NotRun: for certain.
+void repeatOrFail(ForwardHost &H, ForwardCall &Call, bool NotRun, ErrorKind Why,
+                  std::string_view Cause) {
+  LogLine("attempt_failed")
+      .with("request", Call.Name)
+      .with("target", Call.TargetName)
+      .with("cause", Cause)
+      .with("attempt", Call.Attempts)
+      .with("not_run", NotRun ? "yes" : "no")
+      .with("events", Call.Events.events());
+  if (mayRepeat(H, Call, NotRun)) {
+    if (Call.Relaying)
+      Call.Events.resume();
+    Call.EventsBefore = Call.Events.events();
+    Call.Gathered.clear();
+    return askForSlot(H, Call);
+  }
+  failCall(H, Call, Call.MayHaveRun ? Why : ErrorKind::Overloaded);
+}
+
+void answered(ForwardHost &H, CallId Id, const HttpHead &Head) {
+  ForwardCall *Call = callOf(H, H.ByCall.at(Id));
+  const TimePoint Now = H.Loop.now();
+  Call->LastBytesAt = Now;
+  Call->Status = Head.Status;
+  const bool NotRun =
+      !Head.header(H.Names.NotRun).empty() || Head.Status == 421;
+  Call->TargetDeclined = NotRun;
+  if (NotRun)
+    return; // decided at its end
+  Call->MayHaveRun = true;
+  const bool Events = isStream(Call->Route->Kind) && Head.Status / 100 == 2;
+  if (Call->Relaying && !Events) // a resumed stream met a failure
+    return;
+  if (!Call->Begun) {
+    Call->AnswerHeaders.clear();
+    for (const HttpHeader &Each : Head.Headers)
+      if (!isHopByHop(Each.Name) &&
+          !equalsIgnoringCase(Each.Name, "content-length"))
+        Call->AnswerHeaders.push_back(Each);
+  }
+  Call->Relaying = Call->Relaying || Events;
+}
+
+void relayed(ForwardHost &H, ForwardCall &Call, std::string_view Whole) {
+  if (Whole.empty())
+    return;
+  if (!Call.Begun) {
+    Call.Begun = true;
+    Call.FirstEventAt = H.Loop.now();
+    H.Callers.beginAnswer(Call.Exchange, Call.Status, Call.AnswerHeaders);
+  }
+  const std::size_t Unread = H.Callers.sendChunk(Call.Exchange, Whole);
+  Call.Stalled = Unread > MaxUnread;
+}
+
+void bytesArrived(ForwardHost &H, CallId Id, std::string_view Bytes) {
+  ForwardCall *Call = callOf(H, H.ByCall.at(Id));
+  Call->LastBytesAt = H.Loop.now();
+  if (Call->Relaying && Call->Status / 100 == 2)
+    return relayed(H, *Call, Call->Events.feed(Bytes));
+  if (Call->Gathered.size() + Bytes.size() <= MaxGathered)
+    Call->Gathered.append(Bytes);
+}
+
+/// A whole answer that says that the request did not run.
+void notRun(ForwardHost &H, ForwardCall &Call) {
+  const bool Gone = Call.Status == 421;
+  reportRefusal(H, Call.Pool, Call.At);
+  leave(H, Call, UsageEnd::NotRun, false);
+  repeatOrFail(H, Call, true, ErrorKind::Overloaded,
+               Gone ? "another target has the address" : "target refused");
+}
+
+/// Statuses that promise that a request has not run are the scheduler's to
+/// give: a target that did not say so may have run it.
+bool promisesNotRun(int Status) {
+  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+}
+
+void wholeAnswer(ForwardHost &H, ForwardCall &Call) {
+  const bool Failed = Call.Status >= 500;
+  const bool Again = Failed && isRepeatable(Call.Route->Kind);
+  const std::string Cause = "status " + std::to_string(Call.Status);
+  leave(H, Call, Failed ? UsageEnd::Failed : UsageEnd::Complete, false);
+  if (Call.Relaying && Failed) // a resumed stream met a failure
+    return repeatOrFail(H, Call, false, ErrorKind::AnswerCut, Cause);
+  if (Again && mayRepeat(H, Call, false)) {
+    Call.Gathered.clear();
+    LogLine("attempt_failed")
+        .with("request", Call.Name)
+        .with("target", Call.TargetName)
+        .with("cause", Cause)
+        .with("attempt", Call.Attempts);
+    return askForSlot(H, Call);
+  }
+  if (promisesNotRun(Call.Status) && !isRepeatable(Call.Route->Kind))
+    return failCall(H, Call, ErrorKind::TargetFailed);
+  if (Call.FirstEventAt == TimePoint{})
+    Call.FirstEventAt = H.Loop.now();
+  H.Callers.answer(Call.Exchange, Call.Status, Call.AnswerHeaders,
+                   Call.Gathered);
+  H.Numbers.add(Failed ? TierCount::Failed : TierCount::Goodput, Call.Tier);
+  endCall(H, Call, Failed ? "target_status" : "served");
+}
+
+void finishRelay(ForwardHost &H, ForwardCall &Call) {
+  const std::string Rest(Call.Events.partial());
+  relayed(H, Call, Rest);
+  leave(H, Call, UsageEnd::Complete, false);
+  if (!Call.Begun)
+    H.Callers.beginAnswer(Call.Exchange, Call.Status, Call.AnswerHeaders);
+  H.Callers.endAnswer(Call.Exchange);
+  H.Numbers.add(TierCount::Goodput, Call.Tier);
+  endCall(H, Call, "served");
+}
+
+void brokenAnswer(ForwardHost &H, ForwardCall &Call, KeptEnd How) {
+  if (neverSent(How)) {
+    Call.Attempts -= std::min(Call.Attempts, 1U);
+    H.Health[Call.At].noteRefusal(H.Loop.now());
+    reportRefusal(H, Call.Pool, Call.At);
+    leave(H, Call, UsageEnd::NotRun, false);
+    return repeatOrFail(H, Call, true, ErrorKind::NoTarget, nameOf(How));
+  }
+  Call.MayHaveRun = true;
+  leave(H, Call, UsageEnd::Failed, false);
+  repeatOrFail(H, Call, false,
+               How == KeptEnd::TimedOut ? ErrorKind::AnswerTimeout
+                                        : ErrorKind::OutcomeUnknown,
+               nameOf(How));
+}
+
+void ended(ForwardHost &H, CallId Id, KeptEnd How) {
+  ForwardCall *Call = callOf(H, H.ByCall.at(Id));
+  if (How != KeptEnd::Whole)
+    return brokenAnswer(H, *Call, How);
+  if (Call->TargetDeclined)
+    return notRun(H, *Call);
+  if (Call->Relaying && Call->Status / 100 == 2)
+    return finishRelay(H, *Call);
+  wholeAnswer(H, *Call);
+}
+
+HttpHeaders headersFor(const ForwardHost &H, const ForwardCall &Call,
+                       const ListedTarget &To) {
+  HttpHeaders Sent = Call.Headers;
+  const auto Left =
+      std::chrono::duration_cast<milliseconds>(Call.Deadline - H.Loop.now());
+  Sent.push_back({H.Names.DeadlineMs,
+                  std::to_string(std::max<std::int64_t>(1, Left.count()))});
+  Sent.push_back({H.Names.ExpectTarget, To.Name});
+  if (!Call.AccountName.empty())
+    Sent.push_back({H.Names.Account, Call.AccountName});
+  const std::string &After =
+      Call.Events.lastId().empty() ? Call.LastEventId : Call.Events.lastId();
+  if (!After.empty())
+    Sent.push_back({H.Names.LastEventId, After});
+  return Sent;
+}
+
+} // namespace
+
+void dispatch(ForwardHost &H, ForwardCall &Call, const ListedTarget &To) {
+  const TimePoint Now = H.Loop.now();
+  const bool Once = !isRepeatable(Call.Route->Kind);
+  KeptCall Sent;
+  Sent.To = To.Address;
+  Sent.Method = Call.Method;
+  Sent.Target = Call.Target;
+  Sent.Headers = headersFor(H, Call, To);
+  Sent.Body = Call.Body;
+  Sent.EchoName = H.Names.Request;
+  Sent.EchoValue = Call.Name;
+  Sent.ConnectTimeout = ConnectTimeout;
+  Sent.HeadTimeout = Call.Deadline - Now;
+  Sent.MaxIdle = Once ? FreshEnough : KeptIdle;
+  Sent.Patience.Unacknowledged = seconds(1);
+  Sent.Patience.ProbeAfter = seconds(1);
+  Sent.Patience.ProbeInterval = seconds(1);
+  Sent.OnHead = [&H](CallId Id, const HttpHead &Head) {
+    answered(H, Id, Head);
+  };
+  Sent.OnBody = [&H](CallId Id, std::string_view Bytes) {
+    bytesArrived(H, Id, Bytes);
+  };
+  Sent.OnEnd = [&H](CallId Id, KeptEnd How) { ended(H, Id, How); };
+  Call.Stage = CallStage::Dispatched;
+  Call.At = To.Id;
+  Call.TargetName = To.Name;
+  Call.Version = To.Version;
+  Call.Tried.push_back(To.Id);
+  Call.DispatchedAt = Now;
+  Call.LastBytesAt = Now;
+  Call.Status = 0;
+  Call.TargetDeclined = false;
+  ++Call.Attempts;
+  ++H.Local[To.Id].InFlight;
+  Call.Call = H.Client.start(std::move(Sent));
+  H.ByCall.emplace(Call.Call, Call.Id);
+}
+
+void leaveTarget(ForwardHost &H, ForwardCall &Call, UsageEnd How) {
+  leave(H, Call, How, true);
+}
+
+void giveUpTarget(ForwardHost &H, ForwardCall &Call) {
+  // Without a budget for another try, this one may still come to an end.
+  if (Call.Attempts >= Call.Route->MaxAttempts ||
+      H.Pools[Call.Pool].Repeats.left() < 1)
+    return;
+  Call.MayHaveRun = true;
+  leave(H, Call, UsageEnd::Failed, true);
+  repeatOrFail(H, Call, false, ErrorKind::AnswerTimeout, "target is silent");
+}
+
+} // namespace marjorambay
--- /dev/null
+++ b/apps/marjorambayd/forward_fleet.cpp
@@ -0,0 +1,298 @@
+/// The fleet: beats to hubs, their digests, and messages between hosts.
+#include "forward_host.h"
+
+#include "marjorambay/coordination/rendezvous.h"
+
+#include <algorithm>
+
+namespace marjorambay {
+
+namespace {
+
+constexpr Duration BeatInterval = milliseconds(250);
+/// The soonest that a host beats again.
+constexpr Duration EarlyBeatCheck = milliseconds(50);
+/// A hub that has not answered for this long is passed over: two beats lost.
+constexpr Duration AnswerPatience = milliseconds(700);
+/// A host that was not heard for this long may be serving out of reach.
+constexpr Duration HeardPatience = milliseconds(1500);
+/// Any of these may be lost at once without an effect on the others.
+constexpr std::size_t HubCount = 3;
+constexpr std::uint64_t HubKey = 0x6d61726a6f72616d;
+
+/// The hubs, best first.
+std::vector<HostId> hubs(const ForwardHost &H) {
+  std::vector<HostId> All;
+  if (!H.Draining)
+    All.push_back(H.Self.Id);
+  for (const auto &[Id, Peer] : H.Fleet)
+    if (Peer.Listed && !Peer.Draining)
+      All.push_back(Id);
+  const std::size_t Count = std::min(HubCount, All.size());
+  std::partial_sort(All.begin(), All.begin() + static_cast<long>(Count),
+                    All.end(), [](HostId Left, HostId Right) {
+                      return rendezvousWeight(Left, HubKey) >
+                             rendezvousWeight(Right, HubKey);
+                    });
+  All.resize(Count);
+  return All;
+}
+
+void flushOutgoing(ForwardHost &H) {
+  H.FlushDue = false;
+  const PeerSender Sender{H.Self.Id, H.Life, H.Self.Address};
+  for (auto &[Id, Writer] : H.Outgoing) {
+    const auto Peer = H.Fleet.find(Id);
+    if (Writer.empty())
+      continue;
+    const std::string Bytes = Writer.print(Sender);
+    if (Peer != H.Fleet.end())
+      H.Peers.send(Peer->second.Address, Bytes);
+  }
+}
+
+FleetDigest digestFor(ForwardHost &H, HostId To, std::uint64_t Sequence) {
+  FleetDigest Digest;
+  Digest.Sequence = Sequence;
+  Digest.Ready = isReady(H);
+  Digest.Orders = ordersHere(H);
+  if (!H.Table)
+    return Digest;
+  Digest.ConfigVersion = H.Table->version();
+  Digest.Levels = H.Ledger.levels(To, *H.Table, H.Loop.now());
+  return Digest;
+}
+
+void takeDigestHere(ForwardHost &H, const FleetDigest &Digest) {
+  const TimePoint Now = H.Loop.now();
+  for (const AccountLevel &Level : Digest.Levels)
+    H.Meter.learn(Level, Now);
+  for (const VersionOrder &Order : Digest.Orders)
+    learnOrder(H, Order);
+}
+
+/// Part of the fleet that was heard of late, this host included.
+double reach(const ForwardHost &H) {
+  const TimePoint Now = H.Loop.now();
+  std::size_t Listed = 1;
+  std::size_t Heard = 1;
+  for (const auto &[Id, Peer] : H.Fleet) {
+    if (!Peer.Listed)
+      continue;
+    ++Listed;
+    Heard += Peer.HeardAt != TimePoint{} && Now - Peer.HeardAt < HeardPatience
+                 ? 1
+                 : 0;
+  }
+  return static_cast<double>(Heard) / static_cast<double>(Listed);
+}
+
+/// A peer has a configuration that this host lacks: the platform may be slow
+/// to tell, or out of this host's reach.
+void noteVersion(ForwardHost &H, HostId From, std::uint64_t Version) {
+  const std::uint64_t Own = H.Table ? H.Table->version() : 0;
+  if (Version <= Own)
+    return;
+  if (Version > H.NewestVersion) {
+    H.NewestVersion = Version;
+    H.BehindPeers.emit();
+  }
+  sendTo(H, From, ConfigAsked{H.Self.Id, Revision{Own}});
+}
+
+void receive(ForwardHost &H, const PeerSender &From, const FleetBeat &Beat) {
+  ForwardPeer &Peer = H.Fleet[From.Id];
+  Peer.Draining = Beat.Draining;
+  if (H.Table)
+    H.Ledger.report(From.Id, From.Life, Beat.Uses, *H.Table, H.Loop.now());
+  sendTo(H, From.Id, digestFor(H, From.Id, Beat.Sequence));
+  noteVersion(H, From.Id, Beat.ConfigVersion);
+}
+
+void receive(ForwardHost &H, const PeerSender &From,
+             const FleetDigest &Digest) {
+  if (Digest.Ready)
+    H.Fleet[From.Id].AnsweredAt = H.Loop.now();
+  takeDigestHere(H, Digest);
+  noteVersion(H, From.Id, Digest.ConfigVersion);
+}
+
+void receive(ForwardHost &H, const PeerSender &, const ArbiterMessage &Said) {
+  if (isReady(H))
+    toArbiter(H, Said.Pool, Said.Event);
+}
+
+void receive(ForwardHost &H, const PeerSender &, const OriginMessage &Said) {
+  fromArbiter(H, Said.Pool, Said.Action);
+}
+
+void receive(ForwardHost &H, const PeerSender &From,
+             const ReservationQueued &Queued) {
+  const auto Slot = H.BySlot.find(Queued.Key.Id);
+  ForwardCall *Call =
+      Slot == H.BySlot.end() ? nullptr : callOf(H, Slot->second);
+  if (Call != nullptr && Call->Arbiter == From.Id &&
+      Queued.Key.OriginLife == H.Life)
+    Call->Acknowledged = true;
+}
+
+void receive(ForwardHost &H, const PeerSender &, const EvidenceArrived &Seen) {
+  takeEvidence(H, Seen);
+}
+
+void receive(ForwardHost &H, const PeerSender &From, const ConfigAsked &Asked) {
+  if (!H.Table || H.Table->version() <= number(Asked.Have))
+    return;
+  if (H.Document.size() + 1024 > MaxDatagramBytes) {
+    LogLine("config_not_relayed", LogLevel::Warning)
+        .with("bytes", static_cast<std::int64_t>(H.Document.size()));
+    return;
+  }
+  sendTo(H, From.Id,
+         ConfigReceived{Revision{H.Table->version()}, H.Document, {}, 0});
+}
+
+void receive(ForwardHost &H, const PeerSender &From,
+             const ConfigReceived &Content) {
+  const std::uint64_t Own = H.Table ? H.Table->version() : 0;
+  if (number(Content.Rev) <= Own || !H.ReadDocument)
+    return;
+  Result<ForwardConfig> Read = H.ReadDocument(Content.Document);
+  if (!ok(Read)) {
+    LogLine("config_from_peer_unreadable", LogLevel::Warning)
+        .with("why", error(Read).Message);
+    return;
+  }
+  LogLine("config_from_peer")
+      .with("version", static_cast<std::int64_t>(value(Read).Version))
+      .with("peer", static_cast<std::int64_t>(number(From.Id)));
+  applyConfig(H, std::move(value(Read)), Content.Document);
+}
+
+/// Messages of the daemon's other form of operation.
+template <typename OtherMessage>
+void receive(ForwardHost &, const PeerSender &, const OtherMessage &) {}
+
+void envelopeArrived(ForwardHost &H, std::string_view Bytes) {
+  const Result<ReceivedEnvelope> Read = parseEnvelope(Bytes);
+  if (!ok(Read)) {
+    LogLine("peer_message_malformed", LogLevel::Warning)
+        .with("bytes", static_cast<std::int64_t>(Bytes.size()));
+    return;
+  }
+  const PeerSender &From = value(Read).Sender;
+  const Result<SocketAddress> Address = parseAddress(From.Address);
+  if (!ok(Address) || From.Id == H.Self.Id)
+    return;
+  ForwardPeer &Peer = H.Fleet[From.Id];
+  if (From.Life < Peer.Life)
+    return; // sent by an earlier life
+  if (From.Life > Peer.Life && !H.Pools.empty() && number(Peer.Life) != 0) {
+    const Incarnation Gone = Peer.Life;
+    for (auto &[Pool, Held] : H.Pools)
+      if (Held.Whole)
+        toArbiter(H, Pool, OriginLost{From.Id, Gone});
+  }
+  Peer.Life = From.Life;
+  Peer.Host.Id = From.Id;
+  Peer.Address = value(Address);
+  Peer.HeardAt = H.Loop.now();
+  for (const PeerMessage &Message : value(Read).Messages)
+    std::visit([&](const auto &Known) { receive(H, From, Known); }, Message);
+}
+
+void beat(ForwardHost &H) {
+  FleetBeat Beat;
+  Beat.Sender = H.Self;
+  Beat.Sequence = ++H.BeatSequence;
+  Beat.ConfigVersion = H.Table ? H.Table->version() : 0;
+  Beat.Draining = H.Draining;
+  Beat.Uses = H.Meter.report();
+  H.Ledger.setReach(reach(H));
+  for (const HostId Hub : hubs(H)) {
+    if (Hub != H.Self.Id) {
+      sendTo(H, Hub, Beat);
+      continue;
+    }
+    if (!H.Table)
+      continue;
+    H.Ledger.report(H.Self.Id, H.Life, Beat.Uses, *H.Table, H.Loop.now());
+    takeDigestHere(H, digestFor(H, H.Self.Id, Beat.Sequence));
+  }
+}
+
+/// Beats at once if much was let through since the last beat: the other hosts
+/// admit against a level that does not have it yet.
+void beatIfDue(ForwardHost &H) {
+  if (H.Table == nullptr || !H.Meter.reportDue(*H.Table, fleetSize(H)))
+    return;
+  beat(H);
+}
+
+} // namespace
+
+Result<Done> startFleet(ForwardHost &H) {
+  const Result<SocketAddress> Address = parseAddress(H.Settings.PeerAddress);
+  if (!ok(Address))
+    return error(Address);
+  Result<Done> Bound = H.Peers.bind(value(Address));
+  if (!ok(Bound))
+    return Bound;
+  H.Peers.Received.connect(
+      [&H](std::string_view Bytes) { envelopeArrived(H, Bytes); });
+  H.Subscriptions.push_back(H.Timers.every(BeatInterval, [&H]() { beat(H); }));
+  H.Subscriptions.push_back(
+      H.Timers.every(EarlyBeatCheck, [&H]() { beatIfDue(H); }));
+  return Done{};
+}
+
+std::optional<HostId> arbiterOf(const ForwardHost &H, PoolId Pool) {
+  const TimePoint Now = H.Loop.now();
+  RendezvousChoice<HostId> Choice(number(Pool));
+  for (const HostId Hub : hubs(H)) {
+    const auto Peer = H.Fleet.find(Hub);
+    const bool Here = Hub == H.Self.Id;
+    const bool Answers =
+        Here ? isReady(H)
+             : Peer->second.AnsweredAt != TimePoint{} &&
+                   Now - Peer->second.AnsweredAt < AnswerPatience;
+    if (Answers)
+      Choice.consider(Hub);
+  }
+  if (!Choice.found())
+    return std::nullopt;
+  return Choice.best();
+}
+
+std::size_t fleetSize(const ForwardHost &H) {
+  std::size_t Size = 1;
+  for (const auto &[Id, Peer] : H.Fleet)
+    Size += Peer.Listed ? 1 : 0;
+  return Size;
+}
+
+void sendTo(ForwardHost &H, HostId To, const PeerMessage &Message) {
+  H.Outgoing[To].add(Message);
+  if (H.FlushDue)
+    return;
+  H.FlushDue = true;
+  H.Loop.defer([&H]() { flushOutgoing(H); });
+}
+
+void applyHosts(ForwardHost &H, const std::vector<HostInfo> &Listed) {
+  for (auto &[Id, Peer] : H.Fleet)
+    Peer.Listed = false;
+  for (const HostInfo &Each : Listed) {
+    const Result<SocketAddress> Address = parseAddress(Each.Address);
+    if (Each.Id == H.Self.Id || !ok(Address))
+      continue;
+    ForwardPeer &Peer = H.Fleet[Each.Id];
+    Peer.Host = Each;
+    Peer.Listed = true;
+    if (Peer.HeardAt == TimePoint{})
+      Peer.Address = value(Address);
+  }
+  shareRepeats(H);
+}
+
+} // namespace marjorambay
--- /dev/null
+++ b/apps/marjorambayd/forward_lifecycle.cpp
@@ -0,0 +1,246 @@
+/// Start, stop and ticks of a host that serves forwarded routes.
+#include "forward_host.h"
+
+#include <algorithm>
+#include <csignal>
+
+namespace marjorambay {
+
+namespace {
+
+constexpr Duration CallTick = milliseconds(25);
+constexpr Duration ArbiterTick = milliseconds(50);
+constexpr Duration VersionTick = milliseconds(250);
+constexpr Duration ConfirmInterval = milliseconds(1000);
+/// A balancer takes a host out after two misses a second apart; new requests
+/// come until then.
+constexpr Duration KeepTaking = milliseconds(2500);
+constexpr Duration DrainCheck = milliseconds(50);
+/// Of what the fleet may repeat: hosts that start anew, or are not yet listed,
+/// have a reserve that the others don't know of.
+constexpr double RepeatsUsed = 0.6;
+/// Kept free of the time between SIGTERM and SIGKILL.
+constexpr Duration KillMargin = milliseconds(300);
+
+const HttpHeaders PlainText{{"Content-Type", "text/plain; charset=utf-8"}};
+
+HostInfo selfOf(const HostSettings &Settings) {
+  return {idOf<HostId>(Settings.HostName), Settings.PeerAddress,
+          idOf<ZoneId>(Settings.ZoneName), idOf<RegionId>(Settings.RegionName)};
+}
+
+ForwardSettings boundsOf(const HostSettings &Settings) {
+  ForwardSettings Bounds;
+  Bounds.Rollout.CanaryShare = Settings.CanaryShare;
+  Bounds.Rollout.CanaryExtra = Settings.CanaryExtra;
+  return Bounds;
+}
+
+CallerServerLimits limitsOf(const HostSettings &Settings) {
+  CallerServerLimits Limits;
+  Limits.MaxHeaderBytes = Settings.MaxHeaderBytes;
+  Limits.MaxBodyBytes = Settings.MaxBodyBytes;
+  Limits.MaxConnections = Settings.MaxConnections;
+  Limits.IdleTimeout = Settings.IdleTimeout;
+  return Limits;
+}
+
+/// Half of what is tolerated above a rate goes to callers; the other half is
+/// kept for what hosts let through before they hear of each other.
+void widenBurst(const HostSettings &Settings, ForwardAccount &Account) {
+  constexpr double ToCallers = 0.5;
+  if (Account.RatePerSecond == 0)
+    return;
+  const double Owed =
+      Account.RatePerSecond * toSeconds(Settings.AccountWindow) + Account.Burst;
+  const double Slack = Account.CountsTokens ? Settings.AccountSlack : 0;
+  Account.Burst += ToCallers * (Settings.AccountOverrun * Owed + Slack);
+}
+
+void probed(ForwardHost &H, const HttpRequestView &View) {
+  const bool Ready = isReady(H) && !H.Draining;
+  H.Probes.answer(View.Id, Ready ? 200 : 503, PlainText,
+                  Ready ? "ready\n" : "not ready\n");
+}
+
+void operatorAsked(ForwardHost &H, const HttpRequestView &View) {
+  if (View.Path == "/metrics")
+    return H.Operators.answer(View.Id, 200, PlainText,
+                              H.Numbers.prometheusText());
+  H.Operators.answer(View.Id, 404, PlainText, "no such path\n");
+}
+
+Result<Done> listen(HttpServer &Server, const std::string &Text) {
+  const Result<SocketAddress> Address = parseAddress(Text);
+  if (!ok(Address))
+    return error(Address);
+  const auto Port = Server.listen(value(Address).Ip, value(Address).Port);
+  if (!ok(Port))
+    return error(Port);
+  return Done{};
+}
+
+void stop(ForwardHost &H) {
+  LogLine("stopped").with("in_progress",
+                          static_cast<std::int64_t>(H.Calls.size()));
+  H.Loop.stop();
+}
+
+void checkDrain(ForwardHost &H) {
+  const Duration Since = H.Loop.now() - H.DrainSince;
+  if (Since >= H.Settings.DrainTimeout - KillMargin)
+    return stop(H);
+  if (Since < KeepTaking)
+    return;
+  H.Refusing = true;
+  H.Callers.stopListening();
+  H.Callers.closeIdle();
+  if (H.Calls.empty())
+    stop(H);
+}
+
+void startDrain(ForwardHost &H) {
+  if (H.Draining)
+    return;
+  H.Draining = true;
+  H.DrainSince = H.Loop.now();
+  LogLine("drain_started")
+      .with("in_progress", static_cast<std::int64_t>(H.Calls.size()));
+  H.Callers.startClosing();
+  H.Leaving.emit();
+  H.Subscriptions.push_back(
+      H.Timers.every(DrainCheck, [&H]() { checkDrain(H); }));
+}
+
+} // namespace
+
+ForwardHost::ForwardHost(HostSettings Given, ForwardHeaders Named)
+    : Settings(std::move(Given)), Names(std::move(Named)),
+      Bounds(boundsOf(Settings)), Self(selfOf(Settings)),
+      Life(Incarnation{static_cast<std::uint64_t>(
+          Loop.wallNow().time_since_epoch().count())}),
+      Random(number(Self.Id) ^ number(Life)),
+      Callers(Loop, Timers, limitsOf(Settings)),
+      Probes(Loop, Timers, HttpServerLimits{}),
+      Operators(Loop, Timers, HttpServerLimits{}) {}
+
+ForwardHost::~ForwardHost() = default;
+
+bool isReady(const ForwardHost &H) {
+  return H.Table != nullptr && H.TargetsKnown && H.OrdersKnown;
+}
+
+Result<Done> startForwarding(ForwardHost &H) {
+  H.Probes.RequestArrived.connect(
+      [&H](const HttpRequestView &View) { probed(H, View); });
+  H.Operators.RequestArrived.connect(
+      [&H](const HttpRequestView &View) { operatorAsked(H, View); });
+  const Result<SocketAddress> Address = parseAddress(H.Settings.CallerAddress);
+  if (!ok(Address))
+    return error(Address);
+  for (const Result<Done> &Started :
+       {startFleet(H), H.Callers.listen(value(Address)),
+        listen(H.Probes, H.Settings.ReadyAddress),
+        listen(H.Operators, H.Settings.OperatorAddress)})
+    if (!ok(Started))
+      return error(Started);
+  startRequests(H);
+  const auto Every = [&H](Duration Interval, sigc::slot<void()> Work) {
+    H.Subscriptions.push_back(H.Timers.every(Interval, std::move(Work)));
+  };
+  Every(CallTick, [&H]() { watchCalls(H); });
+  Every(ArbiterTick, [&H]() { tickArbiters(H); });
+  Every(VersionTick, [&H]() {
+    tickVersions(H);
+    if (H.Directory.settle(H.Loop.now()))
+      applyTargets(H);
+  });
+  Every(ConfirmInterval, [&H]() { confirmSlots(H); });
+  H.Loop.onSignal(SIGTERM, [&H]() { startDrain(H); });
+  H.Loop.onSignal(SIGINT, [&H]() { startDrain(H); });
+  H.Loop.onSignal(SIGHUP, []() { LogLine("reload_asked"); });
+  LogLine("started")
+      .with("host", H.Settings.HostName)
+      .with("zone", H.Settings.ZoneName)
+      .with("callers", H.Settings.CallerAddress)
+      .with("peers", H.Settings.PeerAddress)
+      .with("platform", H.Settings.PlatformAddress)
+      .with("version", MARJORAMBAY_VERSION);
+  return Done{};
+}
+
+void applyConfig(ForwardHost &H, ForwardConfig Config, std::string Document) {
+  const std::uint64_t Own = H.Table ? H.Table->version() : 0;
+  if (Config.Version <= Own)
+    return;
+  for (ForwardAccount &Each : Config.Accounts)
+    widenBurst(H.Settings, Each);
+  LogLine("config_in_force")
+      .with("version", static_cast<std::int64_t>(Config.Version))
+      .with("was", static_cast<std::int64_t>(Own))
+      .with("routes", static_cast<std::int64_t>(Config.Routes.size()))
+      .with("accounts", static_cast<std::int64_t>(Config.Accounts.size()));
+  CallerServerLimits Limits = limitsOf(H.Settings);
+  Limits.MaxHeaderBytes = Config.Limits.MaxHeaderBytes;
+  Limits.MaxBodyBytes = Config.Limits.MaxBodyBytes;
+  Limits.HeaderTimeout = Config.Limits.HeaderTimeout;
+  Limits.IdleTimeout = Config.Limits.IdleTimeout;
+  H.Callers.setLimits(Limits);
+  for (const ForwardAccount &Each : Config.Accounts) {
+    H.Numbers.nameLabel(LabelKind::Account, number(Each.Id), Each.Name);
+    LogLine("account_limits")
+        .with("account", Each.Name)
+        .with("priority",
+              Each.Priority ? static_cast<std::int64_t>(*Each.Priority) : -1)
+        .with("rate", static_cast<std::int64_t>(Each.RatePerSecond))
+        .with("burst", static_cast<std::int64_t>(Each.Burst));
+  }
+  H.Table = std::make_shared<const ForwardTable>(std::move(Config));
+  H.Document = std::move(Document);
+  for (const ForwardPool &Each : H.Table->config().Pools)
+    H.Pools.try_emplace(Each.Id);
+  shareRepeats(H);
+  noteServingVersions(H);
+}
+
+void shareRepeats(ForwardHost &H) {
+  const double Hosts = static_cast<double>(fleetSize(H));
+  const double Part = RepeatsUsed * H.Settings.RepeatExtra / Hosts;
+  for (auto &[Pool, Held] : H.Pools) {
+    if (Held.RepeatsShared)
+      Held.Repeats.setReserve(Part);
+    else
+      Held.Repeats = RetryBudget({RepeatsUsed * H.Settings.RepeatRatio, Part});
+    Held.RepeatsShared = true;
+  }
+}
+
+void applyTargets(ForwardHost &H) {
+  std::set<PoolId> Pools;
+  for (const auto &[Id, Each] : H.Targets)
+    Pools.insert(Each.Pool);
+  const auto Before = std::move(H.Targets);
+  H.Targets.clear();
+  for (const auto &[Name, Each] : H.Directory.targets()) {
+    H.Targets.emplace(Each.Id, Each);
+    Pools.insert(Each.Pool);
+  }
+  for (const auto &[Id, Each] : Before) {
+    const auto Now = H.Targets.find(Id);
+    const bool Gone = Now == H.Targets.end();
+    if (!Gone && Now->second.Leaving == Each.Leaving)
+      continue;
+    LogLine("target_left")
+        .with("target", Each.Name)
+        .with("how", Gone ? "unlisted" : "leaving");
+    H.Client.forget(Each.Address);
+    if (Gone)
+      H.Health.erase(Id);
+  }
+  H.TargetsKnown = true;
+  noteServingVersions(H);
+  for (const PoolId Pool : Pools)
+    tellTargets(H, Pool);
+}
+
+} // namespace marjorambay
--- /dev/null
+++ b/apps/marjorambayd/forward_requests.cpp
@@ -0,0 +1,361 @@
+/// Requests of forwarded routes: from arrival to a slot, and their ends.
+#include "forward_host.h"
+
+#include "marjorambay/protocol/error_body.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <cstdio>
+
+namespace marjorambay {
+
+namespace {
+
+/// Without a word of the caller.
+constexpr Duration DefaultDeadline = seconds(60);
+/// Retry-After of refusals that name no time of their own.
+constexpr Duration ShortRetry = milliseconds(500);
+/// Another host takes the request at once.
+constexpr Duration StoppingRetry = milliseconds(50);
+/// An arbiter that is there answers within a turn of its loop.
+constexpr Duration AskAgainAfter = milliseconds(40);
+/// After this the host takes a slot of its own share.
+constexpr Duration ArbiterSilence = milliseconds(120);
+/// An acknowledged reservation is asked about again, should its grant be lost.
+constexpr Duration ReminderInterval = milliseconds(300);
+
+std::uint64_t numberIn(std::string_view Text, std::uint64_t Otherwise) {
+  std::uint64_t Value = 0;
+  const auto Read =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  return Read.ec == std::errc() ? Value : Otherwise;
+}
+
+bool listed(const std::vector<std::string> &Names, std::string_view Name) {
+  return std::any_of(Names.begin(), Names.end(), [&](const std::string &Each) {
+    return equalsIgnoringCase(Each, Name);
+  });
+}
+
+/// Whether the caller's Connection header names \p Name.
+bool namedByConnection(const HttpHead &Head, std::string_view Name) {
+  std::string_view Rest = Head.header("connection");
+  while (!Rest.empty()) {
+    const std::size_t End = std::min(Rest.find(','), Rest.size());
+    std::string_view Token = Rest.substr(0, End);
+    while (!Token.empty() && Token.front() == ' ')
+      Token.remove_prefix(1);
+    while (!Token.empty() && Token.back() == ' ')
+      Token.remove_suffix(1);
+    if (equalsIgnoringCase(Token, Name))
+      return true;
+    Rest.remove_prefix(std::min(End + 1, Rest.size()));
+  }
+  return false;
+}
+
+HttpHeaders headersToSend(const ForwardHost &H, const HttpHead &Head) {
+  HttpHeaders Kept;
+  for (const HttpHeader &Each : Head.Headers) {
+    const bool Connection = isHopByHop(Each.Name) ||
+                            equalsIgnoringCase(Each.Name, "content-length") ||
+                            equalsIgnoringCase(Each.Name, "expect") ||
+                            (namedByConnection(Head, Each.Name) &&
+                             !listed(H.Names.Protected, Each.Name));
+    if (!Connection && !listed(H.Names.Withheld, Each.Name))
+      Kept.push_back(Each);
+  }
+  return Kept;
+}
+
+/// The request target in origin form; "" when it has none.
+std::string originForm(const std::string &Target) {
+  if (Target.starts_with("/"))
+    return Target;
+  const std::size_t Scheme = Target.find("://");
+  if (Scheme == std::string::npos)
+    return "";
+  const std::size_t Path = Target.find('/', Scheme + 3);
+  return Path == std::string::npos ? "/" : Target.substr(Path);
+}
+
+void readTokens(const ForwardHost &H, const HttpHead &Head, ForwardCall &Call) {
+  const std::string_view Tokens = Head.header(H.Names.Tokens);
+  const std::size_t Comma = Tokens.find(',');
+  if (Comma != std::string_view::npos) {
+    Call.PromptTokens =
+        static_cast<std::uint32_t>(numberIn(Tokens.substr(0, Comma), 0));
+    Call.MaxOutput =
+        static_cast<std::uint32_t>(numberIn(Tokens.substr(Comma + 1), 0));
+  }
+  Call.OutputHint =
+      static_cast<std::uint32_t>(numberIn(Head.header(H.Names.LengthHint), 0));
+  const std::string_view Parts = Head.header(H.Names.Parts);
+  if (!Parts.empty())
+    Call.Prefix = hash64(Parts.substr(0, Parts.find(',')));
+}
+
+double quotaCost(const ForwardAccount &Account, const ForwardCall &Call) {
+  if (!Account.CountsTokens)
+    return 1;
+  const double Tokens = double(Call.PromptTokens) + double(Call.MaxOutput);
+  return Tokens > 0 ? Tokens : Account.UncountedTokens;
+}
+
+std::string secondsText(Duration Time) {
+  std::array<char, 32> Text{};
+  std::snprintf(Text.data(), Text.size(), "%.3f",
+                std::max(0.001, toSeconds(Time)));
+  return Text.data();
+}
+
+/// An answer of our own that is no target's.
+void answerError(ForwardHost &H, ExchangeId Exchange, const Error &Reason,
+                 const std::string &Name, MayHaveRun Ran) {
+  const ErrorAnswer &Row = answerFor(Reason.Kind);
+  HttpHeaders Headers{{"Content-Type", "application/json"}};
+  if (!Name.empty())
+    Headers.push_back({H.Names.Request, Name});
+  if (Row.Retry == ComeBack::AfterWait)
+    Headers.push_back({"Retry-After", secondsText(Reason.RetryAfter.count() > 0
+                                                      ? Reason.RetryAfter
+                                                      : ShortRetry)});
+  H.Callers.answer(Exchange, Row.HttpStatus, Headers,
+                   printError(Reason, Name, Ran));
+}
+
+void refuseAtOnce(ForwardHost &H, const CallerRequest &Request,
+                  const Error &Reason) {
+  const std::string Name(Request.Head.header(H.Names.Request));
+  LogLine("request_refused")
+      .with("request", Name)
+      .with("reason", nameOf(Reason.Kind))
+      .with("target", Request.Head.Target)
+      .with("config",
+            H.Table ? static_cast<std::int64_t>(H.Table->version()) : 0)
+      .with(
+          "retry_after_ms",
+          std::chrono::duration_cast<milliseconds>(Reason.RetryAfter).count());
+  answerError(H, Request.Id, Reason, Name, MayHaveRun::No);
+}
+
+/// Finds the route and the account; returns why there is none.
+std::optional<Error> identify(ForwardHost &H, const HttpHead &Head,
+                              ForwardCall &Call) {
+  if (H.Refusing)
+    return Error{ErrorKind::ShuttingDown, "this host stops; others serve",
+                 StoppingRetry};
+  if (!H.Table)
+    return Error{ErrorKind::NotReady, "no configuration is known yet",
+                 seconds(1)};
+  Call.Table = H.Table;
+  Call.Target = originForm(Head.Target);
+  if (Call.Target.empty() || Head.Method == "CONNECT")
+    return Error{ErrorKind::BadRequest, "the request target has no path"};
+  const std::string_view Path =
+      std::string_view(Call.Target).substr(0, Call.Target.find('?'));
+  Call.Route = H.Table->match(Head.header("host"), Path);
+  if (Call.Route == nullptr)
+    return Error{ErrorKind::UnknownRoute, "no route takes this host and path"};
+  Call.Tier = H.Table->tierOf(nullptr, *Call.Route);
+  if (!H.Table->needsKeys() || Call.Route->Anonymous)
+    return std::nullopt;
+  const std::string Key(Head.header(H.Names.AccountKey));
+  const ForwardAccount *Account = H.Table->accountOf(Key);
+  if (Account == nullptr)
+    return Error{ErrorKind::Unauthenticated, "the account key is not known"};
+  Call.Account = Account->Id;
+  Call.AccountName = Account->Name;
+  Call.Tier = H.Table->tierOf(Account, *Call.Route);
+  return std::nullopt;
+}
+
+std::optional<Error> charge(ForwardHost &H, ForwardCall &Call) {
+  const ForwardAccount *Account = H.Table->account(Call.Account);
+  if (Account == nullptr)
+    return std::nullopt;
+  Call.Charged = quotaCost(*Account, Call);
+  const auto Wait =
+      H.Meter.admit(*Account, Call.Charged, fleetSize(H), H.Loop.now());
+  if (!Wait)
+    return std::nullopt;
+  return Error{ErrorKind::OverQuota, "the account is above its rate",
+               std::max<Duration>(*Wait, ShortRetry)};
+}
+
+void arrived(ForwardHost &H, CallerRequest &Request) {
+  ForwardCall Call;
+  const HttpHead &Head = Request.Head;
+  Call.Arrived = H.Loop.now();
+  if (auto Reason = identify(H, Head, Call))
+    return refuseAtOnce(H, Request, *Reason);
+  readTokens(H, Head, Call);
+  if (auto Reason = charge(H, Call))
+    return refuseAtOnce(H, Request, *Reason);
+  Call.Id = static_cast<RequestId>(++H.LastRequest);
+  Call.Exchange = Request.Id;
+  Call.Name = Head.header(H.Names.Request);
+  Call.Method = Head.Method;
+  Call.Headers = headersToSend(H, Head);
+  Call.Body = std::move(Request.Body);
+  Call.LastEventId = Head.header(H.Names.LastEventId);
+  Call.Pool = poolAt(*Call.Route, drawFraction(H.Random));
+  const Duration Wanted = milliseconds(std::min<std::uint64_t>(
+      numberIn(
+          Head.header(H.Names.DeadlineMs),
+          std::chrono::duration_cast<milliseconds>(DefaultDeadline).count()),
+      3'600'000));
+  Call.Deadline = Call.Arrived + std::min(Wanted, Call.Route->Timeout);
+  H.Numbers.add(TierCount::Received, Call.Tier);
+  H.Pools[Call.Pool].Repeats.earn();
+  const RequestId Id = Call.Id;
+  H.ByExchange.emplace(Call.Exchange, Id);
+  askForSlot(H, H.Calls.emplace(Id, std::move(Call)).first->second);
+}
+
+void refused(ForwardHost &H, ExchangeId Exchange, const HttpHead &Head,
+             ErrorKind Why) {
+  const std::string Name(Head.header(H.Names.Request));
+  LogLine("request_refused").with("request", Name).with("reason", nameOf(Why));
+  answerError(H, Exchange, {Why, "the request can't be read"}, Name,
+              MayHaveRun::No);
+}
+
+void callerGone(ForwardHost &H, ExchangeId Exchange) {
+  const auto Found = H.ByExchange.find(Exchange);
+  if (Found == H.ByExchange.end())
+    return;
+  ForwardCall &Call = H.Calls.at(Found->second);
+  leaveTarget(H, Call, UsageEnd::Cancelled);
+  withdrawSlot(H, Call);
+  endCall(H, Call, "caller_gone");
+}
+
+/// Time that a target may take to the first event, or between two.
+Duration patience(const ForwardCall &Call) {
+  constexpr Duration LeastFirst = milliseconds(150);
+  constexpr Duration LeastPause = milliseconds(900);
+  constexpr double PauseFactor = 2.5;
+  constexpr Duration ForPromptToken = microseconds(100);
+  if (Call.Begun)
+    return std::max(LeastPause, std::chrono::duration_cast<Duration>(
+                                    Call.Route->LongestPause * PauseFactor));
+  const Duration ForPrompt = ForPromptToken * Call.PromptTokens;
+  return std::max(LeastFirst, Call.Route->Aim * 5 / 4 + ForPrompt);
+}
+
+void watchWaiting(ForwardHost &H, ForwardCall &Call, TimePoint Now) {
+  const Duration Asked = Now - Call.AskedAt;
+  if (number(Call.Arbiter) == 0)
+    return;
+  if (!Call.Acknowledged && Asked > ArbiterSilence)
+    return askAgain(H, Call);
+  if (Asked > (Call.Acknowledged ? ReminderInterval : AskAgainAfter))
+    askAgain(H, Call);
+}
+
+void watchDispatched(ForwardHost &H, ForwardCall &Call, TimePoint Now) {
+  if (Call.Stalled) {
+    leaveTarget(H, Call, UsageEnd::Cancelled);
+    return failCall(H, Call, ErrorKind::CallerGone);
+  }
+  if (isRepeatable(Call.Route->Kind) && Now - Call.LastBytesAt > patience(Call))
+    giveUpTarget(H, Call);
+}
+
+} // namespace
+
+void startRequests(ForwardHost &H) {
+  H.Callers.RequestArrived.connect(
+      [&H](CallerRequest &Request) { arrived(H, Request); });
+  H.Callers.RequestRefused.connect(
+      [&H](ExchangeId Exchange, const HttpHead &Head, ErrorKind Why) {
+        refused(H, Exchange, Head, Why);
+      });
+  H.Callers.CallerGone.connect(
+      [&H](ExchangeId Exchange) { callerGone(H, Exchange); });
+}
+
+void failCall(ForwardHost &H, ForwardCall &Call, ErrorKind Why,
+              Duration RetryAfter) {
+  if (!Call.MayHaveRun)
+    H.Meter.giveBack(Call.Account, Call.Charged);
+  // Nothing that may have run is told to be not run.
+  if (Call.MayHaveRun && answerFor(Why).Ran == MayHaveRun::No)
+    Why = ErrorKind::TargetFailed;
+  const MayHaveRun Ran = Call.MayHaveRun ? MayHaveRun::Maybe : MayHaveRun::No;
+  if (Call.Begun)
+    H.Callers.cut(Call.Exchange);
+  else
+    answerError(H, Call.Exchange, {Why, "", RetryAfter}, Call.Name, Ran);
+  H.Numbers.add(Call.MayHaveRun ? TierCount::Failed : TierCount::Shed,
+                Call.Tier);
+  endCall(H, Call, nameOf(Why));
+}
+
+void endCall(ForwardHost &H, ForwardCall &Call, std::string_view Outcome) {
+  const TimePoint Now = H.Loop.now();
+  const auto Ms = [](Duration Time) {
+    return std::chrono::duration_cast<milliseconds>(Time).count();
+  };
+  LogLine("request_ended")
+      .with("request", Call.Name)
+      .with("outcome", Outcome)
+      .with("status", Call.Status)
+      .with("route", Call.Route->Name)
+      .with("account", Call.AccountName)
+      .with("tier", number(Call.Tier))
+      .with("target", Call.TargetName)
+      .with("attempts", Call.Attempts)
+      .with("config", static_cast<std::int64_t>(Call.Table->version()))
+      .with("wait_ms", Call.DispatchedAt == TimePoint{}
+                           ? -1
+                           : Ms(Call.DispatchedAt - Call.Arrived))
+      .with("first_ms", Call.FirstEventAt == TimePoint{}
+                            ? -1
+                            : Ms(Call.FirstEventAt - Call.Arrived))
+      .with("total_ms", Ms(Now - Call.Arrived))
+      .with("events", Call.EventsBefore + Call.Events.events())
+      .with("prompt", Call.PromptTokens);
+  const RequestLabels Labels{Call.Tier, Call.Account, Call.Version};
+  H.Numbers.observe(Span::Total, Labels, Now - Call.Arrived);
+  if (Call.DispatchedAt != TimePoint{})
+    H.Numbers.observe(Span::QueueWait, Labels,
+                      Call.DispatchedAt - Call.Arrived);
+  if (Call.FirstEventAt != TimePoint{})
+    H.Numbers.observe(Span::FirstToken, Labels,
+                      Call.FirstEventAt - Call.Arrived);
+  H.ByExchange.erase(Call.Exchange);
+  H.ByCall.erase(Call.Call);
+  H.BySlot.erase(Call.Slot);
+  H.Calls.erase(Call.Id);
+}
+
+void watchCalls(ForwardHost &H) {
+  const TimePoint Now = H.Loop.now();
+  H.Client.expire(Now);
+  std::vector<RequestId> Ids;
+  Ids.reserve(H.Calls.size());
+  for (const auto &[Id, Call] : H.Calls)
+    Ids.push_back(Id);
+  for (const RequestId Id : Ids) {
+    ForwardCall *Call = callOf(H, Id);
+    if (Call == nullptr)
+      continue;
+    if (Now >= Call->Deadline) {
+      const bool Sent = Call->Stage == CallStage::Dispatched;
+      leaveTarget(H, *Call, UsageEnd::Cancelled);
+      withdrawSlot(H, *Call);
+      failCall(H, *Call,
+               Sent || Call->MayHaveRun ? ErrorKind::AnswerTimeout
+                                        : ErrorKind::Overloaded);
+    } else if (Call->Stage == CallStage::Waiting) {
+      watchWaiting(H, *Call, Now);
+    } else {
+      watchDispatched(H, *Call, Now);
+    }
+  }
+}
+
+} // namespace marjorambay
--- a/apps/marjorambayd/main.cpp
+++ b/apps/marjorambayd/main.cpp
@@ -1,4 +1,6 @@
 /// Entry point of marjorambayd: options, settings, and the run of the loop.
+#include "forward_host.h"
+#include "platform/adapter.h"
 #include "sides.h"
 
 #include <boost/program_options.hpp>
@@ -82,15 +84,37 @@
   return Read;
 }
 
+int failed(const Error &Reason) {
+  std::cerr << "marjorambayd: " << Reason.Message << "\n";
+  return answerFor(Reason.Kind).ExitCode;
+}
+
+/// Serves forwarded routes on the users' platform.
+int runForwarding(HostSettings Settings) {
+  const Result<SocketAddress> Store = parseAddress(Settings.PlatformAddress);
+  if (!ok(Store))
+    return failed(error(Store));
+  ForwardHost Host(std::move(Settings), platformHeaders());
+  startLineLog(Host.Timers);
+  PlatformAdapter Adapter(Host, value(Store));
+  const Result<Done> Started = startForwarding(Host);
+  if (!ok(Started))
+    return failed(error(Started));
+  Adapter.start();
+  Host.Loop.run();
+  stopLineLog();
+  return 0;
+}
+
 int run(HostSettings Settings) {
   startLogging("marjorambayd", Settings.LogLevel);
   std::signal(SIGPIPE, SIG_IGN);
+  if (Settings.Serves == "forwarded_routes")
+    return runForwarding(std::move(Settings));
   Daemon Context(std::move(Settings));
   const Result<Done> Started = startDaemon(Context);
-  if (!ok(Started)) {
-    std::cerr << "marjorambayd: " << error(Started).Message << "\n";
-    return answerFor(error(Started).Kind).ExitCode;
-  }
+  if (!ok(Started))
+    return failed(error(Started));
   Context.Loop.run();
   return 0;
 }
--- a/apps/marjorambayd/peer_codec.cpp
+++ b/apps/marjorambayd/peer_codec.cpp
@@ -44,6 +44,7 @@
   Out->set_remaining_us(Request.Remaining.count());
   Out->set_route(number(Request.Route));
   Out->set_max_output_tokens(Request.Cost.MaxOutput);
+  Out->set_first_within_us(Request.FirstWithin.count());
 }
 
 Reservation take(const peer::Reservation &In) {
@@ -59,6 +60,7 @@
   Request.PrefixHash = In.prefix_hash();
   Request.Remaining = Duration(In.remaining_us());
   Request.Route = RouteId{In.route()};
+  Request.FirstWithin = Duration(In.first_within_us());
   return Request;
 }
 
@@ -171,6 +173,11 @@
 void putEvent(const TargetRefused &Event, peer::Message *Out) {
   Out->mutable_target_sign()->set_target(number(Event.Target));
 }
+void putEvent(const SlotsConfirmed &Event, peer::Message *Out) {
+  peer::SlotsHeld *Held = Out->mutable_slots_held();
+  for (const RequestId Id : Event.Held)
+    Held->add_ids(number(Id));
+}
 template <typename LocalEvent>
 void putEvent(const LocalEvent &, peer::Message *) {
   assert(false && "this event never leaves the arbiter's host");
@@ -266,6 +273,42 @@
     Each->set_new_bad(Cell.NewBad);
   }
 }
+void putMessage(const FleetBeat &Beat, peer::Message *Out) {
+  peer::FleetBeat *To = Out->mutable_fleet_beat();
+  put(Beat.Sender, To->mutable_sender());
+  To->set_sequence(Beat.Sequence);
+  To->set_config_version(Beat.ConfigVersion);
+  To->set_draining(Beat.Draining);
+  for (const AccountUse &Use : Beat.Uses) {
+    peer::AccountUse *Each = To->add_uses();
+    Each->set_account(number(Use.Account));
+    Each->set_used(Use.Used);
+  }
+}
+void putMessage(const FleetDigest &Digest, peer::Message *Out) {
+  peer::FleetDigest *To = Out->mutable_fleet_digest();
+  To->set_sequence(Digest.Sequence);
+  To->set_config_version(Digest.ConfigVersion);
+  To->set_ready(Digest.Ready);
+  for (const AccountLevel &Level : Digest.Levels) {
+    peer::AccountLevel *Each = To->add_levels();
+    Each->set_account(number(Level.Account));
+    Each->set_level(Level.Level);
+    Each->set_others_rate(Level.OthersRate);
+    Each->set_counted(Level.Counted);
+  }
+  for (const VersionOrder &Order : Digest.Orders) {
+    peer::VersionOrder *Each = To->add_orders();
+    Each->set_pool(number(Order.Pool));
+    Each->set_version(number(Order.Version));
+    Each->set_stage(static_cast<std::uint32_t>(Order.Stage));
+    Each->set_share(Order.Share);
+    Each->set_age_us(Order.Age.count());
+  }
+}
+void putMessage(const ReservationQueued &Queued, peer::Message *Out) {
+  put(Queued.Key, Out->mutable_slot_queued()->mutable_key());
+}
 void putMessage(const ConfigAsked &Asked, peer::Message *Out) {
   Out->mutable_config_ask()->set_have(number(Asked.Have));
 }
@@ -348,6 +391,42 @@
   return Arrived;
 }
 
+FleetBeat takeBeat(const peer::FleetBeat &In) {
+  FleetBeat Beat;
+  Beat.Sender = take(In.sender());
+  Beat.Sequence = In.sequence();
+  Beat.ConfigVersion = In.config_version();
+  Beat.Draining = In.draining();
+  for (const peer::AccountUse &Each : In.uses())
+    Beat.Uses.push_back({AccountId{Each.account()}, Each.used()});
+  return Beat;
+}
+
+FleetDigest takeDigest(const peer::FleetDigest &In) {
+  FleetDigest Digest;
+  Digest.Sequence = In.sequence();
+  Digest.ConfigVersion = In.config_version();
+  Digest.Ready = In.ready();
+  for (const peer::AccountLevel &Each : In.levels())
+    Digest.Levels.push_back({AccountId{Each.account()}, Each.level(),
+                             Each.others_rate(), Each.counted()});
+  constexpr auto LastStage =
+      static_cast<std::uint32_t>(VersionStage::TakenBack);
+  for (const peer::VersionOrder &Each : In.orders())
+    Digest.Orders.push_back(
+        {PoolId{Each.pool()}, VersionId{Each.version()},
+         static_cast<VersionStage>(std::min(Each.stage(), LastStage)),
+         Each.share(), Duration(Each.age_us())});
+  return Digest;
+}
+
+SlotsConfirmed takeHeld(const peer::SlotsHeld &In, const PeerSender &Sender) {
+  SlotsConfirmed Confirmed{Sender.Id, Sender.Life};
+  for (const std::uint64_t Id : In.ids())
+    Confirmed.Held.insert(RequestId{Id});
+  return Confirmed;
+}
+
 ConfigReceived takeConfig(const peer::Config &In) {
   ConfigReceived Content;
   Content.Rev = Revision{In.revision()};
@@ -419,6 +498,14 @@
                            In.outcome().http_status()};
   case peer::Message::kEvidence:
     return takeEvidence(In.evidence());
+  case peer::Message::kFleetBeat:
+    return takeBeat(In.fleet_beat());
+  case peer::Message::kFleetDigest:
+    return takeDigest(In.fleet_digest());
+  case peer::Message::kSlotsHeld:
+    return ArbiterMessage{Pool, takeHeld(In.slots_held(), Sender)};
+  case peer::Message::kSlotQueued:
+    return ReservationQueued{take(In.slot_queued().key())};
   case peer::Message::BODY_NOT_SET:
     return std::nullopt;
   }
--- a/apps/marjorambayd/peer_codec.h
+++ b/apps/marjorambayd/peer_codec.h
@@ -3,6 +3,7 @@
 #define MARJORAMBAY_APPS_MARJORAMBAYD_PEER_CODEC_H
 
 #include "marjorambay/coordination.h"
+#include "marjorambay/coordination/fleet_beat.h"
 #include "marjorambay/state.h"
 
 #include <memory>
@@ -27,7 +28,7 @@
 using PeerMessage =
     std::variant<ArbiterMessage, OriginMessage, Heartbeat, ConfigAsked,
                  ConfigReceived, IntentRequested, AnswerIntent, OutcomeReported,
-                 EvidenceArrived>;
+                 EvidenceArrived, FleetBeat, FleetDigest, ReservationQueued>;
 
 /// Who sent an envelope, and where answers go.
 struct PeerSender {
--- a/apps/marjorambayd/peer_side.cpp
+++ b/apps/marjorambayd/peer_side.cpp
@@ -88,6 +88,11 @@
   post(D, IntentLogInput{Event});
 }
 
+/// Messages of hosts that serve forwarded routes.
+void receive(Daemon &, const FleetBeat &, const PeerSender &) {}
+void receive(Daemon &, const FleetDigest &, const PeerSender &) {}
+void receive(Daemon &, const ReservationQueued &, const PeerSender &) {}
+
 void envelopeArrived(Daemon &D, std::string_view Bytes) {
   Result<ReceivedEnvelope> Read = parseEnvelope(Bytes);
   if (!ok(Read)) {
--- a/packages/coordination/marjorambay/coordination/arbiter.h
+++ b/packages/coordination/marjorambay/coordination/arbiter.h
@@ -39,7 +39,8 @@
   Duration FiguresAge = milliseconds(20);  ///< of the targets' speeds
   std::size_t RecheckedPerTick = 256;      ///< queued reservations
   double RecheckMargin = 1.25; ///< of the time left, that the wait may take
-  Duration NoTargetRetry = seconds(1); ///< Retry-After without targets
+  Duration NoTargetRetry = seconds(1);   ///< Retry-After without targets
+  Duration LeastWait = milliseconds(50); ///< for a first token that is late
   TargetTableSettings Targets{};
 };
 
@@ -60,6 +61,11 @@
   /// Applies \p Event. Ticks should come every 50 to 250 ms.
   ArbiterActions step(const ArbiterEvent &Event, TimePoint Now);
 
+  /// Whether nothing waits, so that ticks are not needed.
+  bool idle() const { return Queue.size() == 0 && Slots.empty(); }
+  /// Whether a request waits here.
+  bool queued(const RequestKey &Key) const { return Queue.contains(Key); }
+
   ArbiterView view(TimePoint Now) const;
   const TargetTable &targets() const { return Targets; }
   /// Returns the slot that a request holds, or nullptr.
@@ -84,10 +90,13 @@
   void apply(const GrantsReported &Event, TimePoint Now);
   void apply(const OriginLost &Event, TimePoint Now);
   void apply(const TakeoverStarted &Event, TimePoint Now);
+  void apply(const SlotsConfirmed &Event, TimePoint Now);
   void apply(const ArbiterTicked &Event, TimePoint Now);
 
   double workOf(const TokenCost &Cost) const;
   TimePoint latestStart(const Waiting &Entry, bool Busy) const;
+  std::optional<TimePoint> latestForAim(const Waiting &Entry,
+                                        TimePoint Now) const;
   Waiting waitingFor(const Reservation &Request, TimePoint Now);
   bool hopeless(const Waiting &Entry, TimePoint Now) const;
   std::optional<RefuseSlot> refusalFor(const Waiting &Entry, TimePoint Now);
--- a/packages/coordination/marjorambay/coordination/arbiter_events.h
+++ b/packages/coordination/marjorambay/coordination/arbiter_events.h
@@ -12,6 +12,7 @@
 
 #include <concepts>
 #include <cstdint>
+#include <unordered_set>
 #include <variant>
 #include <vector>
 
@@ -107,6 +108,14 @@
 struct ServingVersionChanged {
   VersionId Version{};
 };
+/// All slots that an origin holds. Others that were granted to this life of it
+/// before \p Grace ago are free: their release was lost.
+struct SlotsConfirmed {
+  HostId Origin{};
+  Incarnation OriginLife{};
+  std::unordered_set<RequestId> Held{};
+  Duration Grace = milliseconds(500); ///< for grants on their way
+};
 struct ArbiterTicked {};
 
 using ArbiterEvent =
@@ -114,7 +123,7 @@
                  SlotRequestCancelled, SlotReleased, SlotProgressed,
                  LoadReported, TargetLeft, TargetRefused, VersionTripped,
                  VersionShareChanged, ServingVersionChanged, GrantsReported,
-                 OriginLost, TakeoverStarted, ArbiterTicked>;
+                 OriginLost, TakeoverStarted, SlotsConfirmed, ArbiterTicked>;
 
 // ---- Actions ----------------------------------------------------------------
 
--- a/packages/coordination/marjorambay/coordination/requests.h
+++ b/packages/coordination/marjorambay/coordination/requests.h
@@ -30,6 +30,7 @@
   TokenCost Cost{};
   std::uint64_t PrefixHash = 0; ///< of the prompt's head; 0: no affinity
   Duration Remaining{};         ///< time to the deadline when sent
+  Duration FirstWithin{}; ///< time to the aim of its first token; 0: no aim
 };
 
 /// A slot that an origin holds, as told to an arbiter that takes over.
--- a/packages/coordination/marjorambay/coordination/retry_budget.h
+++ b/packages/coordination/marjorambay/coordination/retry_budget.h
@@ -28,6 +28,12 @@
     return true;
   }
 
+  /// Changes what may be saved; what was saved above it is lost.
+  void setReserve(double Reserve) {
+    Settings.Reserve = Reserve;
+    Left = std::min(Left, Reserve);
+  }
+
   double left() const { return Left; }
 
 private:
--- /dev/null
+++ b/packages/coordination/marjorambay/coordination/target_health.h
@@ -0,0 +1,75 @@
+/// Judges a target by its answers, and keeps work away from it for a while.
+///
+/// A health check says what a target thinks of itself; its answers say what
+/// callers get. An ejected target comes back by itself, on probation, so that
+/// one which has recovered is found again.
+#ifndef MARJORAMBAY_COORDINATION_TARGET_HEALTH_H
+#define MARJORAMBAY_COORDINATION_TARGET_HEALTH_H
+
+#include "marjorambay/state/time.h"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace marjorambay {
+
+struct TargetHealthSettings {
+  double Gain = 0.15;          ///< of one answer in the share of failures
+  double EjectAbove = 0.35;    ///< share of failures, plus that of the pool
+  double Probation = 0.25;     ///< share that a target comes back with
+  std::uint32_t LeastSeen = 3; ///< failures before the first ejection
+  Duration FirstEjection = milliseconds(1000);
+  Duration FirstBackOff = milliseconds(200); ///< after a refused connection
+  Duration LongestEjection = seconds(8);
+};
+
+class TargetHealth {
+public:
+  explicit TargetHealth(TargetHealthSettings Given = {}) : Settings(Given) {}
+
+  /// Learns from an answer, or from the want of one. \p PoolShare: share of
+  /// failures among all targets of the pool.
+  void noteAnswer(bool Good, double PoolShare, TimePoint Now) {
+    Share += Settings.Gain * ((Good ? 0.0 : 1.0) - Share);
+    Failures = Good ? Failures : Failures + 1;
+    if (Good) {
+      Refusals = 0;
+      if (Share < Settings.Gain)
+        Ejections = 0;
+      return;
+    }
+    const bool Outlier = Failures >= Settings.LeastSeen &&
+                         Share > Settings.EjectAbove + PoolShare;
+    if (!Outlier || Now < Until)
+      return;
+    Until = Now + backOff(Settings.FirstEjection, Ejections++);
+    Share = Settings.Probation;
+  }
+
+  /// Learns that no connection came about.
+  void noteRefusal(TimePoint Now) {
+    if (Now < Until)
+      return; // requests that were on their way together count once
+    Until = Now + backOff(Settings.FirstBackOff, Refusals++);
+  }
+
+  bool usable(TimePoint Now) const { return Now >= Until; }
+  double failureShare() const { return Share; }
+
+private:
+  Duration backOff(Duration First, std::uint32_t Before) const {
+    return std::min(First * (1U << std::min(Before, 6U)),
+                    Settings.LongestEjection);
+  }
+
+  TargetHealthSettings Settings;
+  double Share = 0;
+  std::uint32_t Failures = 0;
+  std::uint32_t Ejections = 0;
+  std::uint32_t Refusals = 0;
+  TimePoint Until{};
+};
+
+} // namespace marjorambay
+
+#endif // MARJORAMBAY_COORDINATION_TARGET_HEALTH_H
--- a/packages/coordination/src/arbiter.cpp
+++ b/packages/coordination/src/arbiter.cpp
@@ -56,6 +56,17 @@
   return Entry.Deadline - fromSeconds(Takes);
 }
 
+/// Returns the latest start whose first token is in time, or nothing without an
+/// aim.
+std::optional<TimePoint> Arbiter::latestForAim(const Waiting &Entry,
+                                               TimePoint Now) const {
+  if (Entry.Request.FirstWithin.count() <= 0)
+    return std::nullopt;
+  const TokenCost First{Entry.Cost.Prompt, 1};
+  const double Takes = Targets.fastestSeconds(First, true);
+  return Now + Entry.Request.FirstWithin - fromSeconds(Takes);
+}
+
 Waiting Arbiter::waitingFor(const Reservation &Request, TimePoint Now) {
   Waiting Entry;
   Entry.Request = Request;
@@ -69,6 +80,9 @@
   Entry.LatestStart = latestStart(Entry, true);
   if (Entry.LatestStart < Now) // too tight for a full batch, but some are not
     Entry.LatestStart = latestStart(Entry, false);
+  if (const auto ForAim = latestForAim(Entry, Now))
+    Entry.LatestStart = std::min(Entry.LatestStart,
+                                 std::max(*ForAim, Now + Settings.LeastWait));
   return Entry;
 }
 
@@ -393,6 +407,16 @@
   }
 }
 
+void Arbiter::apply(const SlotsConfirmed &Event, TimePoint Now) {
+  std::vector<RequestKey> Lost;
+  for (const auto &[Key, Held] : Slots)
+    if (Key.Origin == Event.Origin && Key.OriginLife == Event.OriginLife &&
+        Held.Granted + Event.Grace < Now && Event.Held.count(Key.Id) == 0)
+      Lost.push_back(Key);
+  for (const RequestKey &Key : Lost)
+    drop(Key, Now);
+}
+
 void Arbiter::apply(const ArbiterTicked & /*Event*/, TimePoint Now) {
   RoomMayExist = true;
   refuseLate(Now);
--- /dev/null
+++ b/packages/coordination/src/quick_rollout.cpp
@@ -0,0 +1,72 @@
+/// Shares and decisions of a rollout that lasts seconds.
+#include "marjorambay/coordination/quick_rollout.h"
+
+#include <algorithm>
+
+namespace marjorambay {
+
+void QuickRollout::add(const Evidence &Cells) {
+  for (const EvidenceCell &Cell : Cells) {
+    if (Cell.Kind != FaultKind::Errors)
+      continue;
+    Answers += Cell.OldAnswers + Cell.NewAnswers;
+    NewAnswers += Cell.NewAnswers;
+    NewFailures += Cell.NewBad;
+  }
+  Test.add(Cells);
+}
+
+void QuickRollout::learn(const VersionOrder &Order) {
+  if (Order.Pool != Pool || Order.Version != To || isFinal(Stage))
+    return;
+  if (Order.Stage > Stage)
+    Stage = Order.Stage;
+}
+
+double QuickRollout::requestRate(TimePoint Now) const {
+  const double Elapsed = std::max(0.5, toSeconds(Now - Seen));
+  return static_cast<double>(Answers) / Elapsed;
+}
+
+double QuickRollout::budget(TimePoint Now) const {
+  const double Expected = requestRate(Now) * toSeconds(Window);
+  return Settings.CanaryShare * Expected + Settings.CanaryExtra;
+}
+
+/// With little known of the rate, the part of the share alone.
+double QuickRollout::canaryShare(TimePoint Now) const {
+  const double Expected = requestRate(Now) * toSeconds(Window);
+  const double FromExtra =
+      Settings.CanaryExtra / std::max(Settings.CanaryExtra, Expected);
+  return Settings.CanaryPart * std::min(0.5, Settings.CanaryShare + FromExtra);
+}
+
+VersionOrder QuickRollout::step(TimePoint Now) {
+  const TimePoint End = Seen + Window - Settings.WriteMargin;
+  const Duration SwitchTime = std::min(
+      Settings.LongestSwitch, fromSeconds(Settings.SwitchPart * budget(Now) /
+                                          std::max(1.0, requestRate(Now))));
+  if (!isFinal(Stage) && Test.tripped())
+    Stage = VersionStage::TakenBack;
+  if (Stage == VersionStage::Canary && Now >= End - SwitchTime)
+    Stage = NewAnswers >= Settings.LeastAnswers ? VersionStage::Switching
+                                                : VersionStage::TakenBack;
+  if (Stage == VersionStage::Switching && Now >= End)
+    Stage = VersionStage::Completed;
+  VersionOrder Order{Pool, To, Stage};
+  Order.Age = Now - Seen;
+  switch (Stage) {
+  case VersionStage::Canary:
+    Order.Share = canaryShare(Now);
+    break;
+  case VersionStage::Switching:
+  case VersionStage::Completed:
+    Order.Share = 1;
+    break;
+  case VersionStage::TakenBack:
+    break;
+  }
+  return Order;
+}
+
+} // namespace marjorambay
--- /dev/null
+++ b/packages/protocol/src/sse_splitter.cpp
@@ -0,0 +1,85 @@
+/// Event boundaries and ids of server-sent events.
+#include "marjorambay/protocol/sse_splitter.h"
+
+#include <charconv>
+#include <optional>
+
+namespace marjorambay {
+
+namespace {
+
+/// Returns the length of the first event in \p Bytes with the blank line that
+/// ends it, or npos. Looks from \p From on.
+std::size_t eventLength(std::string_view Bytes, std::size_t From) {
+  for (std::size_t At = Bytes.find('\n', From); At != std::string_view::npos;
+       At = Bytes.find('\n', At + 1)) {
+    if (At + 1 < Bytes.size() && Bytes[At + 1] == '\n')
+      return At + 2;
+    if (At + 2 < Bytes.size() && Bytes[At + 1] == '\r' && Bytes[At + 2] == '\n')
+      return At + 3;
+  }
+  return std::string_view::npos;
+}
+
+/// Value of the event's id field, or nothing.
+std::optional<std::string_view> idOfEvent(std::string_view Event) {
+  while (!Event.empty()) {
+    const std::size_t End = Event.find('\n');
+    std::string_view Line = Event.substr(0, End);
+    if (!Line.empty() && Line.back() == '\r')
+      Line.remove_suffix(1);
+    if (Line.starts_with("id:")) {
+      Line.remove_prefix(3);
+      if (!Line.empty() && Line.front() == ' ')
+        Line.remove_prefix(1);
+      return Line;
+    }
+    if (End == std::string_view::npos)
+      break;
+    Event.remove_prefix(End + 1);
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+bool SseSplitter::keep(std::string_view Event) {
+  const auto Id = idOfEvent(Event);
+  if (!Id)
+    return true;
+  std::uint64_t Number = 0;
+  const auto Read =
+      std::from_chars(Id->data(), Id->data() + Id->size(), Number);
+  const bool Numbered = Read.ec == std::errc();
+  if (Resumed && Numbered && !LastId.empty() && Number <= LastNumber)
+    return false;
+  LastId = std::string(*Id);
+  LastNumber = Numbered ? Number : LastNumber;
+  return true;
+}
+
+std::string_view SseSplitter::feed(std::string_view Bytes) {
+  Whole.clear();
+  // A boundary may straddle the pieces by up to three bytes.
+  const std::size_t Looked = Partial.size() < 3 ? 0 : Partial.size() - 3;
+  Partial.append(Bytes);
+  std::string_view Rest = Partial;
+  std::size_t Length = eventLength(Rest, Looked);
+  while (Length != std::string_view::npos) {
+    if (keep(Rest.substr(0, Length))) {
+      Whole.append(Rest.substr(0, Length));
+      ++Events;
+    }
+    Rest.remove_prefix(Length);
+    Length = eventLength(Rest, 0);
+  }
+  Partial = std::string(Rest);
+  return Whole;
+}
+
+void SseSplitter::resume() {
+  Partial.clear();
+  Resumed = true;
+}
+
+} // namespace marjorambay
--- a/packages/state/marjorambay/state/address.h
+++ b/packages/state/marjorambay/state/address.h
@@ -14,7 +14,8 @@
 struct SocketAddress {
   std::string Ip{};       ///< IPv4 "10.0.0.1" or IPv6 "::1", no brackets
   std::uint16_t Port = 0; ///< 0: the system picks one when bound
-  auto operator<=>(const SocketAddress &) const = default;
+  // clang-tidy 14 reports the names that the compiler invents here.
+  auto operator<=>(const SocketAddress &) const = default; // NOLINT
 };
 
 /// Parses "10.0.0.1:8000" or "[::1]:8000". Anything but an IP number and a
--- a/packages/state/marjorambay/state/settings.h
+++ b/packages/state/marjorambay/state/settings.h
@@ -22,9 +22,10 @@
 /// What one daemon reads at start. Plain data; checked before anything binds.
 struct HostSettings {
   // [host]
-  std::string HostName{};            ///< unique in the fleet; required
-  std::string ZoneName{};            ///< availability zone; required
-  std::string RegionName = "region"; ///< region of the zone
+  std::string HostName{};             ///< unique in the fleet; required
+  std::string ZoneName{};             ///< availability zone; required
+  std::string RegionName = "region";  ///< region of the zone
+  std::string Serves = "completions"; ///< or "forwarded_routes"
   // [caller]
   std::string CallerAddress = "127.0.0.1:8080"; ///< callers connect here
   std::uint64_t MaxConnections = 4096;          ///< open caller connections
@@ -49,6 +50,15 @@
   // [target]
   Duration ConnectTimeout = seconds(1);
   Duration LoadPollInterval = seconds(1); ///< between load reports read
+  // [forward]
+  std::string ReadyAddress = "127.0.0.1:8083"; ///< a balancer asks here
+  double RepeatRatio = 0.2; ///< second sends of a pool, of its requests
+  double RepeatExtra = 50;  ///< and so many besides, over the whole fleet
+  Duration AccountWindow = seconds(8); ///< over which rates are held
+  double AccountOverrun = 0;           ///< tolerated above a rate, of it
+  double AccountSlack = 0;  ///< tolerated besides, tokens or requests
+  double CanaryShare = 0.1; ///< of requests, to a version not yet judged
+  double CanaryExtra = 50;  ///< and so many besides
   // [drain]
   Duration DrainTimeout = minutes(30); ///< requests in progress may take this
   // [log]
@@ -58,7 +68,7 @@
 /// Field of HostSettings that a row sets.
 using SettingField =
     std::variant<std::string HostSettings::*, std::uint64_t HostSettings::*,
-                 Duration HostSettings::*,
+                 Duration HostSettings::*, double HostSettings::*,
                  std::vector<std::string> HostSettings::*>;
 
 /// How the text of a setting is checked.
@@ -67,6 +77,7 @@
   Address,    ///< IP number and port
   Number,     ///< whole number within the range
   Millis,     ///< whole milliseconds within the range
+  Fraction,   ///< decimal number within the range
   SeedList,   ///< may be given several times
   LogSeverity ///< info, warning or error
 };
--- a/packages/state/src/settings.cpp
+++ b/packages/state/src/settings.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cstdlib>
 #include <fstream>
 #include <map>
 #include <optional>
@@ -31,6 +32,8 @@
      "availability zone it stands in"},
     {"host", "region", &Host::RegionName, Name, false, 0, 0, "",
      "region of that zone"},
+    {"host", "serves", &Host::Serves, Name, false, 0, 0, "",
+     "completions, or forwarded_routes on a users' platform"},
     {"caller", "address", &Host::CallerAddress, Address, false, 0, 0, "ip:port",
      "callers connect here"},
     {"caller", "max_connections", &Host::MaxConnections, Number, false, 1,
@@ -69,6 +72,22 @@
      60000, "ms", "to connect to a target"},
     {"target", "load_poll_interval_ms", &Host::LoadPollInterval, Millis, false,
      100, 60000, "ms", "between reads of a target's load report"},
+    {"forward", "ready_address", &Host::ReadyAddress, Address, false, 0, 0,
+     "ip:port", "a balancer asks here whether to send callers"},
+    {"forward", "repeat_ratio", &Host::RepeatRatio, Fraction, false, 0, 1, "",
+     "second sends over the fleet, of the requests of a pool"},
+    {"forward", "repeat_extra", &Host::RepeatExtra, Fraction, false, 0, 100000,
+     "requests", "second sends over the fleet besides those"},
+    {"forward", "account_window_ms", &Host::AccountWindow, Millis, false, 100,
+     HourMs, "ms", "over which the rates of accounts are held"},
+    {"forward", "account_overrun", &Host::AccountOverrun, Fraction, false, 0,
+     10, "", "tolerated above an account's rate over that time, of it"},
+    {"forward", "account_slack", &Host::AccountSlack, Fraction, false, 0,
+     1000000000, "", "tolerated besides, in what the account is counted in"},
+    {"forward", "canary_share", &Host::CanaryShare, Fraction, false, 0, 1, "",
+     "of a pool's requests, to a version that is not yet judged"},
+    {"forward", "canary_extra", &Host::CanaryExtra, Fraction, false, 0, 100000,
+     "requests", "to a version that is not yet judged, besides those"},
     {"drain", "timeout_ms", &Host::DrainTimeout, Millis, false, 1000,
      24 * HourMs, "ms", "that a stop waits for requests in progress"},
     {"log", "level", &Host::LogLevel, LogSeverity, false, 0, 0, "",
@@ -96,6 +115,14 @@
   return Value;
 }
 
+std::optional<double> parseFraction(const std::string &Text) {
+  char *End = nullptr;
+  const double Value = std::strtod(Text.c_str(), &End);
+  if (Text.empty() || End != Text.c_str() + Text.size() || !(Value >= 0))
+    return std::nullopt;
+  return Value;
+}
+
 bool isName(std::string_view Text) {
   const auto IsNameChar = [](unsigned char C) {
     return std::isalnum(C) != 0 || C == '.' || C == '-' || C == '_';
@@ -126,6 +153,13 @@
     return Text == "info" || Text == "warning" || Text == "error"
                ? ""
                : "needs info, warning or error";
+  case Fraction: {
+    const auto Value = parseFraction(Text);
+    if (Value && *Value >= double(Row.Min) && *Value <= double(Row.Max))
+      return "";
+    return "\"" + Text + "\" is not a number from " + std::to_string(Row.Min) +
+           " to " + std::to_string(Row.Max);
+  }
   case Number:
   case Millis:
     break;
@@ -151,6 +185,9 @@
   void operator()(Duration HostSettings::*Field) const {
     Settings.*Field = milliseconds(*parseNumber(Text));
   }
+  void operator()(double HostSettings::*Field) const {
+    Settings.*Field = *parseFraction(Text);
+  }
   void operator()(std::vector<std::string> HostSettings::*Field) const {
     (Settings.*Field).push_back(Text);
   }
@@ -169,6 +206,11 @@
     return std::to_string(
         std::chrono::duration_cast<milliseconds>(Settings.*Field).count());
   }
+  std::string operator()(double HostSettings::*Field) const {
+    std::ostringstream Text;
+    Text << Settings.*Field;
+    return Text.str();
+  }
   std::string operator()(std::vector<std::string> HostSettings::*) const {
     return "";
   }
--- a/packages/transport/marjorambay/transport/event_loop.h
+++ b/packages/transport/marjorambay/transport/event_loop.h
@@ -41,7 +41,7 @@
   /// Calls \p Handler in the loop when the process gets \p Signal.
   void onSignal(int Signal, sigc::slot<void()> Handler);
 
-  /// Steady time; one clock read.
+  /// Steady time that goes on while the host is suspended; one clock read.
   TimePoint now() const;
   /// Unix time; one clock read.
   WallTime wallNow() const;
--- /dev/null
+++ b/packages/transport/marjorambay/transport/kept_client.h
@@ -0,0 +1,115 @@
+/// HTTP/1.1 calls over kept connections, each answer matched to its call.
+///
+/// A target may answer twice, answer early, or add bytes after an answer. An
+/// answer whose echo names another call is read and dropped; a connection that
+/// holds bytes nobody asked for is not used again.
+///
+/// [SECTION] Index
+///   1. KeptCall    one call
+///   2. KeptEnd     how it ended, and whether the target may have acted
+///   3. KeptClient  connections by address
+#ifndef MARJORAMBAY_TRANSPORT_KEPT_CLIENT_H
+#define MARJORAMBAY_TRANSPORT_KEPT_CLIENT_H
+
+#include "marjorambay/transport/http1.h"
+#include "marjorambay/transport/http_client.h"
+#include "marjorambay/transport/stream_socket.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace marjorambay {
+
+/// How a call ended.
+enum class KeptEnd : std::uint8_t {
+  Whole,    ///< the answer's length, last chunk or orderly end was reached
+  NotSent,  ///< no connection came about, so no byte of the request left
+  Refused,  ///< as NotSent, and the target's system refused at once
+  Broken,   ///< the connection failed after bytes may have left
+  Garbled,  ///< the bytes are no answer
+  TimedOut, ///< no answer began in time
+};
+template <>
+inline constexpr std::array NamesOf<KeptEnd> = std::to_array<std::string_view>(
+    {"whole", "not_sent", "refused", "broken", "garbled", "timed_out"});
+static_assert(NamesOf<KeptEnd>.size() == 6);
+
+/// Whether no byte of the request can have reached the target.
+constexpr bool neverSent(KeptEnd How) {
+  return How == KeptEnd::NotSent || How == KeptEnd::Refused;
+}
+
+struct KeptCall {
+  SocketAddress To{};
+  std::string Method = "GET";
+  std::string Target{};    ///< path with its query
+  HttpHeaders Headers{};   ///< without a length, which is added
+  std::string_view Body{}; ///< copied
+  std::string EchoName{};  ///< header in which the answer names its request
+  std::string EchoValue{};
+  Duration ConnectTimeout = milliseconds(500);
+  Duration HeadTimeout = seconds(30); ///< from the call to the answer's head
+  /// A connection that has idled for longer may be half closed; 0: always a
+  /// new connection.
+  Duration MaxIdle = seconds(4);
+  SocketPatience Patience{};
+  sigc::slot<void(CallId, const HttpHead &)> OnHead{};
+  sigc::slot<void(CallId, std::string_view)> OnBody{};
+  sigc::slot<void(CallId, KeptEnd)> OnEnd{}; ///< last; not after cancel()
+};
+
+class KeptClient {
+public:
+  explicit KeptClient(EventLoop &Loop);
+  ~KeptClient();
+  KeptClient(const KeptClient &) = delete;
+  KeptClient &operator=(const KeptClient &) = delete;
+
+  CallId start(KeptCall Call);
+  /// Closes the call's connection; no callback comes after this.
+  void cancel(CallId Id);
+  /// Stops reading the answer, so that the target feels backpressure.
+  void pause(CallId Id, bool Paused);
+  /// Ends calls whose time to connect or to answer is over, and closes
+  /// connections that have idled for long. Call each few dozen milliseconds.
+  void expire(TimePoint Now);
+  /// Closes the idle connections to an address that is no longer used.
+  void forget(const SocketAddress &Address);
+
+  std::size_t calls() const { return Calls.size(); }
+  std::size_t connections() const { return Connections.size(); }
+  std::uint64_t opened() const { return LastConnection; }
+
+private:
+  enum class ConnectionId : std::uint64_t {};
+  struct Connection;
+
+  Connection *idleTo(const SocketAddress &To, Duration MaxIdle);
+  Connection &connectionTo(const KeptCall &Call);
+  void send(Connection &Over, const KeptCall &Call);
+  void bytes(Connection &From, std::string_view Bytes);
+  void head(Connection &From, const HttpHead &Head);
+  void answered(Connection &From, bool BytesLeft);
+  void ended(Connection &Which, SocketEnd How);
+  void endCall(Connection &Over, KeptEnd How);
+  void unpool(Connection &Which);
+  void retire(Connection &Which);
+
+  EventLoop &Loop;
+  std::uint64_t LastCall = 0;
+  std::uint64_t LastConnection = 0;
+  std::unordered_map<ConnectionId, std::unique_ptr<Connection>> Connections;
+  std::unordered_map<CallId, ConnectionId> Calls{};
+  std::map<SocketAddress, std::vector<ConnectionId>> Idle{};
+  std::set<std::pair<TimePoint, ConnectionId>> Expiries{};
+  std::vector<std::unique_ptr<Connection>> Retired; ///< freed after the turn
+};
+
+} // namespace marjorambay
+
+#endif // MARJORAMBAY_TRANSPORT_KEPT_CLIENT_H
--- a/packages/transport/marjorambay/transport/log.h
+++ b/packages/transport/marjorambay/transport/log.h
@@ -15,6 +15,15 @@
 /// standard error.
 void startLogging(const char *ProgramName, std::string_view Level);
 
+class TimerService;
+
+/// Sends log lines to standard output instead: gathered, written when the
+/// descriptor takes them and never waited for. Lines beyond a bound are left
+/// out, and how many is said in a line of its own.
+void startLineLog(TimerService &Timers);
+/// Writes what is gathered, as far as that goes, and ends startLineLog().
+void stopLineLog();
+
 /// One line, written when it goes out of scope.
 class LogLine {
 public:
--- a/packages/transport/src/event_loop.cpp
+++ b/packages/transport/src/event_loop.cpp
@@ -5,6 +5,7 @@
 
 #include <cassert>
 #include <chrono>
+#include <ctime>
 #include <utility>
 
 namespace marjorambay {
@@ -78,8 +79,11 @@
 }
 
 TimePoint EventLoop::now() const {
-  const auto Since = std::chrono::steady_clock::now().time_since_epoch();
-  return TimePoint(std::chrono::duration_cast<Duration>(Since));
+  // Unlike the steady clock it counts the time in which a host is suspended, so
+  // that leases and deadlines are over when it wakes.
+  timespec Since{};
+  clock_gettime(CLOCK_BOOTTIME, &Since);
+  return TimePoint(seconds(Since.tv_sec) + microseconds(Since.tv_nsec / 1000));
 }
 
 WallTime EventLoop::wallNow() const {
--- a/packages/transport/src/log.cpp
+++ b/packages/transport/src/log.cpp
@@ -1,8 +1,16 @@
 /// Log lines on glog.
 #include "marjorambay/transport/log.h"
 
+#include "marjorambay/transport/timer_service.h"
+
 #include <glog/logging.h>
 
+#include <array>
+#include <cstdio>
+#include <ctime>
+#include <fcntl.h>
+#include <unistd.h>
+
 namespace marjorambay {
 
 namespace {
@@ -27,8 +35,76 @@
   Line += '"';
 }
 
+/// Lines that wait for standard output. A process has one standard output, so
+/// that this state is the process's, like that of glog.
+struct LineBuffer {
+  static constexpr std::size_t MostBytes = 256 << 10;
+  static constexpr std::size_t WriteAt = 32 << 10;
+  static constexpr Duration WriteInterval = milliseconds(200);
+
+  bool Active = false;
+  std::string Lines{};
+  std::uint64_t Dropped = 0;
+  TimerConnection Timer{};
+
+  void add(std::string_view Level, const std::string &Line) {
+    if (Lines.size() + Line.size() > MostBytes) {
+      ++Dropped;
+      return;
+    }
+    timespec Now{};
+    clock_gettime(CLOCK_REALTIME, &Now);
+    std::array<char, 48> Stamp{};
+    const int Size =
+        std::snprintf(Stamp.data(), Stamp.size(),
+                      "t=%lld.%03ld level=", static_cast<long long>(Now.tv_sec),
+                      Now.tv_nsec / 1000000);
+    Lines.append(Stamp.data(), static_cast<std::size_t>(Size));
+    Lines += Level;
+    Lines += ' ';
+    Lines += Line;
+    Lines += '\n';
+    if (Lines.size() >= WriteAt)
+      write();
+  }
+
+  void write() {
+    if (Dropped != 0 && Lines.size() < MostBytes / 2) {
+      Lines += "level=warning event=log_lines_dropped count=" +
+               std::to_string(Dropped) + "\n";
+      Dropped = 0;
+    }
+    if (Lines.empty())
+      return;
+    const ssize_t Written = ::write(STDOUT_FILENO, Lines.data(), Lines.size());
+    if (Written > 0)
+      Lines.erase(0, static_cast<std::size_t>(Written));
+  }
+};
+
+LineBuffer &lineBuffer() {
+  static LineBuffer Buffer;
+  return Buffer;
+}
+
 } // namespace
 
+void startLineLog(TimerService &Timers) {
+  const int Flags = fcntl(STDOUT_FILENO, F_GETFL);
+  fcntl(STDOUT_FILENO, F_SETFL, Flags | O_NONBLOCK);
+  LineBuffer &Buffer = lineBuffer();
+  Buffer.Active = true;
+  Buffer.Timer =
+      Timers.every(LineBuffer::WriteInterval, [&Buffer]() { Buffer.write(); });
+}
+
+void stopLineLog() {
+  LineBuffer &Buffer = lineBuffer();
+  Buffer.write();
+  Buffer.Active = false;
+  Buffer.Timer.disconnect();
+}
+
 void startLogging(const char *ProgramName, std::string_view Level) {
   FLAGS_logtostderr = true;
   if (Level == "warning")
@@ -44,6 +120,12 @@
 }
 
 LogLine::~LogLine() {
+  if (lineBuffer().Active) {
+    constexpr auto Names =
+        std::to_array<std::string_view>({"info", "warning", "error"});
+    lineBuffer().add(Names[static_cast<std::size_t>(Level)], Line);
+    return;
+  }
   switch (Level) {
   case LogLevel::Info:
     LOG(INFO) << Line;
