Trust declared slots, and count a prompt by the time it holds a slot

Ruled out: too few grants by the host's share (no own_share_used line), CPU (0.016 cores a host). Change: TargetTableSettings::DeclaredSlotsHold for platforms that say what a target runs at once; the weight of prompts is learned; targets whose first token would be late come last; an arbiter that is not asked any more goes.

--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -151,6 +151,7 @@
 
 struct PoolState {
   std::unique_ptr<Arbiter> Whole{}; ///< while this host arbitrates
+  TimePoint WholeUsedAt{};          ///< last reservation
   std::unique_ptr<Arbiter> Share{}; ///< this host's own part of the slots
   RetryBudget Repeats{};            ///< this host's part
   bool RepeatsShared = false;
--- a/apps/marjorambayd/forward_pools.cpp
+++ b/apps/marjorambayd/forward_pools.cpp
@@ -62,10 +62,16 @@
   return Known != nullptr && Known->Engine;
 }
 
+ArbiterSettings arbiterSettings() {
+  ArbiterSettings Made;
+  Made.Targets.DeclaredSlotsHold = true;
+  return Made;
+}
+
 Arbiter &wholeArbiter(ForwardHost &H, PoolId Pool) {
   std::unique_ptr<Arbiter> &Held = H.Pools[Pool].Whole;
   if (!Held) {
-    Held = std::make_unique<Arbiter>();
+    Held = std::make_unique<Arbiter>(arbiterSettings());
     LogLine("arbiter_started")
         .with("pool", static_cast<std::int64_t>(number(Pool)));
     tellVersions(H, Pool, *Held);
@@ -77,7 +83,7 @@
 Arbiter &shareArbiter(ForwardHost &H, PoolId Pool) {
   std::unique_ptr<Arbiter> &Held = H.Pools[Pool].Share;
   if (!Held) {
-    Held = std::make_unique<Arbiter>();
+    Held = std::make_unique<Arbiter>(arbiterSettings());
     tellVersions(H, Pool, *Held);
     Held->step(TargetsChanged{shareOf(H, Pool)}, H.Loop.now());
   }
@@ -298,6 +304,8 @@
 
 void toArbiter(ForwardHost &H, PoolId Pool, const ArbiterEvent &Event) {
   Arbiter &Held = wholeArbiter(H, Pool);
+  if (std::holds_alternative<SlotRequested>(Event))
+    H.Pools[Pool].WholeUsedAt = H.Loop.now();
   const ArbiterActions Actions = Held.step(Event, H.Loop.now());
   for (const ArbiterAction &Action : Actions) {
     const HostId Origin =
@@ -373,8 +381,28 @@
   }
 }
 
+/// One line a second for each pool with work that is arbitrated here.
+void logPools(const ForwardHost &H) {
+  for (const auto &[Pool, Held] : H.Pools) {
+    if (!Held.Whole || Held.Whole->idle())
+      continue;
+    const ArbiterView View = Held.Whole->view(H.Loop.now());
+    std::string Queued;
+    for (const std::size_t Each : View.Queued)
+      Queued += std::to_string(Each) + ",";
+    LogLine("pool_load")
+        .with("pool", static_cast<std::int64_t>(number(Pool)))
+        .with("queued", Queued)
+        .with("in_flight", static_cast<std::int64_t>(View.InFlight))
+        .with("limit", static_cast<std::int64_t>(View.Limit))
+        .with("declared", static_cast<std::int64_t>(View.Declared))
+        .with("tokens_per_second", static_cast<std::int64_t>(View.Capacity));
+  }
+}
+
 void confirmSlots(ForwardHost &H) {
   const TimePoint Now = H.Loop.now();
+  logPools(H);
   for (auto &[Pool, Held] : H.Pools) {
     if (number(Held.ReportedTo) == 0)
       continue;
@@ -388,6 +416,11 @@
       send(H, Held.ReportedTo, Pool, Confirmed);
     if (!Held.Whole)
       continue;
+    const bool Elsewhere = arbiterOf(H, Pool) != H.Self.Id;
+    if (Elsewhere && Now - Held.WholeUsedAt > OriginPatience) {
+      Held.Whole.reset(); // its slots are known to another arbiter
+      continue;
+    }
     for (const auto &[Id, Peer] : H.Fleet)
       if (Peer.HeardAt != TimePoint{} && Now - Peer.HeardAt > OriginPatience)
         toArbiter(H, Pool, OriginLost{Id, Peer.Life});
--- a/packages/coordination/marjorambay/coordination/arbiter.h
+++ b/packages/coordination/marjorambay/coordination/arbiter.h
@@ -31,7 +31,8 @@
 namespace marjorambay {
 
 struct ArbiterSettings {
-  double PromptTokenWeight = 0.1; ///< cost of a prompt token, in decode tokens
+  double PromptTokenWeight = 0.1; ///< first guess of a prompt token's cost, in
+                                  ///< decode tokens
   std::size_t MaxQueued = 20'000; ///< reservations; bounds the memory
   Duration ShedHold = milliseconds(250); ///< lower tiers wait after a shed
   Duration ReleaseGrace = seconds(30); ///< after a deadline, for lost releases
@@ -48,6 +49,8 @@
 struct ArbiterView {
   std::array<std::size_t, MaxTiers> Queued{};
   std::size_t InFlight = 0;
+  std::size_t Limit = 0;    ///< requests that all available targets may hold
+  std::size_t Declared = 0; ///< and how many they say they can
   std::size_t OriginsAwaited = 0;
   double Capacity = 0; ///< decode tokens a second
 };
--- a/packages/coordination/marjorambay/coordination/target_table.h
+++ b/packages/coordination/marjorambay/coordination/target_table.h
@@ -43,6 +43,9 @@
 struct TargetTableSettings {
   Duration FirstBackOff = milliseconds(200); ///< after a refusal
   Duration LongestBackOff = seconds(5);
+  /// The declared slots are what a target runs at once: a wait for a first token
+  /// says that prompts are read, not that requests queue.
+  bool DeclaredSlotsHold = false;
   double TakeoverFraction = 0.125; ///< of a limit, before origins report
   std::size_t MaxPrefixes = 4096;  ///< remembered for cache affinity
 };
@@ -98,10 +101,20 @@
   /// limit.
   double capacity() const { return Capacity; }
 
+  /// Returns how long a prompt token holds a slot, in decode tokens; \p Guess
+  /// before any speed is learned.
+  double promptWeight(double Guess) const {
+    return PromptWeight > 0 ? PromptWeight : Guess;
+  }
+
   /// Returns the seconds that \p Cost takes on \p Target as it is now.
   double expectedSeconds(TargetId Target, const TokenCost &Cost,
                          TimePoint Now) const;
 
+  /// Requests that all available targets may hold now, and that they declare.
+  std::size_t slots(const VersionShare &Shares, TimePoint Now) const;
+  std::size_t declaredSlots(const VersionShare &Shares) const;
+
   std::size_t size() const { return Entries.size(); }
   std::uint32_t inFlight(TargetId Target) const;
   std::uint32_t limit(TargetId Target, TimePoint Now) const;
@@ -130,6 +143,7 @@
     double AloneStep = 0;
   };
 
+  std::uint32_t limitOf(const Entry &Each, TimePoint Now) const;
   void forgetUnlisted();
   void learnFirstProgress(Entry &Each, const Slot &Held, std::uint32_t Tokens,
                           TimePoint Now);
@@ -137,6 +151,7 @@
   bool hasRoom(const Entry &Each, bool Takeover, TimePoint Now) const;
   double promptAhead(const Entry &Each, TimePoint Now) const;
   double streams(const Entry &Each, TimePoint Now) const;
+  bool meetsAim(const Entry &Each, const Waiting &Entry, TimePoint Now) const;
   double finishSeconds(const Entry &Each, const TokenCost &Cost,
                        TimePoint Now) const;
   const Entry *find(TargetId Target) const;
@@ -146,6 +161,7 @@
   std::vector<Entry> Entries{};
   std::vector<SpeedLine> Lines{};
   double Capacity = 0;
+  double PromptWeight = 0; ///< 0: not learned
   std::unordered_map<TargetId, std::size_t> Places{};
   std::unordered_map<std::uint64_t, TargetId> Prefixes{};
   std::vector<std::uint64_t> PrefixRing{}; ///< evicted in order of insertion
--- a/packages/coordination/src/arbiter.cpp
+++ b/packages/coordination/src/arbiter.cpp
@@ -35,20 +35,23 @@
   FiguresUntil = Now + Settings.FiguresAge;
 }
 
-ArbiterView Arbiter::view(TimePoint /*Now*/) const {
+ArbiterView Arbiter::view(TimePoint Now) const {
   ArbiterView Seen;
   for (std::size_t Rank = 0; Rank < MaxTiers; ++Rank)
     Seen.Queued[Rank] = Queue.size(static_cast<TierRank>(Rank));
   Seen.InFlight = Slots.size();
   Seen.OriginsAwaited = Awaited.size();
   Seen.Capacity = Targets.capacity();
+  Seen.Limit = Targets.slots(Shares, Now);
+  Seen.Declared = Targets.declaredSlots(Shares);
   return Seen;
 }
 
 // ---- Admission --------------------------------------------------------------
 
 double Arbiter::workOf(const TokenCost &Cost) const {
-  return Cost.Output + Settings.PromptTokenWeight * Cost.Prompt;
+  return Cost.Output +
+         Targets.promptWeight(Settings.PromptTokenWeight) * Cost.Prompt;
 }
 
 TimePoint Arbiter::latestStart(const Waiting &Entry, bool Busy) const {
--- a/packages/coordination/src/target_table.cpp
+++ b/packages/coordination/src/target_table.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr double PrefixCachedShare = 0.5; // of a prompt, guessed for a hit
+constexpr double LateCost = 1e3;          // seconds; for a late first token
 constexpr double DueBonus = 1e6;          // seconds; beats any finish
 
 } // namespace
@@ -19,6 +20,11 @@
   return Found == Places.end() ? nullptr : &Entries[Found->second];
 }
 
+std::uint32_t TargetTable::limitOf(const Entry &Each, TimePoint Now) const {
+  return Settings.DeclaredSlotsHold ? Each.Info.MaxRequestsInFlight
+                                    : Each.Model.requestLimit(Now);
+}
+
 void TargetTable::setTargets(const std::vector<TargetInfo> &Targets) {
   for (Entry &Each : Entries)
     Each.Listed = false;
@@ -108,7 +114,7 @@
                           TimePoint Now) const {
   if (Now < Each.BackOffUntil)
     return false;
-  const std::uint32_t Limit = Each.Model.requestLimit(Now);
+  const std::uint32_t Limit = limitOf(Each, Now);
   if (streams(Each, Now) + 1 > Limit + 0.5)
     return false;
   const std::uint32_t MaxTokens = Each.Info.MaxTokensInFlight;
@@ -123,6 +129,18 @@
   return Each != nullptr && hasRoom(*Each, Takeover, Now);
 }
 
+/// Whether the first token is expected in time. Without an aim any time will
+/// do.
+bool TargetTable::meetsAim(const Entry &Each, const Waiting &Entry,
+                           TimePoint Now) const {
+  if (Entry.Request.FirstWithin.count() <= 0)
+    return true;
+  const TimePoint Aim = Entry.Queued + Entry.Request.FirstWithin;
+  const double First = Each.Model.firstTokenSeconds(
+      Entry.Cost.Prompt, promptAhead(Each, Now), Now);
+  return Now + fromSeconds(First) <= Aim;
+}
+
 double TargetTable::finishSeconds(const Entry &Each, const TokenCost &Cost,
                                   TimePoint Now) const {
   return Each.Model.totalSeconds(Cost, promptAhead(Each, Now),
@@ -150,6 +168,8 @@
       continue;
     const double Finish = finishSeconds(Each, Entry.Cost, Now);
     double Score = Finish;
+    if (!meetsAim(Each, Entry, Now))
+      Score += LateCost;
     if (Hint != Prefixes.end() && Hint->second == Each.Info.Id)
       Score -=
           PrefixCachedShare * Entry.Cost.Prompt * Each.Model.prefillSeconds();
@@ -175,7 +195,7 @@
     if (number(Wanted) != 0 && Each.Info.Version != Wanted)
       return false;
     // A slot that frees up leaves the batch as it is now.
-    const double Limit = Each.Model.requestLimit(Now);
+    const double Limit = limitOf(Each, Now);
     const double Streams = std::min(streams(Each, Now) + 1, Limit);
     return Each.Model.totalSeconds(Entry.SafeCost, promptAhead(Each, Now),
                                    Streams, Now) <= Left;
@@ -289,22 +309,44 @@
 void TargetTable::refresh(const VersionShare &Shares, TimePoint Now) {
   Lines.clear();
   Capacity = 0;
+  double PromptSeconds = 0;
+  double StepSeconds = 0;
   for (const Entry &Each : Entries) {
     if (!available(Each, Shares))
       continue;
     const TargetModel &Model = Each.Model;
-    const double Limit = Model.requestLimit(Now);
+    const double Limit = limitOf(Each, Now);
     // Before anything is learned, a lone stream may be as fast as a batch.
     const double Guess = 1 / std::max(1.0, Each.Info.TokensPerSecond);
-    if (Model.learned())
+    if (Model.learned()) {
       Lines.push_back({Model.firstTokenSeconds(0, 0, Now),
                        Model.prefillSeconds(), Model.stepSeconds(Limit, Now),
                        Model.stepSeconds(1, Now)});
-    else
+      PromptSeconds += Limit * Lines.back().Prompt;
+      StepSeconds += Limit * Lines.back().BusyStep;
+    } else {
       Lines.push_back({0, 0, Guess, Guess});
+    }
     if (Now >= Each.BackOffUntil && Shares.open(Each.Info.Version))
       Capacity += Model.throughput(Limit, Now);
   }
+  PromptWeight = StepSeconds > 0 ? PromptSeconds / StepSeconds : 0;
+}
+
+std::size_t TargetTable::slots(const VersionShare &Shares,
+                               TimePoint Now) const {
+  std::size_t Sum = 0;
+  for (const Entry &Each : Entries)
+    if (available(Each, Shares) && Now >= Each.BackOffUntil)
+      Sum += limitOf(Each, Now);
+  return Sum;
+}
+
+std::size_t TargetTable::declaredSlots(const VersionShare &Shares) const {
+  std::size_t Sum = 0;
+  for (const Entry &Each : Entries)
+    Sum += available(Each, Shares) ? Each.Info.MaxRequestsInFlight : 0;
+  return Sum;
 }
 
 double TargetTable::fastestSeconds(const TokenCost &Cost, bool Busy) const {
@@ -331,7 +373,7 @@
 
 std::uint32_t TargetTable::limit(TargetId Target, TimePoint Now) const {
   const Entry *Each = find(Target);
-  return Each == nullptr ? 0 : Each->Model.requestLimit(Now);
+  return Each == nullptr ? 0 : limitOf(*Each, Now);
 }
 
 } // namespace marjorambay
