Hosts follow three hubs instead of watching the platform each

Ruled out: longer waits alone (a connection that went silent would hide a leaving target for as long); stale reads (seconds old). Change: hubs watch; their digests tell the revision of the last change of each kind; a host that lacks it asks for what is newer over a kept connection, and watches by itself without a fresh hub. What a peer passed on of the configuration by datagrams is gone: it is one of the kinds.

--- a/apps/marjorambayd/forward_fleet.cpp
+++ b/apps/marjorambayd/forward_fleet.cpp
@@ -56,6 +56,8 @@
   Digest.Sequence = Sequence;
   Digest.Ready = isReady(H);
   Digest.Orders = ordersHere(H);
+  Digest.Positions = positions(H);
+  Digest.Fresh = watchesWithAnswers(H);
   if (!H.Table)
     return Digest;
   Digest.ConfigVersion = H.Table->version();
@@ -87,34 +89,23 @@
   return static_cast<double>(Heard) / static_cast<double>(Listed);
 }
 
-/// A peer has a configuration that this host lacks: the platform may be slow
-/// to tell, or out of this host's reach.
-void noteVersion(ForwardHost &H, HostId From, std::uint64_t Version) {
-  const std::uint64_t Own = H.Table ? H.Table->version() : 0;
-  if (Version <= Own)
-    return;
-  if (Version > H.NewestVersion) {
-    H.NewestVersion = Version;
-    H.BehindPeers.emit();
-  }
-  sendTo(H, From, ConfigAsked{H.Self.Id, Revision{Own}});
-}
-
 void receive(ForwardHost &H, const PeerSender &From, const FleetBeat &Beat) {
   ForwardPeer &Peer = H.Fleet[From.Id];
   Peer.Draining = Beat.Draining;
   if (H.Table)
     H.Ledger.report(From.Id, From.Life, Beat.Uses, *H.Table, H.Loop.now());
+  Peer.BeatAt = H.Loop.now();
   sendTo(H, From.Id, digestFor(H, From.Id, Beat.Sequence));
-  noteVersion(H, From.Id, Beat.ConfigVersion);
 }
 
 void receive(ForwardHost &H, const PeerSender &From,
              const FleetDigest &Digest) {
   if (Digest.Ready)
     H.Fleet[From.Id].AnsweredAt = H.Loop.now();
+  if (Digest.Fresh)
+    H.Fleet[From.Id].FreshAt = H.Loop.now();
   takeDigestHere(H, Digest);
-  noteVersion(H, From.Id, Digest.ConfigVersion);
+  followHub(H, From.Id, Digest);
 }
 
 void receive(ForwardHost &H, const PeerSender &, const ArbiterMessage &Said) {
@@ -140,35 +131,6 @@
   takeEvidence(H, Seen);
 }
 
-void receive(ForwardHost &H, const PeerSender &From, const ConfigAsked &Asked) {
-  if (!H.Table || H.Table->version() <= number(Asked.Have))
-    return;
-  if (H.Document.size() + 1024 > MaxDatagramBytes) {
-    LogLine("config_not_relayed", LogLevel::Warning)
-        .with("bytes", static_cast<std::int64_t>(H.Document.size()));
-    return;
-  }
-  sendTo(H, From.Id,
-         ConfigReceived{Revision{H.Table->version()}, H.Document, {}, 0});
-}
-
-void receive(ForwardHost &H, const PeerSender &From,
-             const ConfigReceived &Content) {
-  const std::uint64_t Own = H.Table ? H.Table->version() : 0;
-  if (number(Content.Rev) <= Own || !H.ReadDocument)
-    return;
-  Result<ForwardConfig> Read = H.ReadDocument(Content.Document);
-  if (!ok(Read)) {
-    LogLine("config_from_peer_unreadable", LogLevel::Warning)
-        .with("why", error(Read).Message);
-    return;
-  }
-  LogLine("config_from_peer")
-      .with("version", static_cast<std::int64_t>(value(Read).Version))
-      .with("peer", static_cast<std::int64_t>(number(From.Id)));
-  applyConfig(H, std::move(value(Read)), Content.Document);
-}
-
 /// Messages of the daemon's other form of operation.
 template <typename OtherMessage>
 void receive(ForwardHost &, const PeerSender &, const OtherMessage &) {}
@@ -209,7 +171,9 @@
   Beat.Draining = H.Draining;
   Beat.Uses = H.Meter.report();
   H.Ledger.setReach(reach(H));
-  for (const HostId Hub : hubs(H)) {
+  const std::vector<HostId> Hubs = hubs(H);
+  chooseSource(H, std::find(Hubs.begin(), Hubs.end(), H.Self.Id) != Hubs.end());
+  for (const HostId Hub : Hubs) {
     if (Hub != H.Self.Id) {
       sendTo(H, Hub, Beat);
       continue;
@@ -279,6 +243,14 @@
   H.Loop.defer([&H]() { flushOutgoing(H); });
 }
 
+void noticeFollowers(ForwardHost &H) {
+  constexpr Duration BeatsLately = seconds(1);
+  const TimePoint Now = H.Loop.now();
+  for (const auto &[Id, Peer] : H.Fleet)
+    if (Peer.BeatAt != TimePoint{} && Now - Peer.BeatAt < BeatsLately)
+      sendTo(H, Id, digestFor(H, Id, 0));
+}
+
 void applyHosts(ForwardHost &H, const std::vector<HostInfo> &Listed) {
   for (auto &[Id, Peer] : H.Fleet)
     Peer.Listed = false;
--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -149,6 +149,15 @@
   bool WrittenAny = false;
 };
 
+/// A question for objects to a host that watches the platform.
+struct ObjectPull {
+  CallId Call{};
+  bool Pending = false;
+  std::uint32_t Failures = 0; ///< in a row
+  std::string Gathered{};
+  int Status = 0;
+};
+
 struct PoolState {
   std::unique_ptr<Arbiter> Whole{}; ///< while this host arbitrates
   TimePoint WholeUsedAt{};          ///< last reservation
@@ -168,6 +177,8 @@
   Incarnation Life{};
   TimePoint HeardAt{};    ///< any message
   TimePoint AnsweredAt{}; ///< a digest that said it was ready
+  TimePoint BeatAt{};     ///< last beat to this host as a hub
+  TimePoint FreshAt{};    ///< a digest that said it watches the platform
   bool Draining = false;
 };
 
@@ -204,10 +215,10 @@
   HttpServer Operators; ///< metrics
   KeptClient Client{Loop};
   DatagramLink Peers{Loop};
+  CallerServer Feeds; ///< hosts that follow this one ask here for objects
 
   // Configuration and targets.
   std::shared_ptr<const ForwardTable> Table{}; ///< null: none yet
-  std::string Document{}; ///< that Table was read from, for peers
   TargetDirectory Directory{};
   std::unordered_map<TargetId, ListedTarget> Targets{};
   bool TargetsKnown = false;
@@ -232,13 +243,21 @@
   std::uint64_t BeatSequence = 0;
   AccountLedger Ledger{};
   AccountMeter Meter{};
-  std::uint64_t NewestVersion = 0; ///< of the configuration, that a peer has
+
+  // Objects of the platform.
+  std::array<ObjectMirror, ObjectKindCount> Mirrors{};
+  std::array<ObjectPull, ObjectKindCount> Pulls{};
+  bool Watching = true;       ///< the platform itself; else hubs are followed
+  TimePoint PlatformAnswer{}; ///< last answer of the platform
+  TimePoint WatchUntil{};     ///< hubs did not feed this host: watches itself
+  bool NoticeDue = false;
 
   // To the adapter.
-  /// Reads a configuration document that a peer passed on.
-  sigc::slot<Result<ForwardConfig>(const std::string &)> ReadDocument{};
-  /// A peer has a newer configuration: the platform should be asked now.
-  sigc::signal<void()> BehindPeers{};
+  /// Objects have changed; it translates them and calls the functions below.
+  sigc::signal<void(ObjectKind, const std::vector<ObjectRecord> &)>
+      ObjectsChanged{};
+  /// Whether the adapter should watch the platform from now on.
+  sigc::signal<void(bool)> WatchWanted{};
   /// The stage of a rollout that the platform should be told.
   sigc::signal<void(PoolId, const std::string &Version, VersionStage)>
       StageReached{};
@@ -249,8 +268,12 @@
 // ---- For adapters -----------------------------------------------------------
 
 Result<Done> startForwarding(ForwardHost &H);
+/// The platform or a host that watches it tells of objects.
+void applyFeed(ForwardHost &H, ObjectKind Kind, const ObjectFeed &Feed);
+/// The platform answered a call.
+void notePlatformAnswer(ForwardHost &H);
 /// Puts a configuration in force, unless a newer one is.
-void applyConfig(ForwardHost &H, ForwardConfig Config, std::string Document);
+void applyConfig(ForwardHost &H, ForwardConfig Config);
 /// The directory has changed.
 void applyTargets(ForwardHost &H);
 /// All rollouts that the platform holds.
@@ -301,8 +324,19 @@
 /// The hub that arbitrates a pool; nothing: none is in reach.
 std::optional<HostId> arbiterOf(const ForwardHost &H, PoolId Pool);
 std::size_t fleetSize(const ForwardHost &H);
+/// Tells all hosts that beat to this one of its state, without being asked.
+void noticeFollowers(ForwardHost &H);
 void sendTo(ForwardHost &H, HostId To, const PeerMessage &Message);
 
+// forward_objects.cpp
+Result<Done> startObjects(ForwardHost &H);
+/// Takes in what a hub says of its objects.
+void followHub(ForwardHost &H, HostId Hub, const FleetDigest &Digest);
+/// Decides whether this host watches the platform itself.
+void chooseSource(ForwardHost &H, bool IsHub);
+std::array<std::uint64_t, ObjectKindCount> positions(const ForwardHost &H);
+bool watchesWithAnswers(const ForwardHost &H);
+
 // forward_versions.cpp
 /// Whether a request may go to the target's version, by this host's word alone.
 bool versionOpen(const ForwardHost &H, const ListedTarget &Target);
--- a/apps/marjorambayd/forward_lifecycle.cpp
+++ b/apps/marjorambayd/forward_lifecycle.cpp
@@ -122,7 +122,7 @@
       Random(number(Self.Id) ^ number(Life)),
       Callers(Loop, Timers, limitsOf(Settings)),
       Probes(Loop, Timers, HttpServerLimits{}),
-      Operators(Loop, Timers, HttpServerLimits{}) {}
+      Operators(Loop, Timers, HttpServerLimits{}), Feeds(Loop, Timers) {}
 
 ForwardHost::~ForwardHost() = default;
 
@@ -139,7 +139,7 @@
   if (!ok(Address))
     return error(Address);
   for (const Result<Done> &Started :
-       {startFleet(H), H.Callers.listen(value(Address)),
+       {startFleet(H), startObjects(H), H.Callers.listen(value(Address)),
         listen(H.Probes, H.Settings.ReadyAddress),
         listen(H.Operators, H.Settings.OperatorAddress)})
     if (!ok(Started))
@@ -169,7 +169,7 @@
   return Done{};
 }
 
-void applyConfig(ForwardHost &H, ForwardConfig Config, std::string Document) {
+void applyConfig(ForwardHost &H, ForwardConfig Config) {
   const std::uint64_t Own = H.Table ? H.Table->version() : 0;
   if (Config.Version <= Own)
     return;
@@ -196,7 +196,6 @@
         .with("burst", static_cast<std::int64_t>(Each.Burst));
   }
   H.Table = std::make_shared<const ForwardTable>(std::move(Config));
-  H.Document = std::move(Document);
   for (const ForwardPool &Each : H.Table->config().Pools)
     H.Pools.try_emplace(Each.Id);
   shareRepeats(H);
--- /dev/null
+++ b/apps/marjorambayd/forward_objects.cpp
@@ -0,0 +1,171 @@
+/// Objects of the platform: hubs watch it, the other hosts follow the hubs.
+///
+/// Each watch costs calls of the platform, whose rates grow more slowly than
+/// the fleet. A digest tells the revision of a hub's last change; a host that
+/// lacks it asks the hub for what is newer, over a kept connection.
+#include "forward_host.h"
+
+#include <charconv>
+
+namespace marjorambay {
+
+namespace {
+
+const std::string FeedPath = "/objects/";
+
+/// A platform that has not answered for this long is not watched: a watch waits
+/// for two seconds at most.
+constexpr Duration AnswerPatience = milliseconds(3200);
+/// A hub that was not heard to watch for this long is not followed.
+constexpr Duration FreshPatience = milliseconds(1200);
+/// A hub that does not answer a question in this time has died or is cut off.
+constexpr Duration PullTimeout = milliseconds(600);
+constexpr std::uint32_t PullFailuresBeforeWatch = 3;
+constexpr Duration WatchAfterFailures = seconds(5);
+
+ObjectMirror &mirrorOf(ForwardHost &H, ObjectKind Kind) {
+  return H.Mirrors[static_cast<std::size_t>(Kind)];
+}
+
+ObjectPull &pullOf(ForwardHost &H, ObjectKind Kind) {
+  return H.Pulls[static_cast<std::size_t>(Kind)];
+}
+
+void pulled(ForwardHost &H, ObjectKind Kind, KeptEnd How) {
+  ObjectPull &Pull = pullOf(H, Kind);
+  Pull.Pending = false;
+  const bool Whole = How == KeptEnd::Whole && Pull.Status == 200;
+  Result<ObjectFeed> Feed = parseFeed(Pull.Gathered);
+  if (Whole && ok(Feed)) {
+    Pull.Failures = 0;
+    return applyFeed(H, Kind, value(Feed));
+  }
+  LogLine("feed_failed", LogLevel::Warning)
+      .with("kind", nameOf(Kind))
+      .with("end", nameOf(How))
+      .with("status", Pull.Status);
+  if (++Pull.Failures < PullFailuresBeforeWatch)
+    return;
+  Pull.Failures = 0;
+  H.WatchUntil = H.Loop.now() + WatchAfterFailures;
+}
+
+void pull(ForwardHost &H, const ForwardPeer &Hub, ObjectKind Kind) {
+  ObjectPull &Pull = pullOf(H, Kind);
+  Pull.Pending = true;
+  Pull.Status = 0;
+  Pull.Gathered.clear();
+  KeptCall Asked;
+  Asked.To = Hub.Address;
+  Asked.Target = FeedPath + std::string(nameOf(Kind)) +
+                 "?since=" + std::to_string(mirrorOf(H, Kind).at());
+  Asked.Headers = {{"Host", "peer"}};
+  Asked.ConnectTimeout = PullTimeout;
+  Asked.HeadTimeout = PullTimeout;
+  Asked.Patience.Unacknowledged = PullTimeout;
+  Asked.OnHead = [&Pull](CallId, const HttpHead &Head) {
+    Pull.Status = Head.Status;
+  };
+  Asked.OnBody = [&Pull](CallId, std::string_view Bytes) {
+    Pull.Gathered.append(Bytes);
+  };
+  Asked.OnEnd = [&H, Kind](CallId, KeptEnd How) { pulled(H, Kind, How); };
+  Pull.Call = H.Client.start(std::move(Asked));
+}
+
+/// Answers a host that follows this one.
+void feedAsked(ForwardHost &H, CallerRequest &Request) {
+  std::string_view Target = Request.Head.Target;
+  const std::size_t Query = Target.find("?since=");
+  std::uint64_t Have = 0;
+  const bool Formed =
+      Target.starts_with(FeedPath) && Query != std::string_view::npos;
+  const auto Kind =
+      Formed ? parseEnum<ObjectKind>(
+                   Target.substr(FeedPath.size(), Query - FeedPath.size()))
+             : std::nullopt;
+  if (!Kind || !mirrorOf(H, *Kind).known())
+    return H.Feeds.answer(Request.Id, 404, {}, "");
+  const std::string_view Since = Target.substr(Query + 7);
+  std::from_chars(Since.data(), Since.data() + Since.size(), Have);
+  ObjectFeed Feed = mirrorOf(H, *Kind).since(Have);
+  Feed.Settling = H.Directory.settling(H.Loop.now());
+  H.Feeds.answer(Request.Id, 200,
+                 {{"Content-Type", "application/x-protobuf"}}, printFeed(Feed));
+}
+
+} // namespace
+
+Result<Done> startObjects(ForwardHost &H) {
+  const Result<SocketAddress> Address = parseAddress(H.Settings.PeerAddress);
+  if (!ok(Address))
+    return error(Address);
+  H.Feeds.RequestArrived.connect(
+      [&H](CallerRequest &Request) { feedAsked(H, Request); });
+  H.Feeds.RequestRefused.connect(
+      [&H](ExchangeId Exchange, const HttpHead &, ErrorKind Why) {
+        H.Feeds.answer(Exchange, answerFor(Why).HttpStatus, {}, "");
+      });
+  return H.Feeds.listen(value(Address));
+}
+
+std::array<std::uint64_t, ObjectKindCount> positions(const ForwardHost &H) {
+  std::array<std::uint64_t, ObjectKindCount> All{};
+  for (std::size_t Kind = 0; Kind < ObjectKindCount; ++Kind)
+    All[Kind] = H.Mirrors[Kind].changedAt();
+  return All;
+}
+
+bool watchesWithAnswers(const ForwardHost &H) {
+  return H.Watching && H.PlatformAnswer != TimePoint{} &&
+         H.Loop.now() - H.PlatformAnswer < AnswerPatience;
+}
+
+void notePlatformAnswer(ForwardHost &H) { H.PlatformAnswer = H.Loop.now(); }
+
+void applyFeed(ForwardHost &H, ObjectKind Kind, const ObjectFeed &Feed) {
+  const TimePoint Now = H.Loop.now();
+  if (Feed.Settling.count() > 0)
+    H.Directory.settleUntil(Now + Feed.Settling);
+  ObjectMirror &Mirror = mirrorOf(H, Kind);
+  const bool First = !Mirror.known();
+  const std::vector<ObjectRecord> Changes = Mirror.apply(Feed);
+  if (Changes.empty() && !First)
+    return;
+  H.ObjectsChanged.emit(Kind, Changes);
+  if (H.NoticeDue)
+    return;
+  H.NoticeDue = true;
+  H.Loop.defer([&H]() {
+    H.NoticeDue = false;
+    noticeFollowers(H);
+  });
+}
+
+void followHub(ForwardHost &H, HostId Hub, const FleetDigest &Digest) {
+  for (std::size_t Place = 0; Place < ObjectKindCount; ++Place) {
+    const auto Kind = static_cast<ObjectKind>(Place);
+    if (Digest.Positions[Place] > mirrorOf(H, Kind).changedAt() &&
+        !pullOf(H, Kind).Pending)
+      pull(H, H.Fleet[Hub], Kind);
+  }
+}
+
+void chooseSource(ForwardHost &H, bool IsHub) {
+  const TimePoint Now = H.Loop.now();
+  bool Fed = false;
+  for (const auto &[Id, Peer] : H.Fleet)
+    Fed = Fed || (Peer.FreshAt != TimePoint{} && Peer.Listed &&
+                  Now - Peer.FreshAt < FreshPatience);
+  bool Known = true;
+  for (const ObjectMirror &Each : H.Mirrors)
+    Known = Known && Each.known();
+  const bool Watch = IsHub || !Fed || !Known || Now < H.WatchUntil;
+  if (Watch == H.Watching)
+    return;
+  H.Watching = Watch;
+  LogLine("platform_source").with("from", Watch ? "platform" : "hubs");
+  H.WatchWanted.emit(Watch);
+}
+
+} // namespace marjorambay
--- a/apps/marjorambayd/peer_codec.cpp
+++ b/apps/marjorambayd/peer_codec.cpp
@@ -290,6 +290,9 @@
   To->set_sequence(Digest.Sequence);
   To->set_config_version(Digest.ConfigVersion);
   To->set_ready(Digest.Ready);
+  To->set_fresh(Digest.Fresh);
+  for (const std::uint64_t Position : Digest.Positions)
+    To->add_positions(Position);
   for (const AccountLevel &Level : Digest.Levels) {
     peer::AccountLevel *Each = To->add_levels();
     Each->set_account(number(Level.Account));
@@ -407,6 +410,10 @@
   Digest.Sequence = In.sequence();
   Digest.ConfigVersion = In.config_version();
   Digest.Ready = In.ready();
+  Digest.Fresh = In.fresh();
+  const auto Known = std::min<int>(In.positions_size(), ObjectKindCount);
+  for (int Kind = 0; Kind < Known; ++Kind)
+    Digest.Positions[static_cast<std::size_t>(Kind)] = In.positions(Kind);
   for (const peer::AccountLevel &Each : In.levels())
     Digest.Levels.push_back({AccountId{Each.account()}, Each.level(),
                              Each.others_rate(), Each.counted()});
@@ -585,6 +592,35 @@
   return Bytes;
 }
 
+std::string printFeed(const ObjectFeed &Feed) {
+  peer::ObjectFeed Out;
+  Out.set_at(Feed.At);
+  Out.set_whole(Feed.Whole);
+  Out.set_settling_us(Feed.Settling.count());
+  for (const ObjectRecord &Record : Feed.Records) {
+    peer::ObjectRecord *Each = Out.add_records();
+    Each->set_name(Record.Name);
+    Each->set_revision(Record.Revision);
+    Each->set_removed(Record.Removed);
+    Each->set_text(Record.Text);
+  }
+  return Out.SerializeAsString();
+}
+
+Result<ObjectFeed> parseFeed(std::string_view Bytes) {
+  peer::ObjectFeed In;
+  if (!In.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())))
+    return Error{ErrorKind::BadRequest, "a peer sent a malformed feed"};
+  ObjectFeed Feed;
+  Feed.At = In.at();
+  Feed.Whole = In.whole();
+  Feed.Settling = Duration(In.settling_us());
+  for (const peer::ObjectRecord &Each : In.records())
+    Feed.Records.push_back(
+        {Each.name(), Each.revision(), Each.removed(), Each.text()});
+  return Feed;
+}
+
 Result<ReceivedEnvelope> parseEnvelope(std::string_view Bytes) {
   peer::Envelope In;
   if (!In.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())))
--- a/apps/marjorambayd/peer_codec.h
+++ b/apps/marjorambayd/peer_codec.h
@@ -64,6 +64,11 @@
 /// left out; a malformed envelope is a BadRequest as a whole.
 Result<ReceivedEnvelope> parseEnvelope(std::string_view Bytes);
 
+/// Objects that one host passes on to another.
+std::string printFeed(const ObjectFeed &Feed);
+/// Reads a feed; a malformed one is a BadRequest.
+Result<ObjectFeed> parseFeed(std::string_view Bytes);
+
 } // namespace marjorambay
 
 #endif // MARJORAMBAY_APPS_MARJORAMBAYD_PEER_CODEC_H
--- a/packages/coordination/marjorambay/coordination/fleet_beat.h
+++ b/packages/coordination/marjorambay/coordination/fleet_beat.h
@@ -9,6 +9,7 @@
 
 #include "marjorambay/coordination/account_ledger.h"
 #include "marjorambay/coordination/membership.h"
+#include "marjorambay/coordination/object_mirror.h"
 
 #include <array>
 #include <cstdint>
@@ -56,6 +57,8 @@
   bool Ready = false; ///< knows configuration and targets, and stays
   std::vector<AccountLevel> Levels{};
   std::vector<VersionOrder> Orders{};
+  std::array<std::uint64_t, ObjectKindCount> Positions{}; ///< last changes
+  bool Fresh = false; ///< the sender watches the platform, with answers
 };
 
 /// An arbiter has taken a reservation in, and has not decided yet.
--- a/packages/coordination/marjorambay/coordination/target_directory.h
+++ b/packages/coordination/marjorambay/coordination/target_directory.h
@@ -9,6 +9,7 @@
 #include "marjorambay/coordination/arbiter_events.h"
 #include "marjorambay/state/address.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -50,7 +51,13 @@
   /// The platform answers again after \p Away. Entries that are missing from
   /// now on are kept until it has settled.
   void platformReturned(TimePoint Now) {
-    SettledAt = Now + Settings.SettleTime;
+    settleUntil(Now + Settings.SettleTime);
+  }
+  /// As platformReturned(), from a host that has seen the return.
+  void settleUntil(TimePoint Then) { SettledAt = std::max(SettledAt, Then); }
+  /// Time for which entries that are missing are still kept.
+  Duration settling(TimePoint Now) const {
+    return std::max(Duration(0), SettledAt - Now);
   }
   /// Drops what was missing for long enough. True: something changed.
   bool settle(TimePoint Now);
