Make strong hosts the hubs, and spread their followers

Ruled out: lost datagrams (the followers knew of the news), the store (hubs had it within 100 ms). Change: hosts tell their strength with their entry, and hubs are drawn among the strongest; each host asks the hub that it prefers first.

--- a/apps/marjorambayd/forward_fleet.cpp
+++ b/apps/marjorambayd/forward_fleet.cpp
@@ -4,6 +4,8 @@
 #include "marjorambay/coordination/rendezvous.h"
 
 #include <algorithm>
+#include <cmath>
+#include <tuple>
 
 namespace marjorambay {
 
@@ -20,22 +22,35 @@
 constexpr std::size_t HubCount = 3;
 constexpr std::uint64_t HubKey = 0x6d61726a6f72616d;
 
-/// The hubs, best first.
+struct HubCandidate {
+  HostId Id{};
+  int Class = 0; ///< of its strength: hosts within a factor of two are equal
+  std::uint64_t Weight = 0;
+  bool operator<(const HubCandidate &Other) const {
+    return std::tie(Class, Weight) > std::tie(Other.Class, Other.Weight);
+  }
+};
+
+HubCandidate candidate(HostId Id, double Strength) {
+  return {Id, std::ilogb(std::max(1e-3, Strength)),
+          rendezvousWeight(Id, HubKey)};
+}
+
+/// The hubs, best first: a weak one would hold up the whole fleet.
 std::vector<HostId> hubs(const ForwardHost &H) {
-  std::vector<HostId> All;
+  std::vector<HubCandidate> All;
   if (!H.Draining)
-    All.push_back(H.Self.Id);
+    All.push_back(candidate(H.Self.Id, strengthOf(H.Settings)));
   for (const auto &[Id, Peer] : H.Fleet)
     if (Peer.Listed && !Peer.Draining)
-      All.push_back(Id);
+      All.push_back(candidate(Id, Peer.Strength));
   const std::size_t Count = std::min(HubCount, All.size());
   std::partial_sort(All.begin(), All.begin() + static_cast<long>(Count),
-                    All.end(), [](HostId Left, HostId Right) {
-                      return rendezvousWeight(Left, HubKey) >
-                             rendezvousWeight(Right, HubKey);
-                    });
-  All.resize(Count);
-  return All;
+                    All.end());
+  std::vector<HostId> Best;
+  for (std::size_t Place = 0; Place < Count; ++Place)
+    Best.push_back(All[Place].Id);
+  return Best;
 }
 
 void flushOutgoing(ForwardHost &H) {
@@ -251,15 +266,23 @@
       sendTo(H, Id, digestFor(H, Id, 0));
 }
 
-void applyHosts(ForwardHost &H, const std::vector<HostInfo> &Listed) {
+double strengthOf(const HostSettings &Settings) {
+  constexpr double ReferenceShare = 0.25; // of a core
+  constexpr double ReferenceMbps = 50;
+  return std::min(Settings.CpuShare / ReferenceShare,
+                  Settings.LinkMbps / ReferenceMbps);
+}
+
+void applyHosts(ForwardHost &H, const std::vector<ListedHost> &Listed) {
   for (auto &[Id, Peer] : H.Fleet)
     Peer.Listed = false;
-  for (const HostInfo &Each : Listed) {
-    const Result<SocketAddress> Address = parseAddress(Each.Address);
-    if (Each.Id == H.Self.Id || !ok(Address))
+  for (const ListedHost &Each : Listed) {
+    const Result<SocketAddress> Address = parseAddress(Each.Host.Address);
+    if (Each.Host.Id == H.Self.Id || !ok(Address))
       continue;
-    ForwardPeer &Peer = H.Fleet[Each.Id];
-    Peer.Host = Each;
+    ForwardPeer &Peer = H.Fleet[Each.Host.Id];
+    Peer.Host = Each.Host;
+    Peer.Strength = Each.Strength;
     Peer.Listed = true;
     if (Peer.HeardAt == TimePoint{})
       Peer.Address = value(Address);
--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -153,6 +153,7 @@
 struct ObjectPull {
   CallId Call{};
   bool Pending = false;
+  TimePoint BehindSince{};    ///< a hub has news; 0: none
   std::uint32_t Failures = 0; ///< in a row
   std::string Gathered{};
   int Status = 0;
@@ -169,11 +170,18 @@
   HostId ReportedTo{}; ///< arbiter that knows this host's slots
 };
 
+/// A host as the platform lists it.
+struct ListedHost {
+  HostInfo Host{};
+  double Strength = 1; ///< see strengthOf()
+};
+
 /// Another host.
 struct ForwardPeer {
   HostInfo Host{};
   SocketAddress Address{};
   bool Listed = false; ///< by the platform
+  double Strength = 1; ///< see strengthOf()
   Incarnation Life{};
   TimePoint HeardAt{};    ///< any message
   TimePoint AnsweredAt{}; ///< a digest that said it was ready
@@ -279,7 +287,10 @@
 /// All rollouts that the platform holds.
 void applyRollouts(ForwardHost &H, const std::vector<RolloutWanted> &Wanted);
 /// All hosts that the platform lists.
-void applyHosts(ForwardHost &H, const std::vector<HostInfo> &Listed);
+void applyHosts(ForwardHost &H, const std::vector<ListedHost> &Listed);
+/// How much a host can do for others: the scarcer of its processor and its
+/// link, 1 for a quarter of a core and 50 Mbit/s.
+double strengthOf(const HostSettings &Settings);
 
 // ---- Between parts ----------------------------------------------------------
 
--- a/apps/marjorambayd/forward_lifecycle.cpp
+++ b/apps/marjorambayd/forward_lifecycle.cpp
@@ -70,11 +70,21 @@
   H.Operators.answer(View.Id, 404, PlainText, "no such path\n");
 }
 
-Result<Done> listen(HttpServer &Server, const std::string &Text) {
+Result<Done> listen(HttpServer &Listener, const std::string &Text) {
   const Result<SocketAddress> Address = parseAddress(Text);
   if (!ok(Address))
     return error(Address);
-  const auto Port = Server.listen(value(Address).Ip, value(Address).Port);
+  const auto Port = Listener.listen(value(Address).Ip, value(Address).Port);
+  if (!ok(Port))
+    return error(Port);
+  return Done{};
+}
+
+Result<Done> listenForCallers(ForwardHost &H) {
+  const Result<SocketAddress> Address = parseAddress(H.Settings.CallerAddress);
+  if (!ok(Address))
+    return error(Address);
+  const auto Port = H.Callers.listen(value(Address));
   if (!ok(Port))
     return error(Port);
   return Done{};
@@ -135,11 +145,8 @@
       [&H](const HttpRequestView &View) { probed(H, View); });
   H.Operators.RequestArrived.connect(
       [&H](const HttpRequestView &View) { operatorAsked(H, View); });
-  const Result<SocketAddress> Address = parseAddress(H.Settings.CallerAddress);
-  if (!ok(Address))
-    return error(Address);
   for (const Result<Done> &Started :
-       {startFleet(H), startObjects(H), H.Callers.listen(value(Address)),
+       {startFleet(H), startObjects(H), listenForCallers(H),
         listen(H.Probes, H.Settings.ReadyAddress),
         listen(H.Operators, H.Settings.OperatorAddress)})
     if (!ok(Started))
--- a/apps/marjorambayd/forward_objects.cpp
+++ b/apps/marjorambayd/forward_objects.cpp
@@ -5,6 +5,8 @@
 /// lacks it asks the hub for what is newer, over a kept connection.
 #include "forward_host.h"
 
+#include "marjorambay/coordination/rendezvous.h"
+
 #include <charconv>
 
 namespace marjorambay {
@@ -20,6 +22,8 @@
 constexpr Duration FreshPatience = milliseconds(1200);
 /// A hub that does not answer a question in this time has died or is cut off.
 constexpr Duration PullTimeout = milliseconds(600);
+/// News that the preferred hub has not told of by then is asked of another.
+constexpr Duration PreferredPatience = milliseconds(200);
 constexpr std::uint32_t PullFailuresBeforeWatch = 3;
 constexpr Duration WatchAfterFailures = seconds(5);
 
@@ -38,6 +42,7 @@
   Result<ObjectFeed> Feed = parseFeed(Pull.Gathered);
   if (Whole && ok(Feed)) {
     Pull.Failures = 0;
+    Pull.BehindSince = TimePoint{};
     return applyFeed(H, Kind, value(Feed));
   }
   LogLine("feed_failed", LogLevel::Warning)
@@ -73,6 +78,16 @@
   Pull.Call = H.Client.start(std::move(Asked));
 }
 
+/// The hub that this host asks first, so that not all ask the quickest one.
+HostId preferredHub(const ForwardHost &H) {
+  const TimePoint Now = H.Loop.now();
+  RendezvousChoice<HostId> Choice(number(H.Self.Id));
+  for (const auto &[Id, Peer] : H.Fleet)
+    if (Peer.FreshAt != TimePoint{} && Now - Peer.FreshAt < FreshPatience)
+      Choice.consider(Id);
+  return Choice.found() ? Choice.best() : HostId{};
+}
+
 /// Answers a host that follows this one.
 void feedAsked(ForwardHost &H, CallerRequest &Request) {
   std::string_view Target = Request.Head.Target;
@@ -80,18 +95,17 @@
   std::uint64_t Have = 0;
   const bool Formed =
       Target.starts_with(FeedPath) && Query != std::string_view::npos;
-  const auto Kind =
-      Formed ? parseEnum<ObjectKind>(
-                   Target.substr(FeedPath.size(), Query - FeedPath.size()))
-             : std::nullopt;
+  const auto Kind = Formed ? parseEnum<ObjectKind>(Target.substr(
+                                 FeedPath.size(), Query - FeedPath.size()))
+                           : std::nullopt;
   if (!Kind || !mirrorOf(H, *Kind).known())
     return H.Feeds.answer(Request.Id, 404, {}, "");
   const std::string_view Since = Target.substr(Query + 7);
   std::from_chars(Since.data(), Since.data() + Since.size(), Have);
   ObjectFeed Feed = mirrorOf(H, *Kind).since(Have);
   Feed.Settling = H.Directory.settling(H.Loop.now());
-  H.Feeds.answer(Request.Id, 200,
-                 {{"Content-Type", "application/x-protobuf"}}, printFeed(Feed));
+  H.Feeds.answer(Request.Id, 200, {{"Content-Type", "application/x-protobuf"}},
+                 printFeed(Feed));
 }
 
 } // namespace
@@ -106,7 +120,10 @@
       [&H](ExchangeId Exchange, const HttpHead &, ErrorKind Why) {
         H.Feeds.answer(Exchange, answerFor(Why).HttpStatus, {}, "");
       });
-  return H.Feeds.listen(value(Address));
+  const auto Port = H.Feeds.listen(value(Address));
+  if (!ok(Port))
+    return error(Port);
+  return Done{};
 }
 
 std::array<std::uint64_t, ObjectKindCount> positions(const ForwardHost &H) {
@@ -143,10 +160,17 @@
 }
 
 void followHub(ForwardHost &H, HostId Hub, const FleetDigest &Digest) {
+  const TimePoint Now = H.Loop.now();
+  const bool Preferred = preferredHub(H) == Hub;
   for (std::size_t Place = 0; Place < ObjectKindCount; ++Place) {
     const auto Kind = static_cast<ObjectKind>(Place);
-    if (Digest.Positions[Place] > mirrorOf(H, Kind).changedAt() &&
-        !pullOf(H, Kind).Pending)
+    ObjectPull &Pull = pullOf(H, Kind);
+    if (Digest.Positions[Place] <= mirrorOf(H, Kind).changedAt())
+      continue;
+    if (Pull.BehindSince == TimePoint{})
+      Pull.BehindSince = Now;
+    const bool Due = Preferred || Now - Pull.BehindSince > PreferredPatience;
+    if (Due && !Pull.Pending)
       pull(H, H.Fleet[Hub], Kind);
   }
 }
--- a/packages/coordination/tests/arbiter_test.cpp
+++ b/packages/coordination/tests/arbiter_test.cpp
@@ -243,3 +243,89 @@
 
 } // namespace
 } // namespace marjorambay
+
+namespace marjorambay {
+namespace {
+
+using namespace marjorambay::testing;
+
+TEST_CASE("an arbiter whose origins may lose their releases") {
+  Arbiter Policy;
+  const TimePoint Start = at(seconds(0));
+  Policy.step(TargetsChanged{{worker("w1", 1)}}, Start);
+  Policy.step(SlotRequested{reservation(1)}, Start);
+  Policy.step(SlotRequested{reservation(2)}, Start);
+  SlotsConfirmed Confirmed{host("entry-1"), static_cast<Incarnation>(1)};
+
+  SUBCASE("frees a slot that its origin no longer names") {
+    CHECK(granted(Policy.step(Confirmed, at(seconds(1)))) ==
+          std::vector<std::uint64_t>{2});
+  }
+  SUBCASE("keeps one that is named") {
+    Confirmed.Held = {static_cast<RequestId>(1)};
+    CHECK(Policy.step(Confirmed, at(seconds(1))).empty());
+  }
+  SUBCASE("keeps one whose grant may still be on its way") {
+    CHECK(Policy.step(Confirmed, at(milliseconds(100))).empty());
+  }
+}
+
+TEST_CASE("a first token that must come in time (long prompts)") {
+  ArbiterSettings Settings;
+  Settings.Targets.DeclaredSlotsHold = true;
+  Arbiter Policy(Settings);
+  const TimePoint Start = at(seconds(0));
+  Policy.step(TargetsChanged{{worker("w1", 1)}}, Start);
+  Policy.step(SlotRequested{reservation(1)}, Start);
+  Reservation Urgent = reservation(2);
+  Urgent.FirstWithin = milliseconds(400);
+  REQUIRE(Policy.step(SlotRequested{Urgent}, Start).empty());
+
+  SUBCASE("waits for a slot until then") {
+    CHECK(Policy.step(ArbiterTicked{}, at(milliseconds(300))).empty());
+    CHECK(
+        granted(Policy.step(SlotReleased{key(1), {}}, at(milliseconds(320)))) ==
+        std::vector<std::uint64_t>{2});
+  }
+  SUBCASE("and is refused at once when none came, with a time to come back") {
+    const auto Actions = Policy.step(ArbiterTicked{}, at(milliseconds(450)));
+    REQUIRE(refused(Actions) == std::vector<std::uint64_t>{2});
+    CHECK(only<RefuseSlot>(Actions)[0].RetryAfter > Duration(0));
+  }
+}
+
+/// A pool of one target, all whose answers so far came slowly to their first
+/// token, as with prompts that are read beside others.
+TEST_CASE("slow first tokens (long prompts against long answers)") {
+  const auto Played = [](bool Declared) {
+    ArbiterSettings Settings;
+    Settings.Targets.DeclaredSlotsHold = Declared;
+    Arbiter Policy(Settings);
+    Policy.step(TargetsChanged{{worker("w1", 8)}}, at(seconds(0)));
+    std::uint64_t Id = 0;
+    for (int Second = 1; Second < 60; ++Second) {
+      const std::uint64_t First = Id + 1;
+      for (int Each = 0; Each < 8; ++Each)
+        Policy.step(SlotRequested{reservation(++Id)}, at(seconds(Second)));
+      for (std::uint64_t Each = First; Each <= Id; ++Each) {
+        Usage Used;
+        Used.PromptTokens = 100;
+        Used.OutputTokens = 100;
+        Used.ToFirstToken = milliseconds(Each % 2 == 0 ? 20 : 300);
+        Used.Total = milliseconds(900);
+        Policy.step(SlotReleased{key(Each), Used},
+                    at(seconds(Second) + milliseconds(900)));
+      }
+    }
+    return Policy.view(at(seconds(61))).Limit;
+  };
+  SUBCASE("don't cost slots where a target's word on them holds") {
+    CHECK(Played(true) == 8);
+  }
+  SUBCASE("are taken for a queue where it does not") {
+    CHECK(Played(false) < 8);
+  }
+}
+
+} // namespace
+} // namespace marjorambay
--- /dev/null
+++ b/packages/coordination/tests/object_mirror_test.cpp
@@ -0,0 +1,80 @@
+/// Tests of objects that hosts pass on to each other.
+#include "marjorambay/coordination/object_mirror.h"
+
+#include <doctest/doctest.h>
+
+namespace marjorambay {
+namespace {
+
+ObjectRecord object(std::string Name, std::uint64_t Revision) {
+  return {std::move(Name), Revision, false, "text"};
+}
+ObjectFeed whole(std::uint64_t At, std::vector<ObjectRecord> Records) {
+  return {At, true, Duration(0), std::move(Records)};
+}
+ObjectFeed changes(std::uint64_t At, std::vector<ObjectRecord> Records) {
+  return {At, false, Duration(0), std::move(Records)};
+}
+
+TEST_CASE("a hub that has read the platform") {
+  ObjectMirror Hub;
+  Hub.apply(whole(10, {object("a", 3), object("b", 7)}));
+  ObjectMirror Host;
+
+  SUBCASE("tells a host that knows nothing all of it") {
+    CHECK(Host.apply(Hub.since(Host.at())).size() == 2);
+    CHECK(Host.at() == 10);
+
+    SUBCASE("and later what has changed") {
+      Hub.apply(changes(12, {object("a", 12)}));
+      const ObjectFeed Feed = Hub.since(Host.at());
+      CHECK_FALSE(Feed.Whole);
+      REQUIRE(Host.apply(Feed).size() == 1);
+      CHECK(Host.changedAt() == Hub.changedAt());
+
+      SUBCASE("once: the same feed again changes nothing") {
+        CHECK(Host.apply(Feed).empty());
+      }
+    }
+    SUBCASE("a removal reaches the host as well") {
+      Hub.apply(changes(15, {{"b", 15, true, ""}}));
+      const auto Changed = Host.apply(Hub.since(Host.at()));
+      REQUIRE(Changed.size() == 1);
+      CHECK(Changed[0].Removed);
+      CHECK(Host.size() == 1);
+    }
+    SUBCASE("also when the hub's history was gone and it listed anew") {
+      Hub.apply(whole(20, {object("a", 18)}));
+      const auto Changed = Host.apply(Hub.since(Host.at()));
+      CHECK(Changed.size() == 2);
+      CHECK(Host.size() == 1);
+    }
+    SUBCASE("a hub that lags takes nothing back") {
+      ObjectMirror Late;
+      Late.apply(whole(9, {object("a", 3), object("b", 7), object("c", 8)}));
+      Host.apply(changes(14, {object("a", 14)}));
+      CHECK(Host.apply(Late.since(0)).empty());
+      CHECK(Host.at() == 14);
+    }
+  }
+  SUBCASE("tells all again to a host that lags beyond its log") {
+    Host.apply(Hub.since(0));
+    for (std::uint64_t Revision = 11; Revision < 1000; ++Revision)
+      Hub.apply(changes(Revision, {object("a", Revision)}));
+    const ObjectFeed Feed = Hub.since(Host.at());
+    CHECK(Feed.Whole);
+    Host.apply(Feed);
+    CHECK(Host.changedAt() == 999);
+  }
+}
+
+TEST_CASE("a kind without objects is known once it was read") {
+  ObjectMirror Mirror;
+  CHECK_FALSE(Mirror.known());
+  Mirror.apply(whole(4, {}));
+  CHECK(Mirror.known());
+  CHECK(Mirror.changedAt() != 0);
+}
+
+} // namespace
+} // namespace marjorambay
--- a/packages/state/marjorambay/state/settings.h
+++ b/packages/state/marjorambay/state/settings.h
@@ -26,6 +26,8 @@
   std::string ZoneName{};             ///< availability zone; required
   std::string RegionName = "region";  ///< region of the zone
   std::string Serves = "completions"; ///< or "forwarded_routes"
+  double CpuShare = 1;                ///< of a core, that the host has
+  double LinkMbps = 1000;             ///< of its network link
   // [caller]
   std::string CallerAddress = "127.0.0.1:8080"; ///< callers connect here
   std::uint64_t MaxConnections = 4096;          ///< open caller connections
--- a/packages/transport/marjorambay/transport/caller_server.h
+++ b/packages/transport/marjorambay/transport/caller_server.h
@@ -46,7 +46,8 @@
   CallerServer(const CallerServer &) = delete;
   CallerServer &operator=(const CallerServer &) = delete;
 
-  Result<Done> listen(const SocketAddress &Address);
+  /// Returns the port, for port 0.
+  Result<std::uint16_t> listen(const SocketAddress &Address);
   /// Takes effect for what arrives from now on.
   void setLimits(const CallerServerLimits &Given) { Limits = Given; }
   /// Each answer from now on closes its connection; idle ones are closed.
--- a/packages/transport/marjorambay/transport/stream_socket.h
+++ b/packages/transport/marjorambay/transport/stream_socket.h
@@ -84,6 +84,9 @@
 /// Listens at \p Address. Returns the descriptor, or BadSettings.
 Result<int> listenAt(const SocketAddress &Address);
 
+/// Port that a listening descriptor is bound to.
+std::uint16_t portOf(int Descriptor);
+
 } // namespace marjorambay
 
 #endif // MARJORAMBAY_TRANSPORT_STREAM_SOCKET_H
--- a/packages/transport/src/caller_server.cpp
+++ b/packages/transport/src/caller_server.cpp
@@ -88,7 +88,7 @@
   Listener = -1;
 }
 
-Result<Done> CallerServer::listen(const SocketAddress &Address) {
+Result<std::uint16_t> CallerServer::listen(const SocketAddress &Address) {
   const Result<int> Made = listenAt(Address);
   if (!ok(Made))
     return error(Made);
@@ -96,7 +96,7 @@
   Acceptable.reset(event_new(Loop.base(), Listener, EV_READ | EV_PERSIST,
                              &CallerServer::acceptable, this));
   event_add(Acceptable.get(), nullptr);
-  return Done{};
+  return portOf(Listener);
 }
 
 void CallerServer::acceptable(int, short, void *Self) {
--- a/packages/transport/src/stream_socket.cpp
+++ b/packages/transport/src/stream_socket.cpp
@@ -209,4 +209,11 @@
   return Descriptor;
 }
 
+std::uint16_t portOf(int Descriptor) {
+  sockaddr_in Bound{};
+  socklen_t Size = sizeof Bound;
+  getsockname(Descriptor, reinterpret_cast<sockaddr *>(&Bound), &Size);
+  return ntohs(Bound.sin_port);
+}
+
 } // namespace marjorambay
