Mend three tests of forwarding, whose own means were at fault

A caller that leaves closed its socket only once the stream had ended; log lines come up to 0.2 s late; the stand-in reset sockets that were closed.

--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -62,7 +62,7 @@
 def reset(writer):
     """Closes so that the other side sees a reset."""
     raw = writer.get_extra_info("socket")
-    if raw is not None:
+    if raw is not None and raw.fileno() >= 0:
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
     writer.transport.abort()
 
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -6,6 +6,7 @@
 
 import concurrent.futures
 import signal
+import socket
 import threading
 import time
 import unittest
@@ -21,6 +22,14 @@
         self.addCleanup(fleet.close)
         return fleet
 
+    def arbiter_of(self, fleet):
+        """Place of the host that arbitrates the engines."""
+        def started():
+            return [place for place, host in enumerate(fleet.hosts)
+                    if host.lines("arbiter_started")]
+
+        return wait_until(started, "an arbiter", 2)[0]
+
     def assert_served(self, answer):
         self.assertEqual(answer.status, 200, dump(answer))
         self.assertIn("X-Marjorambay-Server-Signature", answer.headers)
@@ -144,8 +153,13 @@
         fleet = self.fleet(hosts=1)
         for worker in fleet.of("pool"):
             worker.events, worker.gap = 200, 0.02
-        fleet.call("/stream/a", timeout=0.3)
         host = fleet.hosts[0]
+        caller = socket.create_connection(("127.0.0.1", host.caller))
+        caller.sendall(f"GET /stream/a HTTP/1.1\r\nHost: {HOST}\r\n"
+                       f"X-Api-Key: {KEY}\r\nX-Marjorambay-Attempt-Id: left"
+                       "\r\n\r\n".encode())
+        wait_until(lambda: fleet.runs("left"), "the run")
+        caller.close()
         wait_until(lambda: host.lines("request_ended", outcome="caller_gone"),
                    "the cancellation", 2)
         (run,) = fleet.runs()
@@ -283,8 +297,7 @@
         fleet = self.fleet(hosts=4)
         for host in range(4):
             self.assert_served(fleet.call("/stream/a", host=host))
-        arbiter = next(place for place, host in enumerate(fleet.hosts)
-                       if host.lines("arbiter_started"))
+        arbiter = self.arbiter_of(fleet)
         others = [place for place in range(4) if place != arbiter]
         fleet.hosts[arbiter].kill()
         for place in others * 5:
@@ -294,8 +307,7 @@
     def test_a_frozen_arbiter_delays_but_does_not_stop(self):
         fleet = self.fleet(hosts=4)
         self.assert_served(fleet.call("/stream/a"))
-        arbiter = next(place for place, host in enumerate(fleet.hosts)
-                       if host.lines("arbiter_started"))
+        arbiter = self.arbiter_of(fleet)
         frozen = fleet.hosts[arbiter]
         frozen.signal(signal.SIGSTOP)
         try:
