--- a/apps/marjorambayd/forward_pools.cpp
+++ b/apps/marjorambayd/forward_pools.cpp
@@ -19,6 +19,10 @@
 constexpr double MostEjected = 0.5;
 /// An arbiter forgets what an origin held when nothing was heard for this long.
 constexpr Duration OriginPatience = milliseconds(2500);
+/// Of an engine pool's slots, for each tier in which something waits: enough
+/// for a tenth of what long answers of the lowest tier hold, so that no kind of
+/// request and no account starves.
+constexpr double TierFloor = 0.05;
 constexpr Duration NoTargetRetry = milliseconds(800);
 
 const ListedTarget *targetOf(const ForwardHost &H, TargetId Id) {
@@ -65,6 +69,7 @@
 ArbiterSettings arbiterSettings() {
   ArbiterSettings Made;
   Made.Targets.DeclaredSlotsHold = true;
+  Made.TierFloor = TierFloor;
   return Made;
 }
 
--- a/apps/marjorambayd/main.cpp
+++ b/apps/marjorambayd/main.cpp
@@ -122,6 +122,8 @@
 } // namespace
 
 int main(int Count, char **Values) {
+  // Until the loop takes it, a reload would end the process.
+  std::signal(SIGHUP, SIG_IGN);
   const auto Read = readArguments(Count, Values);
   if (const int *Code = std::get_if<int>(&Read))
     return *Code;
--- a/packages/coordination/marjorambay/coordination/account_ledger.h
+++ b/packages/coordination/marjorambay/coordination/account_ledger.h
@@ -36,7 +36,7 @@
 };
 
 struct AccountLedgerSettings {
-  double StartFraction = 0.25;      ///< of the burst, in a bucket that is new
+  double StartFraction = 0.5;      ///< of the burst, in a bucket that is new
   Duration RateWindow = seconds(1); ///< over which OthersRate is averaged
 };
 
@@ -76,6 +76,7 @@
 struct AccountMeterSettings {
   Duration Trust = milliseconds(1500); ///< in the last word of a hub
   double UnreportedPart = 0.5; ///< of a burst, that all hosts may have used
+  double StartFraction = 0.5;  ///< of a host's part of the burst, at its start
 };
 
 /// One host's admission by account.
--- a/packages/coordination/marjorambay/coordination/arbiter.h
+++ b/packages/coordination/marjorambay/coordination/arbiter.h
@@ -41,6 +41,9 @@
   std::size_t RecheckedPerTick = 256;      ///< queued reservations
   double RecheckMargin = 1.25; ///< of the time left, that the wait may take
   Duration NoTargetRetry = seconds(1);   ///< Retry-After without targets
+  /// Of the slots, for each tier in which something waits, whatever waits above
+  /// it; 0: tiers are strict. A tier that gets nothing starves its callers.
+  double TierFloor = 0;
   Duration LeastWait = milliseconds(50); ///< for a first token that is late
   TargetTableSettings Targets{};
 };
@@ -118,6 +121,7 @@
   bool serveOne(TierRank Tier, TimePoint Now);
   void grant(const Waiting &Entry, const TargetChoice &Choice, TimePoint Now);
   bool heldBack(TierRank Tier, TimePoint Now) const;
+  std::optional<TierRank> tierToServe(TimePoint Now) const;
   bool takingOver(TimePoint Now) const;
   void hold(const Slot &Held);
   void unscheduleForget(const Slot &Held);
@@ -132,6 +136,7 @@
   std::unordered_map<RequestKey, Slot> Slots{};
   std::multimap<TimePoint, RequestKey> ByForgetAt{};
   std::array<TimePoint, MaxTiers> LastShed{};
+  std::array<std::size_t, MaxTiers> InFlight{}; ///< slots by tier
   std::unordered_set<HostId> Awaited{}; ///< origins that have yet to report
   TimePoint TakeoverUntil{};
   TimePoint FiguresUntil{}; ///< when the targets' speeds are summed anew
--- a/packages/coordination/src/account_ledger.cpp
+++ b/packages/coordination/src/account_ledger.cpp
@@ -85,8 +85,10 @@
                                std::size_t Hosts, TimePoint Now) const {
   const double Part =
       1.0 / static_cast<double>(std::max<std::size_t>(1, Hosts));
-  if (Each.LocalAt == TimePoint{})
+  if (Each.LocalAt == TimePoint{}) {
     Each.LocalAt = Now;
+    Each.LocalLevel = Settings.StartFraction * Account.Burst * Part;
+  }
   Each.LocalLevel =
       std::min(Account.Burst * Part,
                Each.LocalLevel + Account.RatePerSecond * Part *
--- a/packages/coordination/src/arbiter.cpp
+++ b/packages/coordination/src/arbiter.cpp
@@ -91,7 +91,7 @@
 
 double Arbiter::capacityFor(TierRank Tier, Duration Horizon, TimePoint Now) {
   const double All = Targets.capacity();
-  return std::max(SmallestShare * All,
+  return std::max(std::max(SmallestShare, Settings.TierFloor) * All,
                   All - Arriving.above(Tier, Horizon, Now));
 }
 
@@ -101,7 +101,12 @@
   const double Rate =
       capacityFor(Entry.Request.Tier, Entry.LatestStart - Now, Now);
   const double Work = Ahead.HigherTiers + Ahead.SameTier;
-  return Work == 0 ? 0 : Work / std::max(1e-3, Rate);
+  const double InOrder = Work == 0 ? 0 : Work / std::max(1e-3, Rate);
+  if (Settings.TierFloor <= 0)
+    return InOrder;
+  // Through its floor a tier waits for its own work only.
+  const double FloorRate = Settings.TierFloor * Targets.capacity();
+  return std::min(InOrder, Ahead.SameTier / std::max(1e-3, FloorRate));
 }
 
 bool Arbiter::hopeless(const Waiting &Entry, TimePoint Now) const {
@@ -210,10 +215,27 @@
   return !Awaited.empty() && Now < TakeoverUntil;
 }
 
+/// The highest tier in which something waits; before it, one that holds fewer
+/// slots than its floor.
+std::optional<TierRank> Arbiter::tierToServe(TimePoint Now) const {
+  const std::optional<TierRank> Highest = Queue.highestWaiting();
+  if (!Highest || Settings.TierFloor <= 0)
+    return Highest;
+  const double Floor =
+      Settings.TierFloor * static_cast<double>(Targets.slots(Shares, Now));
+  for (std::size_t Rank = MaxTiers; Rank-- > number(*Highest) + 1U;) {
+    const auto Tier = static_cast<TierRank>(Rank);
+    if (Queue.size(Tier) != 0 &&
+        static_cast<double>(InFlight[Rank]) + 1 <= Floor)
+      return Tier;
+  }
+  return Highest;
+}
+
 void Arbiter::grantWhatFits(TimePoint Now) {
   while (RoomMayExist) {
-    const std::optional<TierRank> Tier = Queue.highestWaiting();
-    if (!Tier || heldBack(*Tier, Now))
+    const std::optional<TierRank> Tier = tierToServe(Now);
+    if (!Tier || (Settings.TierFloor <= 0 && heldBack(*Tier, Now)))
       return;
     RoomMayExist = serveOne(*Tier, Now);
   }
@@ -256,6 +278,7 @@
 }
 
 void Arbiter::hold(const Slot &Held) {
+  ++InFlight[number(Held.Request.Tier) % MaxTiers];
   Shares.count(Held.Version);
   ByForgetAt.emplace(Held.ForgetAt, Held.Request.Key);
   Slots.emplace(Held.Request.Key, Held);
@@ -276,6 +299,7 @@
     return std::nullopt;
   const Slot Held = Found->second;
   Slots.erase(Found);
+  --InFlight[number(Held.Request.Tier) % MaxTiers];
   unscheduleForget(Held);
   Targets.vacate(Held, Now);
   Shares.countEnd(Held.Version);
--- a/packages/coordination/tests/account_ledger_test.cpp
+++ b/packages/coordination/tests/account_ledger_test.cpp
@@ -139,6 +139,14 @@
   }
 }
 
+TEST_CASE("hosts that all start anew together (herd restart)") {
+  Fleet All;
+  SUBCASE("admit what is owed before they hear of a hub") {
+    All.ask(0.9 * Rate, at(seconds(0)), at(milliseconds(250)), false);
+    CHECK(All.sum() > 0.99 * 0.9 * 0.25 * Rate);
+  }
+}
+
 TEST_CASE("a host that restarts") {
   const ForwardTable Limits = limits();
   AccountLedger Hub;
--- a/packages/coordination/tests/arbiter_test.cpp
+++ b/packages/coordination/tests/arbiter_test.cpp
@@ -327,5 +327,41 @@
   }
 }
 
+/// Long answers of a low tier, while a higher one asks for every slot.
+TEST_CASE("a burst of a higher tier over long answers of a lower one") {
+  const auto LowServed = [](double Floor) {
+    ArbiterSettings Settings;
+    Settings.TierFloor = Floor;
+    Settings.Targets.DeclaredSlotsHold = true;
+    Arbiter Policy(Settings);
+    Policy.step(TargetsChanged{{worker("w1", 40)}}, at(seconds(0)));
+    std::size_t Low = 0;
+    std::uint64_t Id = 0;
+    std::vector<std::uint64_t> Held;
+    const auto Note = [&](const ArbiterActions &Actions) {
+      for (const std::uint64_t One : granted(Actions)) {
+        Held.push_back(One);
+        Low += One % 2 == 0 ? 1 : 0;
+      }
+    };
+    for (int Tick = 0; Tick < 100; ++Tick) {
+      const TimePoint Now = at(milliseconds(100) * Tick);
+      std::vector<std::uint64_t> Ended;
+      Ended.swap(Held);
+      for (int Each = 0; Each < 100; ++Each) {
+        const int Rank = ++Id % 2 == 0 ? 2 : 0;
+        Note(Policy.step(SlotRequested{reservation(Id, Rank)}, Now));
+      }
+      for (const std::uint64_t Each : Ended)
+        Note(Policy.step(SlotReleased{key(Each), {}}, Now));
+    }
+    return Low;
+  };
+  SUBCASE("leaves the lower one nothing where tiers are strict") {
+    CHECK(LowServed(0) < 100);
+  }
+  SUBCASE("leaves it its floor") { CHECK(LowServed(0.1) >= 350); }
+}
+
 } // namespace
 } // namespace marjorambay
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -243,6 +243,18 @@
         self.assertEqual(stopped.process.wait(6), 0)
         self.assertTrue(stopped.lines("stopped", in_progress=0))
 
+    def test_a_reload_while_it_starts_does_not_end_a_host(self):
+        fleet = self.fleet(hosts=1)
+        host = fleet.hosts[0]
+        for _ in range(5):
+            host.kill()
+            host.start()
+            time.sleep(0.1)
+            end = time.monotonic() + 0.3
+            while time.monotonic() < end:
+                host.signal(signal.SIGHUP)
+            self.assertIsNone(host.process.poll())
+
     def test_a_reload_changes_nothing_that_is_in_progress(self):
         fleet = self.fleet(hosts=1)
         fleet.hosts[0].signal(signal.SIGHUP)
