Forget that a host was stopping once it no longer says so

A host that stops beats to a hub it had not before; when it is back its beats go elsewhere, and that hub took it for stopping for good, so that it asked another arbiter than the rest. Ruled out: a partition (none before 34 s), a lost grant, hosts' lists (equal). Outcomes are counted by route, times by route. Test: test_all_hosts_ask_one_arbiter_after_it_was_restarted, two arbiters before the change, one after.

--- a/apps/marjorambayd/forward_fleet.cpp
+++ b/apps/marjorambayd/forward_fleet.cpp
@@ -36,13 +36,21 @@
           rendezvousWeight(Id, HubKey)};
 }
 
+/// A host that stops beats to a hub that it had not before. Once it is back, its
+/// beats go elsewhere, so that what it said is not held against it for long.
+bool draining(const ForwardPeer &Peer, TimePoint Now) {
+  return Peer.DrainingAt != TimePoint{} &&
+         Now - Peer.DrainingAt < AnswerPatience;
+}
+
 /// The hubs, best first: a weak one would hold up the whole fleet.
 std::vector<HostId> hubs(const ForwardHost &H) {
+  const TimePoint Now = H.Loop.now();
   std::vector<HubCandidate> All;
   if (!H.Draining)
     All.push_back(candidate(H.Self.Id, strengthOf(H.Settings)));
   for (const auto &[Id, Peer] : H.Fleet)
-    if (Peer.Listed && !Peer.Draining)
+    if (Peer.Listed && !draining(Peer, Now))
       All.push_back(candidate(Id, Peer.Strength));
   const std::size_t Count = std::min(HubCount, All.size());
   std::partial_sort(All.begin(), All.begin() + static_cast<long>(Count),
@@ -106,7 +114,8 @@
 
 void receive(ForwardHost &H, const PeerSender &From, const FleetBeat &Beat) {
   ForwardPeer &Peer = H.Fleet[From.Id];
-  Peer.Draining = Beat.Draining;
+  if (Beat.Draining)
+    Peer.DrainingAt = H.Loop.now();
   if (H.Table)
     H.Ledger.report(From.Id, From.Life, Beat.Uses, *H.Table, H.Loop.now());
   Peer.BeatAt = H.Loop.now();
@@ -124,7 +133,10 @@
 }
 
 void receive(ForwardHost &H, const PeerSender &, const ArbiterMessage &Said) {
-  if (isReady(H))
+  // Only a request makes a host an arbiter; the rest is for one that is.
+  const bool Asks = std::holds_alternative<SlotRequested>(Said.Event) ||
+                    std::holds_alternative<GrantsReported>(Said.Event);
+  if (isReady(H) && (Asks || H.Pools[Said.Pool].Whole))
     toArbiter(H, Said.Pool, Said.Event);
 }
 
--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -187,7 +187,7 @@
   TimePoint AnsweredAt{}; ///< a digest that said it was ready
   TimePoint BeatAt{};     ///< last beat to this host as a hub
   TimePoint FreshAt{};    ///< a digest that said it watches the platform
-  bool Draining = false;
+  TimePoint DrainingAt{}; ///< last beat that said it stops; 0: none
 };
 
 /// A rollout that an operator ordered.
--- a/apps/marjorambayd/forward_lifecycle.cpp
+++ b/apps/marjorambayd/forward_lifecycle.cpp
@@ -63,7 +63,20 @@
                   Ready ? "ready\n" : "not ready\n");
 }
 
+void countPeers(ForwardHost &H) {
+  const PeerTraffic &Now = H.Peers.traffic();
+  const auto Raise = [&H](HostCount What, std::uint64_t To) {
+    H.Numbers.add(What, To - H.Numbers.count(What));
+  };
+  Raise(HostCount::PeerMessagesSent, Now.MessagesSent);
+  Raise(HostCount::PeerMessagesReceived, Now.MessagesReceived);
+  Raise(HostCount::PeerBytesSent, Now.BytesSent);
+  Raise(HostCount::PeerBytesReceived, Now.BytesReceived);
+  Raise(HostCount::PeerMessagesDropped, Now.MessagesDropped);
+}
+
 void operatorAsked(ForwardHost &H, const HttpRequestView &View) {
+  countPeers(H);
   if (View.Path == "/metrics")
     return H.Operators.answer(View.Id, 200, PlainText,
                               H.Numbers.prometheusText());
@@ -193,6 +206,9 @@
   Limits.HeaderTimeout = Config.Limits.HeaderTimeout;
   Limits.IdleTimeout = Config.Limits.IdleTimeout;
   H.Callers.setLimits(Limits);
+  H.Numbers.nameLabel(LabelKind::Route, 0, "none");
+  for (const ForwardRoute &Each : Config.Routes)
+    H.Numbers.nameLabel(LabelKind::Route, number(Each.Id), Each.Name);
   for (const ForwardAccount &Each : Config.Accounts) {
     H.Numbers.nameLabel(LabelKind::Account, number(Each.Id), Each.Name);
     LogLine("account_limits")
--- a/apps/marjorambayd/forward_objects.cpp
+++ b/apps/marjorambayd/forward_objects.cpp
@@ -138,7 +138,10 @@
          H.Loop.now() - H.PlatformAnswer < AnswerPatience;
 }
 
-void notePlatformAnswer(ForwardHost &H) { H.PlatformAnswer = H.Loop.now(); }
+void notePlatformAnswer(ForwardHost &H) {
+  H.PlatformAnswer = H.Loop.now();
+  H.Numbers.add(HostCount::PlatformReads);
+}
 
 void applyFeed(ForwardHost &H, ObjectKind Kind, const ObjectFeed &Feed) {
   const TimePoint Now = H.Loop.now();
--- a/apps/marjorambayd/forward_requests.cpp
+++ b/apps/marjorambayd/forward_requests.cpp
@@ -137,6 +137,7 @@
       .with(
           "retry_after_ms",
           std::chrono::duration_cast<milliseconds>(Reason.RetryAfter).count());
+  H.Numbers.addOutcome(RouteId{}, nameOf(Reason.Kind));
   answerError(H, Request.Id, Reason, Name, MayHaveRun::No);
 }
 
@@ -318,7 +319,9 @@
       .with("total_ms", Ms(Now - Call.Arrived))
       .with("events", Call.EventsBefore + Call.Events.events())
       .with("prompt", Call.PromptTokens);
-  const RequestLabels Labels{Call.Tier, Call.Account, Call.Version};
+  H.Numbers.addOutcome(Call.Route->Id, Outcome);
+  const RequestLabels Labels{Call.Tier, Call.Account, Call.Version,
+                             Call.Route->Id};
   H.Numbers.observe(Span::Total, Labels, Now - Call.Arrived);
   if (Call.DispatchedAt != TimePoint{})
     H.Numbers.observe(Span::QueueWait, Labels,
--- a/packages/state/marjorambay/state/metrics.h
+++ b/packages/state/marjorambay/state/metrics.h
@@ -74,20 +74,21 @@
 static_assert(NamesOf<HostCount>.size() == HostCountCount);
 
 /// What a series is broken down by.
-enum class LabelKind : std::uint8_t { Tier, Account, Version };
+enum class LabelKind : std::uint8_t { Tier, Account, Version, Route };
 template <>
 inline constexpr std::array NamesOf<LabelKind> =
-    std::to_array<std::string_view>({"tier", "account", "version"});
-inline constexpr std::size_t LabelKindCount = 3;
+    std::to_array<std::string_view>({"tier", "account", "version", "route"});
+inline constexpr std::size_t LabelKindCount = 4;
 static_assert(NamesOf<LabelKind>.size() == LabelKindCount);
 
 inline constexpr std::size_t MaxSeriesPerLabel = 2000;
 
-/// Whom an observation is about; one series is kept for each of the three.
+/// Whom an observation is about; one series is kept for each of them.
 struct RequestLabels {
   TierRank Tier{};
   AccountId Account{};
   VersionId Version{}; ///< of the target; 0: not dispatched, or a service
+  RouteId Route{};     ///< 0: not told
 };
 
 /// All histograms and counters of a host.
@@ -104,6 +105,10 @@
   void add(TierCount What, TierRank Tier, std::uint64_t Amount = 1);
   void add(HostCount What, std::uint64_t Amount = 1);
 
+  /// Counts a request that ended so on a route, by its name.
+  void addOutcome(RouteId Route, std::string_view Outcome);
+  std::uint64_t outcomes(RouteId Route, std::string_view Outcome) const;
+
   std::uint64_t count(TierCount What, TierRank Tier) const;
   std::uint64_t count(HostCount What) const;
 
--- a/packages/state/src/metrics.cpp
+++ b/packages/state/src/metrics.cpp
@@ -4,6 +4,7 @@
 #include "latency_histogram.h"
 
 #include <cmath>
+#include <map>
 #include <sstream>
 #include <unordered_map>
 
@@ -99,6 +100,7 @@
   std::array<LabelSeries, LabelKindCount> Series{};
   std::array<std::array<std::uint64_t, MaxTiers>, TierCountCount> ByTier{};
   std::array<std::uint64_t, HostCountCount> ByHost{};
+  std::map<std::pair<std::uint64_t, std::string>, std::uint64_t> Outcomes{};
 
   LabelSeries &of(LabelKind Kind) { return Series[index(Kind)]; }
 };
@@ -115,6 +117,23 @@
   Record(LabelKind::Account, number(Labels.Account));
   if (Labels.Version != VersionId{})
     Record(LabelKind::Version, number(Labels.Version));
+  if (Labels.Route != RouteId{})
+    Record(LabelKind::Route, number(Labels.Route));
+}
+
+void Metrics::addOutcome(RouteId Route, std::string_view Outcome) {
+  const std::pair Key(number(Route), std::string(Outcome));
+  const bool Known = Data->Outcomes.count(Key) != 0;
+  if (Known || Data->Outcomes.size() < MaxSeriesPerLabel)
+    ++Data->Outcomes[Key];
+  else
+    ++Data->Outcomes[{OtherSeries, std::string(Outcome)}];
+}
+
+std::uint64_t Metrics::outcomes(RouteId Route, std::string_view Outcome) const {
+  const auto Found =
+      Data->Outcomes.find({number(Route), std::string(Outcome)});
+  return Found == Data->Outcomes.end() ? 0 : Found->second;
 }
 
 void Metrics::add(TierCount What, TierRank Tier, std::uint64_t Amount) {
@@ -188,6 +207,11 @@
             << labelName(Tiers, Rank) << "\"} " << Data->ByTier[What][Rank]
             << "\n";
   }
+  Out << "# TYPE marjorambay_requests_total counter\n";
+  for (const auto &[Key, Count] : Data->Outcomes)
+    Out << "marjorambay_requests_total{route=\""
+        << labelName(Data->of(LabelKind::Route), Key.first) << "\",outcome=\""
+        << escaped(Key.second) << "\"} " << Count << "\n";
   for (std::size_t Kind = 0; Kind < LabelKindCount; ++Kind)
     for (std::size_t What = 0; What < SpanCount; ++What)
       printSpan(Out, static_cast<Span>(What), static_cast<LabelKind>(Kind),
--- a/packages/state/tests/metrics_test.cpp
+++ b/packages/state/tests/metrics_test.cpp
@@ -18,6 +18,20 @@
   for (int Count = 0; Count < 5; ++Count)
     Recorded.observe(Span::FirstToken, Labels, milliseconds(3000));
 
+  SUBCASE("outcomes are counted by route, within bounds") {
+    const RouteId Route{5};
+    Recorded.nameLabel(LabelKind::Route, 5, "sheet");
+    Recorded.addOutcome(Route, "served");
+    Recorded.addOutcome(Route, "served");
+    CHECK(Recorded.outcomes(Route, "served") == 2);
+    CHECK(Recorded.prometheusText().find(
+              "marjorambay_requests_total{route=\"sheet\",outcome=\"served\"} "
+              "2\n") != std::string::npos);
+    for (std::uint64_t Id = 10; Id < 10 + 2 * MaxSeriesPerLabel; ++Id)
+      Recorded.addOutcome(RouteId{Id}, "served");
+    CHECK(Recorded.prometheusText().find("route=\"other\"") !=
+          std::string::npos);
+  }
   SUBCASE("by tier, account and version") {
     CHECK(Recorded.seriesCount() == 3);
     CHECK(Recorded.observations(Span::FirstToken, LabelKind::Account, 7) ==
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -29,6 +29,7 @@
 from proxy import Proxy  # noqa: E402
 
 RECOVERY_S = 12
+STOP_S = 10  # twice the grace period
 LOADING_S = 0.2  # from exec to main(), on a busy machine
 KINDS = ("/safe/", "/once/", "/stream/", "/streamonce/")
 NOT_RUN = (408, 421, 429, 503)
@@ -168,7 +169,7 @@
     def kill(self):
         host = self.random.choice(self.fleet.hosts)
         host.kill()
-        return host.start
+        return lambda: self.revive(host)
 
     def freeze(self):
         host = self.random.choice(self.fleet.hosts)
@@ -178,14 +179,20 @@
     def stop(self):
         host = self.random.choice(self.fleet.hosts)
         host.signal(signal.SIGTERM)
+        stopped = host.process
 
         def again():
             host.signal(signal.SIGCONT)
-            host.process.wait(10)
-            host.start()
+            stopped.wait(STOP_S)
+            self.revive(host)
 
         return again
 
+    def revive(self, host):
+        # Faults overlap: another may have started the host again.
+        if host.process.poll() is not None:
+            host.start()
+
     def reload(self):
         host = self.random.choice(self.fleet.hosts)
         # A process that is being loaded has no say in what SIGHUP does to it.
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -24,11 +24,26 @@
 
     def arbiter_of(self, fleet):
         """Place of the host that arbitrates the engines."""
-        def started():
-            return [place for place, host in enumerate(fleet.hosts)
-                    if host.lines("arbiter_started")]
+        time.sleep(1)  # hosts that have just started have yet to hear the hubs
+        (place,) = self.loaded(fleet)
+        return place
 
-        return wait_until(started, "an arbiter", 2)[0]
+    def loaded(self, fleet):
+        """Places of the hosts that arbitrate streams of all hosts."""
+        before = [len(host.lines("pool_load")) for host in fleet.hosts]
+        for worker in fleet.of("pool"):
+            worker.events = 30
+        with concurrent.futures.ThreadPoolExecutor(10) as pool:
+            work = [pool.submit(pace, 2.5, lambda at=place: fleet.call(
+                "/stream/a", host=at)) for place in range(len(fleet.hosts))]
+            for one in work:
+                for answer in one.result():
+                    self.assert_served(answer)
+        time.sleep(0.3)
+        for worker in fleet.of("pool"):
+            worker.events = 5
+        return [place for place, host in enumerate(fleet.hosts)
+                if len(host.lines("pool_load")) > before[place] + 1]
 
     def assert_served(self, answer):
         self.assertEqual(answer.status, 200, dump(answer))
@@ -316,6 +331,16 @@
             answer = fleet.call("/stream/a", host=place)
             self.assert_served(answer)
 
+    def test_all_hosts_ask_one_arbiter_after_it_was_restarted(self):
+        fleet = self.fleet(hosts=5)
+        arbiter = fleet.hosts[self.arbiter_of(fleet)]
+        arbiter.signal(signal.SIGTERM)
+        arbiter.process.wait(8)
+        arbiter.start()
+        wait_until(arbiter.ready, "the host that is back")
+        time.sleep(4)
+        self.assertEqual(len(self.loaded(fleet)), 1)
+
     def test_a_frozen_arbiter_delays_but_does_not_stop(self):
         fleet = self.fleet(hosts=4)
         self.assert_served(fleet.call("/stream/a"))
