--- /dev/null
+++ b/apps/marjorambayctl/explain_verb.cpp
@@ -0,0 +1,102 @@
+/// The verb that tells one request's story from the log lines of all hosts.
+#include "verbs.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <optional>
+
+namespace marjorambay {
+
+namespace {
+
+/// Events that say in what state a host decided: the last one of each kind
+/// before a line of the request is shown with it.
+constexpr auto Background = std::to_array<std::string_view>(
+    {"config_in_force", "pool_load", "arbiter_changed", "platform_source",
+     "store_lost"});
+
+struct LogEntry {
+  double Time = 0; ///< Unix seconds
+  std::string Event{};
+  std::string Text{};
+};
+
+/// Value of \p Key in a line of key=value pairs; empty when absent.
+std::string_view valueIn(std::string_view Line, std::string_view Key) {
+  const std::string Wanted = " " + std::string(Key) + "=";
+  const std::size_t At = Line.find(Wanted);
+  if (At == std::string_view::npos)
+    return {};
+  const std::size_t Begin = At + Wanted.size();
+  return Line.substr(Begin, Line.find(' ', Begin) - Begin);
+}
+
+std::optional<LogEntry> readEntry(const std::string &Line) {
+  // A collector may have put a host's name before the line.
+  const std::size_t At = Line.find("t=");
+  if (At == std::string::npos || Line.find("event=") == std::string::npos)
+    return std::nullopt;
+  LogEntry Entry;
+  Entry.Time = std::strtod(Line.c_str() + At + 2, nullptr);
+  Entry.Event = valueIn(Line, "event");
+  Entry.Text = Line;
+  return Entry;
+}
+
+std::vector<LogEntry> readEntries(std::istream &In) {
+  std::vector<LogEntry> Entries;
+  std::string Line;
+  while (std::getline(In, Line))
+    if (auto Entry = readEntry(Line))
+      Entries.push_back(std::move(*Entry));
+  std::stable_sort(
+      Entries.begin(), Entries.end(),
+      [](const LogEntry &A, const LogEntry &B) { return A.Time < B.Time; });
+  return Entries;
+}
+
+std::string ageText(double Seconds) {
+  return std::to_string(static_cast<long>(Seconds * 1000)) + " ms before";
+}
+
+} // namespace
+
+int runExplain(const CommandLine & /*Line*/, const Arguments &Args,
+               const Output &Out) {
+  std::ifstream File;
+  const bool FromPipe = Args.size() < 2 || Args[1] == "-";
+  if (!FromPipe) {
+    File.open(Args[1]);
+    if (!File)
+      return Out.fail({ErrorKind::NotFound, "can't read " + Args[1]});
+  }
+  const auto Entries = readEntries(FromPipe ? std::cin : File);
+  std::map<std::string, const LogEntry *> Last;
+  std::string Story;
+  nlohmann::ordered_json Lines = nlohmann::ordered_json::array();
+  for (const LogEntry &Each : Entries) {
+    if (std::find(Background.begin(), Background.end(), Each.Event) !=
+        Background.end())
+      Last[Each.Event] = &Each;
+    if (valueIn(Each.Text, "request") != Args[0])
+      continue;
+    Story += Each.Text + "\n";
+    Lines.push_back(Each.Text);
+    for (const auto &[Event, Found] : Last)
+      Story +=
+          "    " + ageText(Each.Time - Found->Time) + ": " + Found->Text + "\n";
+    Last.clear(); // shown once, with the first line that it may explain
+  }
+  if (Lines.empty())
+    return Out.fail(
+        {ErrorKind::NotFound, "no line is about request " + Args[0] +
+                                  "; give the lines of all hosts of its time"});
+  Out.print(Story, Lines.dump());
+  return 0;
+}
+
+} // namespace marjorambay
--- a/apps/marjorambayctl/verbs.cpp
+++ b/apps/marjorambayctl/verbs.cpp
@@ -16,6 +16,9 @@
      runStatus},
     {"inspect", "", "shows the live state of every part of a host", 0, 0,
      runInspect},
+    {"explain", "REQUEST [FILE]",
+     "tells a request's story from log lines in FILE, or from a pipe", 1, 2,
+     runExplain},
     {"config get", "", "prints the configuration in force", 0, 0, runConfigGet},
     {"config set", "FILE",
      "proposes a whole configuration, on the revision "
--- a/apps/marjorambayctl/verbs.h
+++ b/apps/marjorambayctl/verbs.h
@@ -22,6 +22,10 @@
 int runInspect(const CommandLine &Line, const Arguments &Args,
                const Output &Out);
 
+// ---- explain_verb.cpp -------------------------------------------------------
+int runExplain(const CommandLine &Line, const Arguments &Args,
+               const Output &Out);
+
 // ---- config_verbs.cpp -------------------------------------------------------
 int runConfigGet(const CommandLine &Line, const Arguments &Args,
                  const Output &Out);
--- a/apps/marjorambayd/forward_answers.cpp
+++ b/apps/marjorambayd/forward_answers.cpp
@@ -18,8 +18,6 @@
 
 constexpr Duration ConnectTimeout = milliseconds(300);
 
-void finishRelay(ForwardHost &H, ForwardCall &Call);
-
 Usage usageOf(const ForwardHost &H, const ForwardCall &Call, UsageEnd How) {
   const ForwardPool *Pool = Call.Table->pool(Call.Pool);
   const std::uint32_t Each = Pool == nullptr ? 1 : Pool->TokensPerEvent;
--- a/apps/marjorambayd/forward_lifecycle.cpp
+++ b/apps/marjorambayd/forward_lifecycle.cpp
@@ -63,20 +63,8 @@
                   Ready ? "ready\n" : "not ready\n");
 }
 
-void countPeers(ForwardHost &H) {
-  const PeerTraffic &Now = H.Peers.traffic();
-  const auto Raise = [&H](HostCount What, std::uint64_t To) {
-    H.Numbers.add(What, To - H.Numbers.count(What));
-  };
-  Raise(HostCount::PeerMessagesSent, Now.MessagesSent);
-  Raise(HostCount::PeerMessagesReceived, Now.MessagesReceived);
-  Raise(HostCount::PeerBytesSent, Now.BytesSent);
-  Raise(HostCount::PeerBytesReceived, Now.BytesReceived);
-  Raise(HostCount::PeerMessagesDropped, Now.MessagesDropped);
-}
-
 void operatorAsked(ForwardHost &H, const HttpRequestView &View) {
-  countPeers(H);
+  countTraffic(H.Peers.traffic(), H.Numbers);
   if (View.Path == "/metrics")
     return H.Operators.answer(View.Id, 200, PlainText,
                               H.Numbers.prometheusText());
--- a/apps/marjorambayd/forward_versions.cpp
+++ b/apps/marjorambayd/forward_versions.cpp
@@ -45,7 +45,7 @@
 }
 
 /// Tells the guard of a stage; it compares versions while one is on trial.
-void tellGuard(ForwardHost &H, PoolId Pool, PoolVersions &Versions) {
+void tellGuard(PoolId Pool, PoolVersions &Versions) {
   RolloutView View;
   View.Id = rolloutId(Pool, Versions.Rollout->version());
   View.Pool = Pool;
@@ -57,7 +57,6 @@
   View.Share = Versions.Order.Share;
   View.Deadline = WallTime::max();
   Versions.Guard.step(ViewLearned{View});
-  (void)H;
 }
 
 /// Puts an order in force on this host.
@@ -74,7 +73,7 @@
   if (Order.Stage == VersionStage::TakenBack)
     Versions.TakenBack.insert(Order.Version);
   if (Moved) {
-    tellGuard(H, Pool, Versions);
+    tellGuard(Pool, Versions);
     LogLine("version_stage")
         .with("pool", static_cast<std::int64_t>(number(Pool)))
         .with("version", Versions.RolloutName)
@@ -256,7 +255,7 @@
                 std::chrono::duration_cast<milliseconds>(Each.Window).count());
       if (Versions.Serving == To)
         Versions.Serving = commonVersion(H, Each.Pool, Versions);
-      tellGuard(H, Each.Pool, Versions);
+      tellGuard(Each.Pool, Versions);
       tellTargets(H, Each.Pool);
     }
     if (!Each.Stage)
--- a/apps/marjorambayd/operator_side.cpp
+++ b/apps/marjorambayd/operator_side.cpp
@@ -26,18 +26,6 @@
                      Ready ? "ready\n" : Reason + "\n");
 }
 
-void countPeers(Daemon &D) {
-  const PeerTraffic &Now = D.Peers.traffic();
-  const auto Raise = [&D](HostCount What, std::uint64_t To) {
-    D.Numbers.add(What, To - D.Numbers.count(What));
-  };
-  Raise(HostCount::PeerMessagesSent, Now.MessagesSent);
-  Raise(HostCount::PeerMessagesReceived, Now.MessagesReceived);
-  Raise(HostCount::PeerBytesSent, Now.BytesSent);
-  Raise(HostCount::PeerBytesReceived, Now.BytesReceived);
-  Raise(HostCount::PeerMessagesDropped, Now.MessagesDropped);
-}
-
 Json inspectRequests(const Daemon &D) {
   Json Rows = Json::array();
   for (const RequestView &Each : D.Requests.requests(D.Loop.now())) {
@@ -148,7 +136,7 @@
       return commandRollout(D, View.Id, Pool, View.Body);
   }
   if (Get && View.Path == "/metrics") {
-    countPeers(D);
+    countTraffic(D.Peers.traffic(), D.Numbers);
     return D.Operators.answer(View.Id, 200, PlainText,
                               D.Numbers.prometheusText());
   }
--- a/packages/transport/marjorambay/transport/peer_link.h
+++ b/packages/transport/marjorambay/transport/peer_link.h
@@ -8,6 +8,7 @@
 #define MARJORAMBAY_TRANSPORT_PEER_LINK_H
 
 #include "marjorambay/state/error.h"
+#include "marjorambay/state/metrics.h"
 #include "marjorambay/transport/event_loop.h"
 
 #include <cstddef>
@@ -35,6 +36,9 @@
   std::uint64_t MessagesDropped = 0; ///< no connection, or no room
 };
 
+/// Brings the counters of \p Numbers up to \p Traffic.
+void countTraffic(const PeerTraffic &Traffic, Metrics &Numbers);
+
 /// Sends to and receives from peers, which are named by "IP:port".
 class PeerLink {
 public:
--- a/packages/transport/src/peer_link.cpp
+++ b/packages/transport/src/peer_link.cpp
@@ -33,6 +33,17 @@
 
 } // namespace
 
+void countTraffic(const PeerTraffic &Traffic, Metrics &Numbers) {
+  const auto Raise = [&Numbers](HostCount What, std::uint64_t To) {
+    Numbers.add(What, To - Numbers.count(What));
+  };
+  Raise(HostCount::PeerMessagesSent, Traffic.MessagesSent);
+  Raise(HostCount::PeerMessagesReceived, Traffic.MessagesReceived);
+  Raise(HostCount::PeerBytesSent, Traffic.BytesSent);
+  Raise(HostCount::PeerBytesReceived, Traffic.BytesReceived);
+  Raise(HostCount::PeerMessagesDropped, Traffic.MessagesDropped);
+}
+
 PeerLink::PeerLink(EventLoop &Loop, PeerLinkLimits Limits)
     : Loop(Loop), Limits(Limits), Context(zmq_ctx_new()) {
   zmq_ctx_set(Context, ZMQ_IO_THREADS, 1);
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -29,6 +29,7 @@
 from proxy import Proxy  # noqa: E402
 
 RECOVERY_S = 12
+CONFIG_S = 5  # 3 until a host is in touch again, 2 until it is in force
 STOP_S = 10  # twice the grace period
 LOADING_S = 0.2  # from exec to main(), on a busy machine
 KINDS = ("/safe/", "/once/", "/stream/", "/streamonce/")
@@ -277,7 +278,11 @@
                                RECOVERY_S)
                 except TimeoutError:
                     self.fail(f"{host.name} does not serve {path} again")
-            if not host.lines("config_in_force", version=self.version):
+            try:
+                wait_until(lambda: host.lines("config_in_force",
+                                              version=self.version),
+                           "the newest configuration", CONFIG_S)
+            except TimeoutError:
                 self.fail(f"{host.name} lacks version {self.version}")
 
     def probe(self, path, place):
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -7,11 +7,12 @@
 import concurrent.futures
 import signal
 import socket
+import subprocess
 import threading
 import time
 import unittest
 
-from fleet import wait_until
+from fleet import BIN, wait_until
 from platform_fleet import (HOST, KEY, Daemon, PlatformFleet, config, dump,
                             events_of, pace, route)
 
@@ -358,6 +359,87 @@
                    "the host that woke")
 
 
+class ExplainTest(ForwardingTest):
+    """From the id of a failed request to its cause, as in docs/OPERATIONS.md."""
+
+    def story(self, fleet, attempt):
+        """The lines of a request on all hosts, once its last one is there."""
+        def lines():
+            return [line for host in fleet.hosts
+                    for line in host.log.read_text().splitlines()
+                    if f"request={attempt} " in line]
+
+        wait_until(lambda: [line for line in lines()
+                            if "event=request_ended" in line
+                            or "event=request_refused" in line], "the end", 2)
+        return lines()
+
+    def test_refused_under_load(self):
+        fleet = self.fleet(hosts=1)
+        for worker in fleet.of("pool"):
+            worker.events, worker.gap = 100, 0.02
+        with concurrent.futures.ThreadPoolExecutor(24) as pool:
+            work = [pool.submit(fleet.call, "/stream/a") for _ in range(24)]
+            answers = [one.result() for one in work]
+        refused = [each for each in answers if each.status == 503]
+        self.assertTrue(refused)
+        *_, last = self.story(fleet, refused[0].attempt)
+        self.assertIn("outcome=overloaded", last)
+        self.assertIn("attempts=0", last)
+        loads = fleet.hosts[0].lines("pool_load")
+        self.assertTrue(any("in_flight=8 limit=8" in line for line in loads))
+        self.assertGreater(float(refused[0].headers["Retry-After"]), 0)
+
+    def test_lost_with_its_target(self):
+        fleet = self.fleet(hosts=1)
+        for worker in fleet.of("desk"):
+            worker.trouble = lambda run: "reset_after"
+        answer = fleet.call("/once/a")
+        attempt, end = self.story(fleet, answer.attempt)
+        (run,) = fleet.runs(answer.attempt)
+        target = run["headers"]["x-marjorambay-expect-instance"]
+        self.assertIn("event=attempt_failed", attempt)
+        self.assertIn(f"target={target} cause=broken", attempt)
+        self.assertIn("not_run=no", attempt)
+        self.assertIn("outcome=outcome_unknown", end)
+
+    def test_the_operators_tool_tells_the_story(self):
+        fleet = self.fleet(hosts=2)
+        for worker in fleet.of("desk"):
+            worker.trouble = lambda run: "reset_after"
+        answer = fleet.call("/once/a")
+        lines = self.story(fleet, answer.attempt)
+        gathered = "".join(host.log.read_text() for host in fleet.hosts)
+        told = subprocess.run([BIN / "marjorambayctl", "explain",
+                               answer.attempt], input=gathered, text=True,
+                              capture_output=True, check=True).stdout
+        for line in lines:
+            self.assertIn(line, told)
+        self.assertIn("ms before: t=", told)
+        self.assertIn("event=config_in_force version=3", told)
+
+    def test_denied_by_configuration(self):
+        fleet = self.fleet(hosts=1)
+        fleet.configure(7, tenants=[{"name": "one", "api_keys": ["other"]}])
+        wait_until(lambda: fleet.in_force(7), "version 7", 2)
+        (line,) = self.story(fleet, fleet.call("/safe/a").attempt)
+        self.assertIn("reason=unauthenticated", line)
+        self.assertIn("config=7", line)
+        self.assertTrue(fleet.hosts[0].lines("config_in_force", version=7,
+                                             was=3))
+
+    def test_metrics_count_by_route_and_outcome(self):
+        fleet = self.fleet(hosts=1)
+        self.assert_served(fleet.call("/safe/a"))
+        fleet.call("/safe/a", key="unknown")
+        text = fleet.hosts[0].metrics_text()
+        self.assertIn('marjorambay_requests_total{route="safe",'
+                      'outcome="served"} 1', text)
+        self.assertIn('outcome="unauthenticated"} 1', text)
+        self.assertIn('marjorambay_route_total_seconds_count{route="safe"} 1',
+                      text)
+
+
 class LimitTest(ForwardingTest):
     """Rates of accounts, and budgets of repeats."""
 
