--- a/apps/marjorambayd/forward_fleet.cpp
+++ b/apps/marjorambayd/forward_fleet.cpp
@@ -36,8 +36,9 @@
           rendezvousWeight(Id, HubKey)};
 }
 
-/// A host that stops beats to a hub that it had not before. Once it is back, its
-/// beats go elsewhere, so that what it said is not held against it for long.
+/// A host that stops beats to a hub that it had not before. Once it is back,
+/// its beats go elsewhere, so that what it said is not held against it for
+/// long.
 bool draining(const ForwardPeer &Peer, TimePoint Now) {
   return Peer.DrainingAt != TimePoint{} &&
          Now - Peer.DrainingAt < AnswerPatience;
--- a/packages/coordination/marjorambay/coordination/account_ledger.h
+++ b/packages/coordination/marjorambay/coordination/account_ledger.h
@@ -36,7 +36,7 @@
 };
 
 struct AccountLedgerSettings {
-  double StartFraction = 0.5;      ///< of the burst, in a bucket that is new
+  double StartFraction = 0.5;       ///< of the burst, in a bucket that is new
   Duration RateWindow = seconds(1); ///< over which OthersRate is averaged
 };
 
--- a/packages/coordination/marjorambay/coordination/arbiter.h
+++ b/packages/coordination/marjorambay/coordination/arbiter.h
@@ -40,7 +40,7 @@
   Duration FiguresAge = milliseconds(20);  ///< of the targets' speeds
   std::size_t RecheckedPerTick = 256;      ///< queued reservations
   double RecheckMargin = 1.25; ///< of the time left, that the wait may take
-  Duration NoTargetRetry = seconds(1);   ///< Retry-After without targets
+  Duration NoTargetRetry = seconds(1); ///< Retry-After without targets
   /// Of the slots, for each tier in which something waits, whatever waits above
   /// it; 0: tiers are strict. A tier that gets nothing starves its callers.
   double TierFloor = 0;
--- a/packages/coordination/marjorambay/coordination/target_table.h
+++ b/packages/coordination/marjorambay/coordination/target_table.h
@@ -43,8 +43,8 @@
 struct TargetTableSettings {
   Duration FirstBackOff = milliseconds(200); ///< after a refusal
   Duration LongestBackOff = seconds(5);
-  /// The declared slots are what a target runs at once: a wait for a first token
-  /// says that prompts are read, not that requests queue.
+  /// The declared slots are what a target runs at once: a wait for a first
+  /// token says that prompts are read, not that requests queue.
   bool DeclaredSlotsHold = false;
   double TakeoverFraction = 0.125; ///< of a limit, before origins report
   std::size_t MaxPrefixes = 4096;  ///< remembered for cache affinity
--- a/packages/coordination/src/object_mirror.cpp
+++ b/packages/coordination/src/object_mirror.cpp
@@ -25,8 +25,8 @@
     Named.insert(Each.Name);
     const auto Found = Objects.find(Each.Name);
     const bool Exists = Found != Objects.end();
-    const bool News = Exists ? Each.Revision > Found->second.Revision
-                             : !Each.Removed;
+    const bool News =
+        Exists ? Each.Revision > Found->second.Revision : !Each.Removed;
     if (News)
       Changes.push_back(Each);
   }
--- a/packages/state/src/metrics.cpp
+++ b/packages/state/src/metrics.cpp
@@ -131,8 +131,7 @@
 }
 
 std::uint64_t Metrics::outcomes(RouteId Route, std::string_view Outcome) const {
-  const auto Found =
-      Data->Outcomes.find({number(Route), std::string(Outcome)});
+  const auto Found = Data->Outcomes.find({number(Route), std::string(Outcome)});
   return Found == Data->Outcomes.end() ? 0 : Found->second;
 }
 
--- a/packages/transport/tests/kept_client_test.cpp
+++ b/packages/transport/tests/kept_client_test.cpp
@@ -19,8 +19,8 @@
 struct ClientFixture : LoopFixture {
   KeptClient Client{Loop};
   RawListener Listener{};
-  TimerConnection Expiry = Timers.every(
-      milliseconds(5), [this]() { Client.expire(Loop.now()); });
+  TimerConnection Expiry =
+      Timers.every(milliseconds(5), [this]() { Client.expire(Loop.now()); });
 
   /// Starts a call whose answer must name \p Name.
   std::unique_ptr<Outcome> start(const std::string &Name, KeptCall Call = {}) {
--- a/packages/transport/tests/line_log_test.cpp
+++ b/packages/transport/tests/line_log_test.cpp
@@ -1,11 +1,10 @@
 /// Tests of log lines on standard output, with a reader that stops.
 #include "loop_fixture.h"
 
-#include <fcntl.h>
-#include <unistd.h>
-
 #include <array>
+#include <fcntl.h>
 #include <string>
+#include <unistd.h>
 
 namespace marjorambay {
 namespace {
--- a/packages/transport/tests/raw_peer.h
+++ b/packages/transport/tests/raw_peer.h
@@ -5,15 +5,14 @@
 #include <doctest/doctest.h>
 
 #include <arpa/inet.h>
-#include <fcntl.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <array>
 #include <cstdint>
+#include <fcntl.h>
+#include <netinet/in.h>
 #include <string>
 #include <string_view>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace marjorambay {
 
