--- a/tests/system_tests.cmake
+++ b/tests/system_tests.cmake
@@ -1,4 +1,5 @@
 # Tests that run whole programs; one add_test a line, each bounded by TIMEOUT.
+add_test(NAME events COMMAND ${CMAKE_SOURCE_DIR}/scripts/check-events)
 add_test(NAME layers COMMAND ${CMAKE_SOURCE_DIR}/scripts/check-layers)
 # Faults at every step: ours hold, and each check rejects a naive version.
 add_test(NAME fault_matrix COMMAND fault_matrix --quick)
