Leave hubs that the platform turns away within two seconds

Ruled out: lost datagrams, slow links (the followers had all that the hubs had). Change: a watch waits 0.7 s, a hub without an answer for 1.2 s says that it does not watch, and is left at once. Test: test_hosts_leave_hubs_that_the_store_turns_away, which failed before (over 2.2 s) and passes now.

--- a/apps/marjorambayd/forward_fleet.cpp
+++ b/apps/marjorambayd/forward_fleet.cpp
@@ -127,8 +127,7 @@
              const FleetDigest &Digest) {
   if (Digest.Ready)
     H.Fleet[From.Id].AnsweredAt = H.Loop.now();
-  if (Digest.Fresh)
-    H.Fleet[From.Id].FreshAt = H.Loop.now();
+  H.Fleet[From.Id].FreshAt = Digest.Fresh ? H.Loop.now() : TimePoint{};
   takeDigestHere(H, Digest);
   followHub(H, From.Id, Digest);
 }
--- a/apps/marjorambayd/forward_objects.cpp
+++ b/apps/marjorambayd/forward_objects.cpp
@@ -16,10 +16,11 @@
 const std::string FeedPath = "/objects/";
 
 /// A platform that has not answered for this long is not watched: a watch waits
-/// for two seconds at most.
-constexpr Duration AnswerPatience = milliseconds(3200);
+/// for 0.7 s at most. With the beats it bounds how long hosts follow hubs that
+/// the platform turns away; a configuration is due after two seconds.
+constexpr Duration AnswerPatience = milliseconds(1200);
 /// A hub that was not heard to watch for this long is not followed.
-constexpr Duration FreshPatience = milliseconds(1200);
+constexpr Duration FreshPatience = milliseconds(800);
 /// A hub that does not answer a question in this time has died or is cut off.
 constexpr Duration PullTimeout = milliseconds(600);
 /// News that the preferred hub has not told of by then is asked of another.
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -310,6 +310,23 @@
         for answer in pace(2.5, lambda: fleet.call("/stream/a"), 0.1):
             self.assert_served(answer)
 
+    def test_hosts_leave_hubs_that_the_store_turns_away(self):
+        fleet = self.fleet(hosts=6, proxied=True)
+        time.sleep(1)
+        followers = [host for host in fleet.hosts
+                     if host.lines("platform_source", **{"from": "hubs"})]
+        self.assertEqual(len(followers), 3)
+        for host in fleet.hosts:
+            if host not in followers:
+                fleet.proxies[host.name].mode = "silent"
+        fleet.configure(9)
+        begun = time.monotonic()
+        for host in followers:
+            wait_until(lambda: host.lines("config_in_force", version=9),
+                       "version 9", 4)
+        # In force within two seconds, and 0.2 s until the line is written.
+        self.assertLess(time.monotonic() - begun, 2.2)
+
     def test_a_host_without_a_configuration_says_so(self):
         fleet = self.fleet(hosts=1)
         fleet.store.mode = "busy"
--- a/tests/system/platform_fleet.py
+++ b/tests/system/platform_fleet.py
@@ -13,7 +13,9 @@
 import threading
 import time
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "standins"))
+TESTS = pathlib.Path(__file__).resolve().parents[1]
+sys.path[:0] = [str(TESTS / "standins"), str(TESTS / "soak")]
+from proxy import Proxy  # noqa: E402
 from users_platform import Loop, Store, Worker  # noqa: E402
 
 from fleet import BIN, ROOT, Answer, reserve_ports, wait_until  # noqa: E402
@@ -98,7 +100,7 @@
             "ip_address": "127.0.0.1", "internal_port_range": [self.peer],
             "listen_addresses": {"frontend": f"127.0.0.1:{self.caller}",
                                  "readiness": f"127.0.0.1:{self.ready_port}"},
-            "platform": {"address": self.fleet.store.address},
+            "platform": {"address": self.fleet.store_address(self.name)},
             "limits": {"cpu_quota": 0.25, "link_mbps": 1000},
             "bounds": {"retry_budget_ratio": 0.2, "retry_min_extra": 200,
                        "canary_share": 0.1, "canary_slack": 50,
@@ -162,8 +164,10 @@
 class PlatformFleet:
     """A store, workers of two services, and daemons."""
 
-    def __init__(self, hosts=2, bounds=None, workers=2, first=None):
+    def __init__(self, hosts=2, bounds=None, workers=2, first=None,
+                 proxied=False):
         self.bounds = bounds or {}
+        self.proxied, self.proxies = proxied, {}
         self.temporary = tempfile.TemporaryDirectory(prefix="marjorambay-")
         self.folder = pathlib.Path(self.temporary.name)
         self.runner = Loop()
@@ -179,6 +183,13 @@
         for host in self.hosts:
             wait_until(host.ready, f"{host.name} ready")
 
+    def store_address(self, host):
+        """Where a host finds the store: there, or behind a proxy of its own."""
+        if not self.proxied:
+            return self.store.address
+        self.proxies[host] = Proxy(self.runner, self.store.port)
+        return self.proxies[host].address
+
     def add_worker(self, service, name, version="v1"):
         self.workers[name] = Worker(self.runner, self.store, service, name,
                                     version)
@@ -232,8 +243,8 @@
     def close(self):
         for host in self.hosts:
             host.close()
-        for worker in self.workers.values():
-            worker.close()
+        for one in [*self.workers.values(), *self.proxies.values()]:
+            one.close()
         self.store.close()
         self.runner.stop()
         self.temporary.cleanup()
