Leave targets out at the arbiter that fail requests at once

A worker that crashes resets what is sent to it; its slots are free again within 3 ms, so the arbiter, which knew refused connections only, granted them anew: up to 719 requests a second went to one dead worker of 8 slots. Hosts judge targets of plain pools by their answers (TargetHealth); nobody did so for engines.

Ruled out: repeating these requests. Their kind may run once, and a reset after the request was sent leaves open whether it ran.

Change: the arbiter judges each target by the ends that all hosts report, with the same TargetHealth: left out after three failures in a row, for 1 s and longer each time, then one request at a time until an answer is good. At most half of a pool is left out. A target that restarts starts afresh.

--- a/packages/coordination/marjorambay/coordination/arbiter_events.h
+++ b/packages/coordination/marjorambay/coordination/arbiter_events.h
@@ -27,6 +27,8 @@
   double TokensPerSecond = 1000;       ///< first guess of decode speed
   std::uint32_t MaxTokensInFlight = 0; ///< 0: learned from its speed
   std::uint32_t MaxRequestsInFlight = 32;
+  double FillSeconds = 0; ///< of prompts that it has yet to read; a request
+                          ///< goes to it below that only. 0: no bound
   bool Leaving = false;
   Incarnation Life{}; ///< of the target; 0: not known
 };
--- a/packages/coordination/marjorambay/coordination/target_health.h
+++ b/packages/coordination/marjorambay/coordination/target_health.h
@@ -34,6 +34,7 @@
     Failures = Good ? Failures : Failures + 1;
     if (Good) {
       Refusals = 0;
+      OnTrial = false;
       if (Share < Settings.Gain)
         Ejections = 0;
       return;
@@ -44,6 +45,7 @@
       return;
     Until = Now + backOff(Settings.FirstEjection, Ejections++);
     Share = Settings.Probation;
+    OnTrial = true;
   }
 
   /// Learns that no connection came about.
@@ -54,6 +56,9 @@
   }
 
   bool usable(TimePoint Now) const { return Now >= Until; }
+  /// Whether no answer was good since the last ejection. One request at a time
+  /// is enough to find out, and all that a target which is still broken costs.
+  bool onTrial() const { return OnTrial; }
   double failureShare() const { return Share; }
 
 private:
@@ -67,6 +72,7 @@
   std::uint32_t Failures = 0;
   std::uint32_t Ejections = 0;
   std::uint32_t Refusals = 0;
+  bool OnTrial = false;
   TimePoint Until{};
 };
 
--- a/packages/coordination/marjorambay/coordination/target_table.h
+++ b/packages/coordination/marjorambay/coordination/target_table.h
@@ -5,6 +5,7 @@
 #include "marjorambay/coordination/arbiter_events.h"
 #include "marjorambay/coordination/fair_queue.h"
 #include "marjorambay/coordination/load_history.h"
+#include "marjorambay/coordination/target_health.h"
 #include "marjorambay/coordination/target_model.h"
 #include "marjorambay/coordination/version_share.h"
 
@@ -46,6 +47,9 @@
   /// The declared slots are what a target runs at once: a wait for a first
   /// token says that prompts are read, not that requests queue.
   bool DeclaredSlotsHold = false;
+  /// Of the targets, that may be kept out by their answers; with more of them
+  /// failing it is not they who are at fault.
+  double MostEjected = 0.5;
   double TakeoverFraction = 0.125; ///< of a limit, before origins report
   std::size_t MaxPrefixes = 4096;  ///< remembered for cache affinity
 };
@@ -90,6 +94,9 @@
   void learnProgress(Slot &Held, std::uint32_t Tokens, TimePoint Now);
   void learnRelease(const Slot &Held, const Usage &Used, TimePoint Now);
 
+  /// Judges a target by how a request ended there.
+  void judge(TargetId Target, UsageEnd End, TimePoint Now);
+
   /// Works out anew the figures that fastestSeconds() and capacity() give.
   void refresh(const VersionShare &Shares, TimePoint Now);
 
@@ -133,6 +140,7 @@
     TimePoint BackOffUntil{};
     std::uint32_t Refusals = 0; ///< in a row
     LoadHistory History{};
+    TargetHealth Health{};
   };
 
   /// How fast a target is, worked out at the last refresh; in seconds.
@@ -149,6 +157,8 @@
                           TimePoint Now);
   bool available(const Entry &Each, const VersionShare &Shares) const;
   bool hasRoom(const Entry &Each, bool Takeover, TimePoint Now) const;
+  bool keptOut(const Entry &Each, TimePoint Now) const;
+  void reviewEjections(TimePoint Now);
   double promptAhead(const Entry &Each, TimePoint Now) const;
   double streams(const Entry &Each, TimePoint Now) const;
   bool meetsAim(const Entry &Each, const Waiting &Entry, TimePoint Now) const;
@@ -160,6 +170,8 @@
   TargetTableSettings Settings;
   std::vector<Entry> Entries{};
   std::vector<SpeedLine> Lines{};
+  double FailureShare = 0; ///< of recent answers of all targets
+  bool MayEject = true;    ///< enough of the others answer well
   double Capacity = 0;
   double PromptWeight = 0; ///< 0: not learned
   std::unordered_map<TargetId, std::size_t> Places{};
--- a/packages/coordination/src/arbiter.cpp
+++ b/packages/coordination/src/arbiter.cpp
@@ -320,6 +320,7 @@
   if (!Held)
     return;
   const Usage &Used = Event.Used;
+  Targets.judge(Held->Target, Used.End, Now);
   Targets.learnRelease(*Held, Used, Now);
   Costs.learn(Held->Request, Used);
   double Work = 0;
--- a/packages/coordination/src/target_table.cpp
+++ b/packages/coordination/src/target_table.cpp
@@ -36,6 +36,8 @@
     const bool Restarted = Info.Life > Each.LeftLife;
     if (Each.Left && Restarted && number(Each.LeftLife) != 0)
       Each.Left = false;
+    if (Info.Life > Each.Info.Life)
+      Each.Health = TargetHealth{}; // what an earlier life did says nothing
     Each.Info = Info;
     Each.Listed = true;
     Each.Model.configure(Info.TokensPerSecond, Info.MaxRequestsInFlight);
@@ -110,9 +112,39 @@
   return Each.InFlight + Each.History.others(Now);
 }
 
+/// A target that fails requests at once has slots free at once: without this it
+/// draws in more than all the others serve.
+bool TargetTable::keptOut(const Entry &Each, TimePoint Now) const {
+  if (!MayEject)
+    return false;
+  return !Each.Health.usable(Now) ||
+         (Each.Health.onTrial() && Each.InFlight > 0);
+}
+
+void TargetTable::reviewEjections(TimePoint Now) {
+  std::size_t Listed = 0;
+  std::size_t Usable = 0;
+  for (const Entry &Each : Entries) {
+    Listed += Each.Listed ? 1 : 0;
+    Usable += Each.Listed && Each.Health.usable(Now) ? 1 : 0;
+  }
+  MayEject = static_cast<double>(Usable) >=
+             (1 - Settings.MostEjected) * static_cast<double>(Listed);
+}
+
+void TargetTable::judge(TargetId Target, UsageEnd End, TimePoint Now) {
+  constexpr double Gain = 0.03; // of one answer in the pool's share
+  const auto Found = Places.find(Target);
+  const bool Failed = End == UsageEnd::Failed;
+  if (Found == Places.end() || (!Failed && End != UsageEnd::Complete))
+    return;
+  Entries[Found->second].Health.noteAnswer(!Failed, FailureShare, Now);
+  FailureShare += Gain * ((Failed ? 1.0 : 0.0) - FailureShare);
+}
+
 bool TargetTable::hasRoom(const Entry &Each, bool Takeover,
                           TimePoint Now) const {
-  if (Now < Each.BackOffUntil)
+  if (Now < Each.BackOffUntil || keptOut(Each, Now))
     return false;
   const std::uint32_t Limit = limitOf(Each, Now);
   if (streams(Each, Now) + 1 > Limit + 0.5)
@@ -120,6 +152,9 @@
   const std::uint32_t MaxTokens = Each.Info.MaxTokensInFlight;
   if (MaxTokens != 0 && Each.TokensInFlight >= MaxTokens)
     return false;
+  const double Fill = Each.Info.FillSeconds;
+  if (Fill > 0 && Each.PrefillUntil > Now + fromSeconds(Fill))
+    return false; // prompts wait there in the engine's order, not by tier
   return !Takeover ||
          Each.SinceTakeover + 1 <= Limit * Settings.TakeoverFraction;
 }
@@ -307,6 +342,7 @@
 }
 
 void TargetTable::refresh(const VersionShare &Shares, TimePoint Now) {
+  reviewEjections(Now);
   Lines.clear();
   Capacity = 0;
   double PromptSeconds = 0;
@@ -327,7 +363,8 @@
     } else {
       Lines.push_back({0, 0, Guess, Guess});
     }
-    if (Now >= Each.BackOffUntil && Shares.open(Each.Info.Version))
+    if (Now >= Each.BackOffUntil && !keptOut(Each, Now) &&
+        Shares.open(Each.Info.Version))
       Capacity += Model.throughput(Limit, Now);
   }
   PromptWeight = StepSeconds > 0 ? PromptSeconds / StepSeconds : 0;
@@ -337,7 +374,8 @@
                                TimePoint Now) const {
   std::size_t Sum = 0;
   for (const Entry &Each : Entries)
-    if (available(Each, Shares) && Now >= Each.BackOffUntil)
+    if (available(Each, Shares) && Now >= Each.BackOffUntil &&
+        !keptOut(Each, Now))
       Sum += limitOf(Each, Now);
   return Sum;
 }
--- a/packages/coordination/tests/arbiter_test.cpp
+++ b/packages/coordination/tests/arbiter_test.cpp
@@ -3,12 +3,114 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
+#include <set>
+#include <utility>
+
 namespace marjorambay {
 namespace {
 
 using namespace marjorambay::testing;
 using Ids = std::vector<std::uint64_t>;
 
+/// Targets before which requests arrive at a steady pace. Each answers after a
+/// while, or fails at once.
+struct BlackHole {
+  Arbiter Policy{settings()};
+  std::multimap<TimePoint, std::pair<RequestKey, UsageEnd>> Ends{};
+  std::map<TargetId, int> Failed{};
+  std::set<TargetId> Broken{};
+  std::uint64_t Last = 0;
+  int Served = 0;
+
+  static ArbiterSettings settings() {
+    ArbiterSettings Made;
+    Made.Targets.DeclaredSlotsHold = true;
+    return Made;
+  }
+  void perform(const ArbiterActions &Actions, TimePoint Now) {
+    for (const GrantSlot &Grant : only<GrantSlot>(Actions)) {
+      const bool Fails = Broken.count(Grant.Target) > 0;
+      Failed[Grant.Target] += Fails ? 1 : 0;
+      Served += Fails ? 0 : 1;
+      Ends.emplace(
+          Now + (Fails ? milliseconds(2) : milliseconds(100)),
+          std::pair(Grant.Key, Fails ? UsageEnd::Failed : UsageEnd::Complete));
+    }
+  }
+  /// 100 requests a second, for \p Time.
+  void run(TimePoint From, Duration Time) {
+    for (TimePoint Now = From; Now < From + Time; Now += milliseconds(10)) {
+      while (!Ends.empty() && Ends.begin()->first <= Now) {
+        const auto [Key, End] = Ends.begin()->second;
+        Ends.erase(Ends.begin());
+        Usage Used;
+        Used.End = End;
+        Used.OutputTokens = 20;
+        Used.Total = milliseconds(100);
+        perform(Policy.step(SlotReleased{Key, Used}, Now), Now);
+      }
+      perform(Policy.step(SlotRequested{reservation(++Last)}, Now), Now);
+      perform(Policy.step(ArbiterTicked{}, Now), Now);
+    }
+  }
+};
+
+TEST_CASE("a target that fails requests at once does not draw them in") {
+  BlackHole Pool;
+  const TimePoint Start = at(seconds(0));
+  Pool.Policy.step(
+      TargetsChanged{{worker("w1", 8), worker("w2", 8), worker("w3", 8)}},
+      Start);
+  Pool.run(Start, seconds(5));
+  REQUIRE(Pool.Served == 500);
+  Pool.Broken = {target("w1")};
+  Pool.run(Start + seconds(5), seconds(10));
+  CHECK(Pool.Failed[target("w1")] < 25); // of 1000
+
+  SUBCASE("and is found again once it serves") {
+    Pool.Broken.clear();
+    const int Before = Pool.Served;
+    Pool.run(Start + seconds(15), seconds(20));
+    CHECK(Pool.Served - Before == 2000);
+    CHECK(Pool.Policy.targets().slots({}, Start + seconds(35)) == 24);
+  }
+  SUBCASE("while most of them fail, none is left out") {
+    Pool.Broken = {target("w1"), target("w2"), target("w3")};
+    Pool.run(Start + seconds(15), seconds(5));
+    CHECK(Pool.Policy.targets().slots({}, Start + seconds(20)) > 0);
+  }
+}
+
+TEST_CASE("long prompts fill an engine before its slots are") {
+  Arbiter Policy;
+  const TimePoint Start = at(seconds(0));
+  TargetInfo Engine = worker("w1", 8);
+  Engine.FillSeconds = 1; // 10,000 prompt tokens at the guessed speed
+  Policy.step(TargetsChanged{{Engine}}, Start);
+  const auto Ask = [&](std::uint64_t Id, int Rank) {
+    Reservation Long = reservation(Id, Rank);
+    Long.Cost.Prompt = 6000;
+    return granted(Policy.step(SlotRequested{Long}, Start));
+  };
+  REQUIRE(Ask(1, 1) == Ids{1});
+  REQUIRE(Ask(2, 1) == Ids{2});
+
+  SUBCASE("the next waits here, in the order of tiers") {
+    CHECK(Ask(3, 1).empty());
+    CHECK(Ask(4, 0).empty());
+    CHECK(granted(Policy.step(ArbiterTicked{}, at(milliseconds(300)))) ==
+          Ids{4});
+  }
+  SUBCASE("one that is longer than the fill goes to an idle engine") {
+    Reservation Huge = reservation(5);
+    Huge.Cost.Prompt = 50'000;
+    const auto Later = at(seconds(10));
+    Policy.step(ArbiterTicked{}, Later); // room that time makes is seen here
+    CHECK(granted(Policy.step(SlotRequested{Huge}, Later)) == Ids{5});
+  }
+}
+
 TEST_CASE("an arbiter with one slot") {
   Arbiter Policy;
   const TimePoint Start = at(seconds(0));
