See a canary in every zone, judge it by surer rates, and keep its evidence

The first target to load was one target of one zone, so that the other zones' share of the canary went unused. Each stratum's old rate was bounded by itself, and the bound of a window of 30 answers decided. Slowness was a yes or no against the upper quartile, worth a nat an answer at most. A leader that took over began without evidence.

Ruled out: a lower trip threshold (its bound of false alarms is 1% at the answers of a rollout of ten minutes).

Change: one target of each zone is loaded first, and a zone out of reach is waited for a tenth of the time. A group's bound rests on the old answers of all its strata, weighted by the new ones. Slow is slower than the 95th percentile. Half of the verdict is that over all answers. With fewer than 200 answers the canary lasts as long as the ramp can still be done; no step up while the test is near a trip. Guards send a leader that takes over all that they have counted. Beside it, the canary's share is the operators' `canary_share_cap`.

--- a/apps/marjorambayd/rollout_side.cpp
+++ b/apps/marjorambayd/rollout_side.cpp
@@ -136,6 +136,7 @@
     for (const TargetId Id : D.Config.targets(Pool, Zone)) {
       TargetShown Target;
       Target.Target = Id;
+      Target.Zone = Zone;
       const TargetConfig *Known = D.Config.target(Id);
       Target.Leaving = Known->Draining || D.Members.isLeaving(Id);
       const auto Loaded = D.ShownVersions.find(Id);
@@ -200,6 +201,15 @@
   }));
 }
 
+void tellCanaryShares(Daemon &D) {
+  for (const PoolConfig &Pool : D.Config.config().Pools) {
+    Place Where;
+    Where.Pool = Pool.Name;
+    const double Share = D.Config.effective(Where).CanaryShareCap;
+    stepLeader(D, idOf<PoolId>(Pool.Name), CanaryShareChanged{Share});
+  }
+}
+
 // ---- Versions in force ------------------------------------------------------
 
 std::string servedVersion(const Daemon &D, const TargetConfig &Target) {
--- a/apps/marjorambayd/rollout_side.h
+++ b/apps/marjorambayd/rollout_side.h
@@ -11,6 +11,8 @@
 namespace marjorambay {
 
 void startRolloutSide(Daemon &D);
+/// Tells the leaders of all pools what share the operators allow a canary.
+void tellCanaryShares(Daemon &D);
 
 // ---- Versions in force ------------------------------------------------------
 
--- a/bench/rollout_bench/fake_pool.cpp
+++ b/bench/rollout_bench/fake_pool.cpp
@@ -237,6 +237,7 @@
   TargetShown shownTarget(std::size_t Target) const {
     TargetShown Shown;
     Shown.Target = TargetId{Target};
+    Shown.Zone = ZoneId{1 + Targets[Target].Zone};
     Shown.Versions = {idOf<VersionId>("v1")};
     if (Targets[Target].HasNew)
       Shown.Versions.push_back(idOf<VersionId>("v2"));
--- a/packages/coordination/marjorambay/coordination/rollout.h
+++ b/packages/coordination/marjorambay/coordination/rollout.h
@@ -27,8 +27,11 @@
 
 /// How a rollout is paced.
 struct RolloutPacing {
-  double CanaryShare = 0.01;            ///< hard cap until there is evidence
-  double CanaryFraction = 0.6;          ///< of the time, as a canary
+  double CanaryShare = 0.01;   ///< hard cap until there is evidence
+  double CanaryFraction = 0.6; ///< of the time, as a canary
+  /// With fewer it stays a canary for as long as the ramp can still be done by
+  /// the deadline: a fault in one answer of ten shows in 80 to 150.
+  std::uint32_t TellingAnswers = 200;
   std::uint32_t LeastCanaryAnswers = 8; ///< fewer: it stays a canary
   Duration LeastStep = seconds(10);     ///< between two changes of the share
   Duration LeastSoak = seconds(20);     ///< at full share before completion
@@ -37,11 +40,13 @@
   Duration ClockSkew = seconds(2);     ///< between hosts' clocks, at most
   std::uint32_t LoadsAtOnce = 2;       ///< targets loading; weight store limit
   Duration LoadTimeout = seconds(120); ///< then the order is given again
+  double ZoneWait = 0.1; ///< of the time, for a first target in every zone
 };
 
 /// What a target shows of itself, from its load report.
 struct TargetShown {
   TargetId Target{};
+  ZoneId Zone{};
   std::vector<VersionId> Versions{}; ///< loaded and ready
   bool Leaving = false;
 };
@@ -88,6 +93,10 @@
   RolloutState Wanted{}; ///< Name, Pool, FromVersion, ToVersion, Deadline
   std::string Author{};
 };
+/// The operators' hard cap on a version without evidence.
+struct CanaryShareChanged {
+  double Share = 0.01;
+};
 /// Periodic. Preferred: this host is the pool's arbiter in its zone, and may
 /// take the lease over.
 struct RolloutTicked {
@@ -97,7 +106,8 @@
 
 using RolloutEvent =
     std::variant<RolloutRead, RolloutWritten, EvidenceArrived, TargetsShown,
-                 RolloutTripped, ViewSeen, RolloutCommanded, RolloutTicked>;
+                 RolloutTripped, ViewSeen, RolloutCommanded, CanaryShareChanged,
+                 RolloutTicked>;
 
 // ---- Actions ----------------------------------------------------------------
 
@@ -162,6 +172,7 @@
   void handle(const RolloutTripped &Trip, RolloutActions &Actions);
   void handle(const ViewSeen &Seen, RolloutActions &Actions);
   void handle(const RolloutCommanded &Commanded, RolloutActions &Actions);
+  void handle(const CanaryShareChanged &Changed, RolloutActions &Actions);
   void handle(const RolloutTicked &Ticked, RolloutActions &Actions);
 
   void adopt(const RolloutState &State, ObjectVersion Version,
@@ -180,7 +191,9 @@
   Duration timeInPhase() const;
   Duration plannedStep() const;
   std::size_t loadedTargets() const;
+  bool isSpreadOverZones() const;
   std::size_t wantedTargets() const;
+  std::set<ZoneId> zonesWithoutNewVersion() const;
   bool hasNewVersion(const TargetShown &Target) const;
   void orderTargets(RolloutActions &Actions);
 
--- a/packages/coordination/marjorambay/coordination/version_guard.h
+++ b/packages/coordination/marjorambay/coordination/version_guard.h
@@ -50,7 +50,8 @@
   VersionId Version{};
   FaultKind Kind = FaultKind::Errors;
 };
-/// Counts since the last report, for the rollout's leader.
+/// Counts since the last report, for the rollout's leader; all counts of the
+/// rollout for one that has just taken over, which knows none.
 struct EvidenceReady {
   RolloutId Rollout{};
   Evidence Cells{};
@@ -77,7 +78,7 @@
     std::size_t NextToken = 0;
     std::size_t NextFirst = 0;
     std::size_t Fresh = 0; ///< answers since the limits were worked out
-    double TokenLimit = 0; ///< upper quartile as of a tick; 0: none yet
+    double TokenLimit = 0; ///< upper tail as of a tick; 0: none yet
     double FirstLimit = 0;
   };
 
@@ -95,7 +96,10 @@
   bool Tripped = false;
   bool TripTold = false;
   double Allowed = 0;
-  std::map<std::pair<Stratum, FaultKind>, EvidenceCell> Batch{};
+  using Counts = std::map<std::pair<Stratum, FaultKind>, EvidenceCell>;
+  Counts Batch{};           ///< since the last report
+  Counts Reported{};        ///< before it, of this rollout
+  bool LeaderIsNew = false; ///< it needs all counts
   std::map<Stratum, Reference> References{};
 };
 
--- a/packages/coordination/marjorambay/coordination/version_test.h
+++ b/packages/coordination/marjorambay/coordination/version_test.h
@@ -69,6 +69,10 @@
   void add(const Evidence &Batch);
 
   bool tripped() const { return Tripped; }
+
+  /// Whether the evidence is within a factor of 50 of a trip. That is no reason
+  /// to take a version back, but one not to send more to it.
+  bool suspects() const;
   FaultKind trippedBy() const { return TrippedKind; }
 
   /// Natural logarithm of the strongest detector, against log(TripThreshold).
@@ -90,11 +94,17 @@
     double Bad = 0;
     double All = 0;
     void add(double MoreBad, double MoreAll, double Size);
-    double upperBound(double Prior, double Deviations) const;
+    double upperBound(double Prior, double Deviations, double Answers) const;
   };
   struct Rate {
     Window Long{};
     Window Short{};
+    double NewAnswers = 0; ///< of the new version, in this stratum
+  };
+  /// Answers of the old version that a group's bound rests on.
+  struct Support {
+    double Long = 0;
+    double Short = 0;
   };
   /// What a detector watches: all answers, one route, or one load.
   enum class Group : std::uint8_t { All, Route, Load };
@@ -109,7 +119,9 @@
   };
   using LogFactors = std::array<double, GridSize>;
 
-  LogFactors factorsOf(const EvidenceCell &Cell) const;
+  static bool inGroup(const DetectorKey &Key, const Stratum &Where);
+  Support supportOf(const DetectorKey &Key) const;
+  LogFactors factorsOf(const EvidenceCell &Cell, const Support &Old) const;
   void learn(const EvidenceCell &Cell);
   void apply(const std::map<DetectorKey, LogFactors> &Factors);
   void judge(FaultKind Kind);
@@ -117,6 +129,7 @@
   std::map<DetectorKey, Detector> Detectors{};
   std::map<std::pair<Stratum, FaultKind>, Rate> OldRates{};
   std::uint64_t NewTotal = 0;
+  std::array<double, FaultKindCount> LogMeans{}; ///< what is judged, by kind
   bool Tripped = false;
   FaultKind TrippedKind = FaultKind::Errors;
 };
--- a/packages/coordination/src/rollout_leader.cpp
+++ b/packages/coordination/src/rollout_leader.cpp
@@ -107,10 +107,16 @@
   const bool NewStep =
       IsOther || Known->Phase != State.Phase || Known->Share != State.Share;
   const bool NewFence = IsOther || Known->Fence != State.Fence;
+  // The guards send a leader that takes over all that they have counted.
+  const bool TakesOver =
+      !IsOther && State.Leader == HostName && Known->Leader != HostName;
   Known = State;
   KnownVersion = Version;
-  if (IsOther) {
+  if (IsOther || TakesOver) {
     Test = VersionTest{};
+    AnswersAtStep = 0;
+  }
+  if (IsOther) {
     TripReason.clear();
     OrderedAt.clear();
     Published = false;
@@ -219,6 +225,11 @@
   }
 }
 
+void RolloutLeader::handle(const CanaryShareChanged &Changed,
+                           RolloutActions &) {
+  Pace.CanaryShare = Changed.Share;
+}
+
 // ---- Time -------------------------------------------------------------------
 
 void RolloutLeader::handle(const RolloutTicked &Ticked,
--- a/packages/coordination/src/rollout_plan.cpp
+++ b/packages/coordination/src/rollout_plan.cpp
@@ -23,6 +23,12 @@
                     [&](double Step) { return Step > Share; }));
 }
 
+double nextShare(double Share) {
+  const auto *const Above =
+      std::upper_bound(RampShares.begin(), RampShares.end(), Share);
+  return Above == RampShares.end() ? 1.0 : *Above;
+}
+
 } // namespace
 
 RolloutState RolloutLeader::moved(RolloutPhase Phase, double Share,
@@ -50,13 +56,14 @@
       std::chrono::duration_cast<Duration>(Window * Pace.Margin);
   const Duration Left =
       Known->Deadline - Known->PhaseSince - Margin - Pace.LeastSoak;
-  const std::size_t Steps = stepsLeft(Known->Share) + 1;
-  const Duration Even = Left / static_cast<std::int64_t>(Steps);
+  const auto Steps = static_cast<std::int64_t>(stepsLeft(Known->Share)) + 1;
   if (Known->Phase != RolloutPhase::Canary)
-    return std::max(Even, Pace.LeastStep);
-  return std::max(
-      std::chrono::duration_cast<Duration>(Left * Pace.CanaryFraction),
-      Pace.LeastStep);
+    return std::max<Duration>(Left / Steps, Pace.LeastStep);
+  const auto Planned =
+      std::chrono::duration_cast<Duration>(Left * Pace.CanaryFraction);
+  const Duration Longest = Left - Steps * Pace.LeastStep;
+  const bool Telling = Test.newAnswers() >= Pace.TellingAnswers;
+  return std::max({Planned, Telling ? Planned : Longest, Pace.LeastStep});
 }
 
 std::optional<RolloutState> RolloutLeader::nextMove() const {
@@ -72,27 +79,25 @@
 std::optional<RolloutState> RolloutLeader::nextStep() const {
   const Duration Spent = timeInPhase();
   const std::uint64_t Answers = Test.newAnswers() - AnswersAtStep;
-  const bool PlannedEnd =
-      Wall - Known->PhaseSince >= plannedStep() && Spent >= Pace.LeastStep;
+  const bool PlannedEnd = Wall - Known->PhaseSince >= plannedStep() &&
+                          Spent >= Pace.LeastStep && !Test.suspects();
 
   switch (Known->Phase) {
   case RolloutPhase::Loading:
-    if (loadedTargets() < wantedTargets())
+    if (loadedTargets() < wantedTargets() || !isSpreadOverZones())
       return std::nullopt;
     return moved(RolloutPhase::Canary, Pace.CanaryShare, "first targets ready");
   case RolloutPhase::Canary:
     if (!PlannedEnd || Answers < Pace.LeastCanaryAnswers)
       return std::nullopt;
-    return moved(RolloutPhase::Ramping, RampShares.front(),
+    return moved(RolloutPhase::Ramping, nextShare(Known->Share),
                  std::to_string(Answers) + " canary answers");
   case RolloutPhase::Ramping: {
     if (!PlannedEnd || Answers == 0 || loadedTargets() < wantedTargets())
       return std::nullopt;
     if (stepsLeft(Known->Share) == 0)
       return moved(RolloutPhase::Soaking, 1, "all traffic moved");
-    const double Next =
-        *std::upper_bound(RampShares.begin(), RampShares.end(), Known->Share);
-    return moved(RolloutPhase::Ramping, Next,
+    return moved(RolloutPhase::Ramping, nextShare(Known->Share),
                  std::to_string(Answers) + " answers in the step");
   }
   case RolloutPhase::Soaking:
@@ -106,8 +111,7 @@
   return std::nullopt;
 }
 
-// ---- Orders to targets
-// ------------------------------------------------------
+// ---- Orders to targets -----------------------------------------------------
 
 bool RolloutLeader::hasNewVersion(const TargetShown &Target) const {
   const auto To = idOf<VersionId>(Known->ToVersion);
@@ -121,6 +125,28 @@
       }));
 }
 
+/// Zones whose targets all lack the new version. Requests are served in their
+/// own zone, so that a canary gets answers only where a target has it.
+std::set<ZoneId> RolloutLeader::zonesWithoutNewVersion() const {
+  std::set<ZoneId> Zones;
+  for (const TargetShown &Target : Targets)
+    if (!Target.Leaving)
+      Zones.insert(Target.Zone);
+  for (const TargetShown &Target : Targets)
+    if (!Target.Leaving && hasNewVersion(Target))
+      Zones.erase(Target.Zone);
+  return Zones;
+}
+
+/// Whether the canary may begin; a zone out of reach holds it up for a while.
+bool RolloutLeader::isSpreadOverZones() const {
+  const Duration Window = Known->Deadline - Known->Started;
+  const auto Longest =
+      std::chrono::duration_cast<Duration>(Window * Pace.ZoneWait);
+  return zonesWithoutNewVersion().empty() ||
+         Wall - Known->PhaseSince >= Longest;
+}
+
 /// Targets that the present step, and the one after it, need loaded.
 std::size_t RolloutLeader::wantedTargets() const {
   const auto All = static_cast<std::size_t>(
@@ -128,10 +154,8 @@
                     [](const TargetShown &One) { return !One.Leaving; }));
   if (Known->Phase == RolloutPhase::Soaking)
     return All;
-  const auto Above =
-      std::upper_bound(RampShares.begin(), RampShares.end(), Known->Share);
-  const double Next = Above == RampShares.end() ? 1.0 : *Above;
-  const double Count = Next * TargetHeadroom * static_cast<double>(All);
+  const double Count =
+      nextShare(Known->Share) * TargetHeadroom * static_cast<double>(All);
   return std::clamp<std::size_t>(static_cast<std::size_t>(Count) + 1, 1,
                                  std::max<std::size_t>(All, 1));
 }
@@ -155,17 +179,28 @@
   }
   std::size_t Missing = wantedTargets();
   Missing -= std::min(Missing, loadedTargets() + Loading);
-  for (const TargetShown &Target : Targets) {
-    if (Missing == 0 || Loading >= Pace.LoadsAtOnce)
-      return;
-    if (Target.Leaving || hasNewVersion(Target) ||
-        OrderedAt.count(Target.Target) > 0)
-      continue;
+  const auto Order = [&](const TargetShown &Target) {
     OrderedAt[Target.Target] = LastNow;
     ++Loading;
-    --Missing;
+    Missing -= std::min<std::size_t>(Missing, 1);
     Actions.push_back(OrderLoad{Target.Target, Known->ToVersion, Known->Fence});
-  }
+  };
+  const auto MayOrder = [&](const TargetShown &Target) {
+    return Loading < Pace.LoadsAtOnce && !Target.Leaving &&
+           !hasNewVersion(Target) && OrderedAt.count(Target.Target) == 0;
+  };
+  std::set<ZoneId> Without = zonesWithoutNewVersion();
+  for (const TargetShown &Target : Targets)
+    if (OrderedAt.count(Target.Target) > 0)
+      Without.erase(Target.Zone);
+  for (const TargetShown &Target : Targets)
+    if (Without.count(Target.Zone) > 0 && MayOrder(Target)) {
+      Without.erase(Target.Zone);
+      Order(Target);
+    }
+  for (const TargetShown &Target : Targets)
+    if (Missing > 0 && MayOrder(Target))
+      Order(Target);
 }
 
 } // namespace marjorambay
--- a/packages/coordination/src/version_guard.cpp
+++ b/packages/coordination/src/version_guard.cpp
@@ -7,14 +7,14 @@
 
 namespace {
 
-/// Times kept of each stratum; the upper quartile of fewer is not used.
+/// Times kept of each stratum; the upper tail of fewer is not used.
 constexpr std::size_t ReferenceSize = 256;
 constexpr std::size_t ReferenceLeast = 20;
-constexpr double ReferenceQuantile = 0.75;
+constexpr double ReferenceQuantile = 0.95;
 /// Limits are worked out anew after this many answers of a stratum.
 constexpr std::size_t RefreshAnswers = 16;
 
-/// A new version may be this much slower than the old one's upper quartile
+/// A new version may be this much slower than the old one's upper tail
 /// before an answer counts as slow.
 constexpr double SlowTolerance = 1.2;
 
@@ -29,7 +29,7 @@
   Next = (Next + 1) % ReferenceSize;
 }
 
-double upperQuartile(std::vector<float> Times) {
+double upperTail(std::vector<float> Times) {
   if (Times.size() < ReferenceLeast)
     return 0;
   const auto At = static_cast<std::ptrdiff_t>(
@@ -42,6 +42,24 @@
   return Value > 0 && Limit > 0 && Value > Limit * Tolerance;
 }
 
+Evidence
+cellsOf(const std::map<std::pair<Stratum, FaultKind>, EvidenceCell> &Counts) {
+  Evidence Cells;
+  Cells.reserve(Counts.size());
+  for (const auto &[Key, Cell] : Counts)
+    Cells.push_back(Cell);
+  return Cells;
+}
+
+void addCounts(EvidenceCell &Sum, const EvidenceCell &More) {
+  Sum.Where = More.Where;
+  Sum.Kind = More.Kind;
+  Sum.OldAnswers += More.OldAnswers;
+  Sum.OldBad += More.OldBad;
+  Sum.NewAnswers += More.NewAnswers;
+  Sum.NewBad += More.NewBad;
+}
+
 } // namespace
 
 GuardActions VersionGuard::step(const GuardEvent &Event) {
@@ -68,11 +86,15 @@
   if (!IsNews)
     return;
   const bool IsOtherRollout = !Current || Current->Id != View.Id;
+  LeaderIsNew =
+      !IsOtherRollout && (LeaderIsNew || (number(Current->Leader) != 0 &&
+                                          Current->Leader != View.Leader));
   Current = View;
   if (!IsOtherRollout)
     return;
   Test = VersionTest{};
   Batch.clear();
+  Reported.clear();
   Tripped = false;
   TripTold = false;
 }
@@ -122,20 +144,23 @@
     if (Old.Fresh < RefreshAnswers)
       continue;
     Old.Fresh = 0;
-    Old.TokenLimit = upperQuartile(Old.TokenSeconds);
-    Old.FirstLimit = upperQuartile(Old.FirstSeconds);
+    Old.TokenLimit = upperTail(Old.TokenSeconds);
+    Old.FirstLimit = upperTail(Old.FirstSeconds);
   }
 }
 
 GuardActions VersionGuard::tick(WallTime Wall) {
   if (!Current)
     return {};
-  Evidence Cells;
-  for (const auto &[Key, Cell] : Batch)
-    Cells.push_back(Cell);
+  Evidence Cells = cellsOf(Batch);
+  for (const EvidenceCell &Cell : Cells)
+    addCounts(Reported[{Cell.Where, Cell.Kind}], Cell);
   Batch.clear();
   refreshLimits();
   Test.add(Cells);
+  if (LeaderIsNew)
+    Cells = cellsOf(Reported);
+  LeaderIsNew = false;
   GuardActions Actions;
   Tripped = Tripped || (!isFinal(Current->Phase) && Test.tripped());
   if (Tripped && !TripTold)
--- a/packages/coordination/src/version_test.cpp
+++ b/packages/coordination/src/version_test.cpp
@@ -9,14 +9,17 @@
 namespace {
 
 /// Rates that the old version is taken to have before any answer is seen.
-constexpr std::array<double, FaultKindCount> PriorRate = {0.005, 0.25};
+constexpr std::array<double, FaultKindCount> PriorRate = {0.005, 0.05};
 constexpr double PriorAnswers = 10; ///< answers that the prior counts for
 
 /// Rates tried for the new version; each is raised above the old one's bound.
 constexpr std::array<std::array<double, 4>, FaultKindCount> NewRates = {{
     {0.05, 0.15, 0.5, 0.95},
-    {0.45, 0.6, 0.8, 0.97},
+    {0.15, 0.35, 0.65, 0.95},
 }};
+/// Of the verdict, for the group of all answers; routes and loads share the
+/// rest, as most faults are faults of the version as a whole.
+constexpr double WholeWeight = 0.5;
 constexpr double LeastRatio = 1.5; ///< new rate over old bound worth a trip
 constexpr double RateFloor = 0.001;
 constexpr double RateCeiling = 0.98;
@@ -51,19 +54,50 @@
   All = Size;
 }
 
-double VersionTest::Window::upperBound(double Prior, double Deviations) const {
-  const double Count = All + PriorAnswers;
-  const double Mean = (Bad + Prior * PriorAnswers) / Count;
-  return Mean + Deviations * std::sqrt(Mean * (1 - Mean) / Count);
+double VersionTest::Window::upperBound(double Prior, double Deviations,
+                                       double Answers) const {
+  const double Mean = (Bad + Prior * PriorAnswers) / (All + PriorAnswers);
+  return Mean + Deviations * std::sqrt(Mean * (1 - Mean) / Answers);
 }
 
-VersionTest::LogFactors VersionTest::factorsOf(const EvidenceCell &Cell) const {
+bool VersionTest::inGroup(const DetectorKey &Key, const Stratum &Where) {
+  switch (Key.Over) {
+  case Group::All:
+    return true;
+  case Group::Route:
+    return Key.Which == number(Where.Route);
+  case Group::Load:
+    return Key.Which == Where.Load;
+  }
+  return false;
+}
+
+/// The rates of the strata of a group are estimated apart, so that their errors
+/// partly cancel out in its sum. With the new answers as weights, the sum is as
+/// sure as one rate from this many old answers.
+VersionTest::Support VersionTest::supportOf(const DetectorKey &Key) const {
+  double New = 0;
+  Support Variance;
+  for (const auto &[Where, Seen] : OldRates) {
+    if (Where.second != Key.Kind || !inGroup(Key, Where.first))
+      continue;
+    const double Weight = Seen.NewAnswers;
+    New += Weight;
+    Variance.Long += Weight * Weight / (Seen.Long.All + PriorAnswers);
+    Variance.Short += Weight * Weight / (Seen.Short.All + PriorAnswers);
+  }
+  return {New * New / Variance.Long, New * New / Variance.Short};
+}
+
+VersionTest::LogFactors VersionTest::factorsOf(const EvidenceCell &Cell,
+                                               const Support &Old) const {
   const auto Kind = static_cast<std::size_t>(Cell.Kind);
   const auto Found = OldRates.find({Cell.Where, Cell.Kind});
   const Rate Seen = Found == OldRates.end() ? Rate{} : Found->second;
   const double Bound = std::clamp(
-      std::max(Seen.Long.upperBound(PriorRate[Kind], LongDeviations),
-               Seen.Short.upperBound(PriorRate[Kind], ShortDeviations)),
+      std::max(
+          Seen.Long.upperBound(PriorRate[Kind], LongDeviations, Old.Long),
+          Seen.Short.upperBound(PriorRate[Kind], ShortDeviations, Old.Short)),
       RateFloor, RateCeiling / LeastRatio);
   LogFactors Factors{};
   for (std::size_t Index = 0; Index < GridSize; ++Index) {
@@ -78,13 +112,19 @@
   Rate &Seen = OldRates[{Cell.Where, Cell.Kind}];
   Seen.Long.add(Cell.OldBad, Cell.OldAnswers, LongWindow);
   Seen.Short.add(Cell.OldBad, Cell.OldAnswers, ShortWindow);
+  Seen.NewAnswers += Cell.NewAnswers;
 }
 
 void VersionTest::add(const Evidence &Batch) {
   for (const EvidenceCell &Cell : Batch)
     learn(Cell);
   std::map<DetectorKey, LogFactors> Factors;
-  const auto Multiply = [&](DetectorKey Key, const LogFactors &More) {
+  std::map<DetectorKey, Support> Supports;
+  const auto Multiply = [&](DetectorKey Key, const EvidenceCell &Cell) {
+    const auto [Old, IsFirst] = Supports.try_emplace(Key);
+    if (IsFirst)
+      Old->second = supportOf(Key);
+    const LogFactors More = factorsOf(Cell, Old->second);
     LogFactors &Sum = Factors[Key];
     for (std::size_t Index = 0; Index < GridSize; ++Index)
       Sum[Index] += More[Index];
@@ -94,10 +134,9 @@
       continue;
     if (Cell.Kind == FaultKind::Errors)
       NewTotal += Cell.NewAnswers;
-    const LogFactors More = factorsOf(Cell);
-    Multiply({Cell.Kind, Group::All, 0}, More);
-    Multiply({Cell.Kind, Group::Route, number(Cell.Where.Route)}, More);
-    Multiply({Cell.Kind, Group::Load, Cell.Where.Load}, More);
+    Multiply({Cell.Kind, Group::All, 0}, Cell);
+    Multiply({Cell.Kind, Group::Route, number(Cell.Where.Route)}, Cell);
+    Multiply({Cell.Kind, Group::Load, Cell.Where.Load}, Cell);
   }
   apply(Factors);
 }
@@ -117,26 +156,36 @@
 }
 
 void VersionTest::judge(FaultKind Kind) {
-  // The mean over groups and rates is a detector again; its bound is shared
-  // between the fault kinds.
-  double LogSum = -1e300;
-  std::size_t Count = 0;
+  // A weighted mean over groups and rates is a detector again; its bound is
+  // shared between the fault kinds.
+  std::size_t Parts = 0;
+  for (const auto &[Key, One] : Detectors)
+    Parts += Key.Kind == Kind && Key.Over != Group::All ? 1 : 0;
+  if (Parts == 0 || Tripped)
+    return;
+  double LogMean = -1e300;
   for (const auto &[Key, One] : Detectors) {
     if (Key.Kind != Kind)
       continue;
-    for (const double Part : One.LogSums)
-      LogSum = logSumExp(LogSum, Part);
-    Count += GridSize;
+    const bool Whole = Key.Over == Group::All;
+    const double Weight =
+        Whole ? WholeWeight : (1 - WholeWeight) / static_cast<double>(Parts);
+    for (const double Sum : One.LogSums)
+      LogMean = logSumExp(LogMean, Sum + std::log(Weight / GridSize));
   }
-  if (Count == 0 || Tripped)
-    return;
-  const double LogMean = LogSum - std::log(static_cast<double>(Count));
+  LogMeans[static_cast<std::size_t>(Kind)] = LogMean;
   if (LogMean < std::log(TripThreshold * FaultKindCount))
     return;
   Tripped = true;
   TrippedKind = Kind;
 }
 
+bool VersionTest::suspects() const {
+  constexpr double Factor = 50;
+  return *std::max_element(LogMeans.begin(), LogMeans.end()) >=
+         std::log(TripThreshold * FaultKindCount / Factor);
+}
+
 double VersionTest::logStrength() const {
   double Strongest = -1e300;
   for (const auto &[Key, One] : Detectors)
--- a/packages/coordination/tests/rollout_test.cpp
+++ b/packages/coordination/tests/rollout_test.cpp
@@ -4,7 +4,9 @@
 
 #include <doctest/doctest.h>
 
+#include <set>
 #include <utility>
+#include <vector>
 
 namespace marjorambay {
 namespace {
@@ -68,7 +70,7 @@
   void showTargets(RolloutLeader &Leader, bool Loaded) {
     TargetsShown Shown;
     for (std::uint64_t Id = 1; Id <= 2; ++Id) {
-      TargetShown Target{TargetId{Id}, {idOf<VersionId>("v1")}, false};
+      TargetShown Target{TargetId{Id}, {}, {idOf<VersionId>("v1")}, false};
       if (Loaded)
         Target.Versions.push_back(idOf<VersionId>("v2"));
       Shown.Targets.push_back(Target);
@@ -130,6 +132,65 @@
   }
 }
 
+TEST_CASE("a canary begins once every zone has a target that can answer") {
+  Stage Scene;
+  RolloutLeader Leader("host-1");
+  const auto Show = [&](const std::vector<bool> &Loaded) {
+    TargetsShown Shown;
+    for (std::uint64_t Id = 1; Id <= Loaded.size(); ++Id) {
+      // Targets 1 to 3 are in the first zone, target 4 is in the second.
+      TargetShown One{TargetId{Id}, ZoneId{Id <= 3 ? 1U : 2U}, {}, false};
+      One.Versions = {idOf<VersionId>("v1")};
+      if (Loaded[Id - 1])
+        One.Versions.push_back(idOf<VersionId>("v2"));
+      Shown.Targets.push_back(One);
+    }
+    Scene.feed(Leader, Shown);
+  };
+  Show({false, false, false, false});
+  Scene.pass(Leader, 6);
+  std::set<TargetId> Ordered;
+  for (const RolloutAction &Action : Scene.Seen)
+    if (const auto *Order = std::get_if<OrderLoad>(&Action))
+      Ordered.insert(Order->Target);
+  CHECK(Ordered == std::set<TargetId>{TargetId{1}, TargetId{4}});
+
+  SUBCASE("one zone alone is not enough") {
+    Show({true, true, false, false});
+    Scene.pass(Leader, 20);
+    CHECK(Scene.Object.Phase == RolloutPhase::Loading);
+
+    SUBCASE("but holds it up for a tenth of the time only") {
+      Scene.pass(Leader, 60);
+      CHECK(Scene.Object.Phase == RolloutPhase::Canary);
+    }
+  }
+  SUBCASE("one target in each is") {
+    Show({true, false, false, true});
+    Scene.pass(Leader, 3);
+    CHECK(Scene.Object.Phase == RolloutPhase::Canary);
+  }
+}
+
+TEST_CASE("operators set the share of a canary") {
+  Stage Scene;
+  RolloutLeader Leader("host-1");
+  Scene.feed(Leader, CanaryShareChanged{0.05});
+  Scene.showTargets(Leader, true);
+  Scene.pass(Leader, 6);
+  REQUIRE(Scene.Object.Phase == RolloutPhase::Canary);
+  CHECK(Scene.Object.Share == 0.05);
+
+  SUBCASE("the ramp goes on above it") {
+    while (Scene.Object.Phase == RolloutPhase::Canary &&
+           Scene.wall() < Scene.Object.Deadline) {
+      Scene.giveEvidence(Leader, 5, 0);
+      Scene.pass(Leader, 1);
+    }
+    CHECK(Scene.Object.Share > 0.05);
+  }
+}
+
 TEST_CASE("a rollout moves by evidence and by its deadline") {
   Stage Scene;
   RolloutLeader Leader("host-1");
@@ -215,6 +276,30 @@
   Guard.step(GuardTicked{WallTime(seconds(1))});
   REQUIRE(Guard.allowedShare() == 0.01);
 
+  SUBCASE("a leader that takes over is told all that was counted") {
+    View.Version = 6;
+    View.Leader = HostId{1};
+    Guard.step(ViewLearned{View});
+    AnswerObserved Good;
+    Good.Version = View.To;
+    Guard.step(Good);
+    Guard.step(Good);
+    Guard.step(GuardTicked{WallTime(seconds(2))});
+    View.Version = 7;
+    View.Leader = HostId{2};
+    Guard.step(ViewLearned{View});
+    Guard.step(Good);
+    const GuardActions First = Guard.step(GuardTicked{WallTime(seconds(3))});
+    const auto *Whole = find<EvidenceReady>(First);
+    REQUIRE(Whole != nullptr);
+    CHECK(Whole->Cells.front().NewAnswers == 3);
+
+    SUBCASE("once") {
+      Guard.step(Good);
+      const GuardActions Next = Guard.step(GuardTicked{WallTime(seconds(4))});
+      CHECK(find<EvidenceReady>(Next)->Cells.front().NewAnswers == 1);
+    }
+  }
   SUBCASE("an older view changes nothing") {
     RolloutView Older = View;
     Older.Version = 4;
