Put the four fleet defaults in force that were accepted without effect

Cause: `target_fill_seconds`, `retry_budget_ratio`, `idempotency_retention_ms` and `canary_share_cap` were checked, shown and never read.

Change: each reaches its part when a configuration is adopted. Retention is the delicate one: a shorter time takes effect once the old one is over, so that no request outlives the record that it began; a longer one holds for what is still known.

Ruled out: removing them. The accepted document is on the platform, and a host that refuses a known key could not read it.

--- a/apps/marjorambayd/arbiter_side.cpp
+++ b/apps/marjorambayd/arbiter_side.cpp
@@ -47,6 +47,14 @@
   return remoteArbiter(D, Pool, Zone);
 }
 
+Place placeOf(const TargetConfig &Target) {
+  Place Where;
+  Where.Zone = Target.Zone;
+  Where.Target = Target.Name;
+  Where.Pool = Target.Pool;
+  return Where;
+}
+
 TargetInfo infoOf(const Daemon &D, const TargetConfig &Target) {
   TargetInfo Info;
   Info.Id = idOf<TargetId>(Target.Name);
@@ -58,6 +66,7 @@
   Info.TokensPerSecond = Target.TokensPerSecond;
   Info.MaxTokensInFlight = Target.MaxTokensInFlight;
   Info.MaxRequestsInFlight = Target.MaxRequestsInFlight;
+  Info.FillSeconds = D.Config.effective(placeOf(Target)).TargetFillSeconds;
   Info.Leaving = Target.Draining || D.Members.isLeaving(Info.Id);
   const auto Life = D.TargetLives.find(Info.Id);
   if (Life != D.TargetLives.end())
--- a/apps/marjorambayd/config_side.cpp
+++ b/apps/marjorambayd/config_side.cpp
@@ -1,6 +1,7 @@
 /// The configuration in force: adopted, told to every part, and proposed.
 #include "actions.h"
 #include "answers.h"
+#include "rollout_side.h"
 #include "sides.h"
 
 #include "marjorambay/protocol/fleet_config_json.h"
@@ -22,8 +23,11 @@
 void tellDefaults(Daemon &D) {
   const FleetDefaults Here = D.Config.effective(
       {.Host = D.Settings.HostName, .Zone = D.Settings.ZoneName});
-  post(D, OriginEvent(DefaultsChanged{Here.MaxDeadline, Here.DispatchTimeout,
-                                      Here.DefaultOutputTokens}));
+  post(D, OriginEvent(DefaultsChanged{
+              Here.MaxDeadline, Here.DispatchTimeout, Here.DefaultOutputTokens,
+              Here.RetryBudgetRatio, Here.IdempotencyRetention}));
+  post(D, IntentLogInput{RetentionChanged{Here.IdempotencyRetention}});
+  tellCanaryShares(D);
 }
 
 void nameLabels(Daemon &D) {
--- a/packages/coordination/marjorambay/coordination/idempotency.h
+++ b/packages/coordination/marjorambay/coordination/idempotency.h
@@ -71,8 +71,16 @@
   WallTime Wall{};
 };
 
-using IntentLogEvent = std::variant<IntentRequested, OutcomeReported,
-                                    ObjectRead, ObjectWritten, IntentLogTicked>;
+/// Keys are remembered for another time from now on. A longer one holds for
+/// what is still known; before a shorter one takes effect, the old one runs
+/// out, so that no request outlives the record that it began.
+struct RetentionChanged {
+  Duration Retention = hours(1);
+};
+
+using IntentLogEvent =
+    std::variant<IntentRequested, OutcomeReported, ObjectRead, ObjectWritten,
+                 RetentionChanged, IntentLogTicked>;
 
 // ---- Actions ----------------------------------------------------------------
 
@@ -220,6 +228,7 @@
   void on(const OutcomeReported &Event);
   void on(const ObjectRead &Event);
   void on(const ObjectWritten &Event);
+  void on(const RetentionChanged &Event);
   void on(const IntentLogTicked &Event);
 
   Shard &shardFor(const KeyHash &Key);
@@ -282,6 +291,8 @@
   std::uint64_t LastCall = 0;
   std::uint64_t LastWrite = 0;
   std::optional<Duration> WallOffset{}; ///< Unix time less steady time
+  Duration LongerRetention{};           ///< one before, which runs out
+  TimePoint LongerUntil{};
   // Of the step that runs.
   IntentLogActions Actions{};
   TimePoint Now{};
--- a/packages/coordination/marjorambay/coordination/origin.h
+++ b/packages/coordination/marjorambay/coordination/origin.h
@@ -163,6 +163,8 @@
   Duration MaxDeadline = minutes(30);
   Duration DispatchTimeout = seconds(30);
   std::uint32_t DefaultOutputTokens = 256;
+  double RetryRatio = 0.1;       ///< retries of an account, of its requests
+  Duration Retention = hours(1); ///< of idempotency keys
 };
 /// Limit of requests that one account may have waiting at this host.
 struct AccountLimitChanged {
--- a/packages/coordination/marjorambay/coordination/retry_budget.h
+++ b/packages/coordination/marjorambay/coordination/retry_budget.h
@@ -34,6 +34,8 @@
     Left = std::min(Left, Reserve);
   }
 
+  void setRatio(double Ratio) { Settings.Ratio = Ratio; }
+
   double left() const { return Left; }
 
 private:
--- a/packages/coordination/src/intent_log.cpp
+++ b/packages/coordination/src/intent_log.cpp
@@ -59,7 +59,10 @@
 
 /// Without a clock nothing counts as old.
 WallTime IntentLog::oldestKept() const {
-  return WallOffset ? wallNow() - Settings.Retention : WallTime::min();
+  const Duration Kept = Now < LongerUntil
+                            ? std::max(Settings.Retention, LongerRetention)
+                            : Settings.Retention;
+  return WallOffset ? wallNow() - Kept : WallTime::min();
 }
 
 // ---- Requests ---------------------------------------------------------------
@@ -680,6 +683,16 @@
   on(Lost);
 }
 
+void IntentLog::on(const RetentionChanged &Event) {
+  if (Event.Retention < Settings.Retention) {
+    LongerRetention = Now < LongerUntil
+                          ? std::max(LongerRetention, Settings.Retention)
+                          : Settings.Retention;
+    LongerUntil = Now + LongerRetention;
+  }
+  Settings.Retention = Event.Retention;
+}
+
 void IntentLog::on(const IntentLogTicked &Event) {
   if (Event.Wall != WallTime{})
     WallOffset = Event.Wall.time_since_epoch() - Now.time_since_epoch();
--- a/packages/coordination/src/origin.cpp
+++ b/packages/coordination/src/origin.cpp
@@ -584,6 +584,10 @@
   Settings.MaxDeadline = Event.MaxDeadline;
   Settings.DispatchTimeout = Event.DispatchTimeout;
   Settings.DefaultOutputTokens = Event.DefaultOutputTokens;
+  Settings.Retention = Event.Retention;
+  Settings.Retries.Ratio = Event.RetryRatio;
+  for (auto &[Id, Account] : Accounts)
+    Account.Retries.setRatio(Event.RetryRatio);
 }
 
 void Origin::on(const AccountLimitChanged &Event) {
--- a/packages/coordination/tests/intent_log_test.cpp
+++ b/packages/coordination/tests/intent_log_test.cpp
@@ -312,6 +312,40 @@
   }
 }
 
+TEST_CASE("operators change how long keys are remembered") {
+  Platform Store;
+  Holder A(Store, 1);
+  A.ask(R1);
+  REQUIRE(A.verdict(R1) == Fresh);
+  A.end(R1, false, 200);
+
+  SUBCASE("a shorter time leaves keys that were promised a longer one") {
+    A.step(RetentionChanged{minutes(5)});
+    A.wait(minutes(10));
+    A.ask(R2);
+    CHECK(A.verdict(R2) == IntentVerdict::Applied);
+  }
+  SUBCASE("and is in force once those have run out") {
+    A.step(RetentionChanged{minutes(5)});
+    A.Now += hours(1);
+    A.tick();
+    A.ask(R2);
+    REQUIRE(A.verdict(R2) == Fresh);
+    A.end(R2, false, 200);
+    A.Now += minutes(6);
+    A.tick();
+    A.ask(request(3));
+    CHECK(A.verdict(request(3)) == Fresh);
+  }
+  SUBCASE("a longer time holds for what is known") {
+    A.step(RetentionChanged{hours(3)});
+    A.Now += hours(2);
+    A.tick();
+    A.ask(R2);
+    CHECK(A.verdict(R2) == IntentVerdict::Applied);
+  }
+}
+
 TEST_CASE("a shard's ring is full of keys within the retention") {
   Platform Store;
   Holder A(Store, 1);
--- a/packages/coordination/tests/origin_test.cpp
+++ b/packages/coordination/tests/origin_test.cpp
@@ -178,15 +178,36 @@
 
 TEST_CASE("retries of one account stay within its budget") {
   Bench It;
-  std::size_t Retried = 0;
-  for (std::uint64_t Row = 1; Row <= 200; ++Row) {
-    It.step(completion(RequestId{Row}));
-    It.step(SlotGranted{RequestId{Row}, Fast, Pool});
-    const auto Actions = It.step(DispatchNotSent{RequestId{Row}, 1});
-    Retried += 1 - count<FailCaller>(Actions);
+  const auto RetriedOf200 = [&It]() {
+    std::size_t Retried = 0;
+    for (std::uint64_t Row = 1; Row <= 200; ++Row) {
+      It.step(completion(RequestId{Row}));
+      It.step(SlotGranted{RequestId{Row}, Fast, Pool});
+      const auto Actions = It.step(DispatchNotSent{RequestId{Row}, 1});
+      Retried += 1 - count<FailCaller>(Actions);
+      It.step(CallerLeft{RequestId{Row}});
+    }
+    return Retried;
+  };
+  SUBCASE("a tenth of the requests, and a reserve") {
+    const std::size_t Retried = RetriedOf200();
+    CHECK(Retried >= 20); // a tenth of 200
+    CHECK(Retried <= 30); // and the reserve of 10
+  }
+  SUBCASE("or the share that the configuration gives") {
+    DefaultsChanged Defaults;
+    Defaults.RetryRatio = 0.3;
+    It.step(Defaults);
+    const std::size_t Retried = RetriedOf200();
+    CHECK(Retried >= 60);
+    CHECK(Retried <= 70);
+
+    SUBCASE("from its next change on") {
+      Defaults.RetryRatio = 0;
+      It.step(Defaults);
+      CHECK(RetriedOf200() <= 10);
+    }
   }
-  CHECK(Retried >= 20); // a tenth of 200
-  CHECK(Retried <= 30); // and the reserve of 10
 }
 
 TEST_CASE("a request that waits") {
