Count outcomes by account and tier, sample successes, and start hosts with fewer calls

Lines of served requests are expendable: they are left out before others when a reader is slow, and `[log] success_share` thins them out, the same requests at every host. `[log] level` now holds for lines on standard output too; it was ignored there.

Tests: lists in pages, a host that starts without a watch, a level, successes that are left out and sampled.

--- a/apps/marjorambayd/forward_answers.cpp
+++ b/apps/marjorambayd/forward_answers.cpp
@@ -177,7 +177,7 @@
   H.Callers.answer(Call.Exchange, Call.Status, Call.AnswerHeaders,
                    Call.Gathered);
   H.Numbers.add(Failed ? TierCount::Failed : TierCount::Goodput, Call.Tier);
-  endCall(H, Call, Failed ? "target_status" : "served");
+  endCall(H, Call, Failed ? "target_status" : ServedOutcome);
 }
 
 void finishRelay(ForwardHost &H, ForwardCall &Call) {
@@ -188,7 +188,7 @@
     H.Callers.beginAnswer(Call.Exchange, Call.Status, Call.AnswerHeaders);
   H.Callers.endAnswer(Call.Exchange);
   H.Numbers.add(TierCount::Goodput, Call.Tier);
-  endCall(H, Call, "served");
+  endCall(H, Call, ServedOutcome);
 }
 
 void brokenAnswer(ForwardHost &H, ForwardCall &Call, KeptEnd How) {
--- a/apps/marjorambayd/forward_fleet.cpp
+++ b/apps/marjorambayd/forward_fleet.cpp
@@ -97,6 +97,12 @@
     learnOrder(H, Order);
 }
 
+/// Decides whether this host watches the platform or follows hubs that do.
+void reviewSource(ForwardHost &H) {
+  const std::vector<HostId> Hubs = hubs(H);
+  chooseSource(H, std::find(Hubs.begin(), Hubs.end(), H.Self.Id) != Hubs.end());
+}
+
 /// Part of the fleet that was heard of late, this host included.
 double reach(const ForwardHost &H) {
   const TimePoint Now = H.Loop.now();
@@ -130,6 +136,8 @@
   H.Fleet[From.Id].FreshAt = Digest.Fresh ? H.Loop.now() : TimePoint{};
   takeDigestHere(H, Digest);
   followHub(H, From.Id, Digest);
+  if (H.Watching)
+    reviewSource(H);
 }
 
 void receive(ForwardHost &H, const PeerSender &, const ArbiterMessage &Said) {
@@ -198,9 +206,8 @@
   Beat.Draining = H.Draining;
   Beat.Uses = H.Meter.report();
   H.Ledger.setReach(reach(H));
-  const std::vector<HostId> Hubs = hubs(H);
-  chooseSource(H, std::find(Hubs.begin(), Hubs.end(), H.Self.Id) != Hubs.end());
-  for (const HostId Hub : Hubs) {
+  reviewSource(H);
+  for (const HostId Hub : hubs(H)) {
     if (Hub != H.Self.Id) {
       sendTo(H, Hub, Beat);
       continue;
@@ -300,6 +307,7 @@
       Peer.Address = value(Address);
   }
   shareRepeats(H);
+  reviewSource(H);
 }
 
 } // namespace marjorambay
--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -301,6 +301,8 @@
 ForwardCall *callOf(ForwardHost &H, RequestId Id);
 
 // forward_requests.cpp
+/// Outcome of requests whose answer reached their caller whole.
+inline constexpr std::string_view ServedOutcome = "served";
 void startRequests(ForwardHost &H);
 /// Tells the caller that its request was not served, and ends it.
 void failCall(ForwardHost &H, ForwardCall &Call, ErrorKind Why,
--- a/apps/marjorambayd/forward_objects.cpp
+++ b/apps/marjorambayd/forward_objects.cpp
@@ -189,8 +189,11 @@
   for (const ObjectMirror &Each : H.Mirrors)
     Known = Known && Each.known();
   const bool Watch = IsHub || !Fed || !Known || Now < H.WatchUntil;
-  if (Watch == H.Watching)
+  if (Watch == H.Watching) {
+    if (IsHub)
+      H.WatchWanted.emit(true); // others wait for what it sees
     return;
+  }
   H.Watching = Watch;
   LogLine("platform_source").with("from", Watch ? "platform" : "hubs");
   H.WatchWanted.emit(Watch);
--- a/apps/marjorambayd/forward_requests.cpp
+++ b/apps/marjorambayd/forward_requests.cpp
@@ -125,8 +125,13 @@
                    printError(Reason, Name, Ran));
 }
 
+RequestLabels labelsOf(const ForwardCall &Call) {
+  return {Call.Tier, Call.Account, Call.Version,
+          Call.Route == nullptr ? RouteId{} : Call.Route->Id};
+}
+
 void refuseAtOnce(ForwardHost &H, const CallerRequest &Request,
-                  const Error &Reason) {
+                  const ForwardCall &Call, const Error &Reason) {
   const std::string Name(Request.Head.header(H.Names.Request));
   LogLine("request_refused")
       .with("request", Name)
@@ -137,7 +142,7 @@
       .with(
           "retry_after_ms",
           std::chrono::duration_cast<milliseconds>(Reason.RetryAfter).count());
-  H.Numbers.addOutcome(RouteId{}, nameOf(Reason.Kind));
+  H.Numbers.addOutcome(labelsOf(Call), nameOf(Reason.Kind));
   answerError(H, Request.Id, Reason, Name, MayHaveRun::No);
 }
 
@@ -190,10 +195,10 @@
   const HttpHead &Head = Request.Head;
   Call.Arrived = H.Loop.now();
   if (auto Reason = identify(H, Head, Call))
-    return refuseAtOnce(H, Request, *Reason);
+    return refuseAtOnce(H, Request, Call, *Reason);
   readTokens(H, Head, Call);
   if (auto Reason = charge(H, Call))
-    return refuseAtOnce(H, Request, *Reason);
+    return refuseAtOnce(H, Request, Call, *Reason);
   Call.Id = static_cast<RequestId>(++H.LastRequest);
   Call.Exchange = Request.Id;
   Call.Name = Head.header(H.Names.Request);
@@ -295,13 +300,22 @@
   endCall(H, Call, nameOf(Why));
 }
 
-void endCall(ForwardHost &H, ForwardCall &Call, std::string_view Outcome) {
-  const TimePoint Now = H.Loop.now();
-  const auto Ms = [](Duration Time) {
-    return std::chrono::duration_cast<milliseconds>(Time).count();
+/// Every host draws the same for one request.
+bool isSampled(const ForwardHost &H, const ForwardCall &Call) {
+  constexpr std::uint64_t Parts = 10'000;
+  return static_cast<double>(hash64(Call.Name) % Parts) <
+         H.Settings.LogSuccessShare * static_cast<double>(Parts);
+}
+
+void logEnd(const ForwardCall &Call, std::string_view Outcome, TimePoint Now) {
+  const auto MsSince = [&Call](TimePoint At) {
+    return At == TimePoint{}
+               ? -1
+               : std::chrono::duration_cast<milliseconds>(At - Call.Arrived)
+                     .count();
   };
-  LogLine("request_ended")
-      .with("request", Call.Name)
+  LogLine Line("request_ended");
+  Line.with("request", Call.Name)
       .with("outcome", Outcome)
       .with("status", Call.Status)
       .with("route", Call.Route->Name)
@@ -310,18 +324,21 @@
       .with("target", Call.TargetName)
       .with("attempts", Call.Attempts)
       .with("config", static_cast<std::int64_t>(Call.Table->version()))
-      .with("wait_ms", Call.DispatchedAt == TimePoint{}
-                           ? -1
-                           : Ms(Call.DispatchedAt - Call.Arrived))
-      .with("first_ms", Call.FirstEventAt == TimePoint{}
-                            ? -1
-                            : Ms(Call.FirstEventAt - Call.Arrived))
-      .with("total_ms", Ms(Now - Call.Arrived))
+      .with("wait_ms", MsSince(Call.DispatchedAt))
+      .with("first_ms", MsSince(Call.FirstEventAt))
+      .with("total_ms", MsSince(Now))
       .with("events", Call.EventsBefore + Call.Events.events())
       .with("prompt", Call.PromptTokens);
-  H.Numbers.addOutcome(Call.Route->Id, Outcome);
-  const RequestLabels Labels{Call.Tier, Call.Account, Call.Version,
-                             Call.Route->Id};
+  if (Outcome == ServedOutcome)
+    Line.expendable();
+}
+
+void endCall(ForwardHost &H, ForwardCall &Call, std::string_view Outcome) {
+  const TimePoint Now = H.Loop.now();
+  if (Outcome != ServedOutcome || isSampled(H, Call))
+    logEnd(Call, Outcome, Now);
+  const RequestLabels Labels = labelsOf(Call);
+  H.Numbers.addOutcome(Labels, Outcome);
   H.Numbers.observe(Span::Total, Labels, Now - Call.Arrived);
   if (Call.DispatchedAt != TimePoint{})
     H.Numbers.observe(Span::QueueWait, Labels,
--- a/apps/marjorambayd/main.cpp
+++ b/apps/marjorambayd/main.cpp
@@ -95,7 +95,7 @@
   if (!ok(Store))
     return failed(error(Store));
   ForwardHost Host(std::move(Settings), platformHeaders());
-  startLineLog(Host.Timers);
+  startLineLog(Host.Timers, Host.Settings.LogLevel);
   PlatformAdapter Adapter(Host, value(Store));
   const Result<Done> Started = startForwarding(Host);
   if (!ok(Started))
--- a/packages/state/marjorambay/state/metrics.h
+++ b/packages/state/marjorambay/state/metrics.h
@@ -105,9 +105,11 @@
   void add(TierCount What, TierRank Tier, std::uint64_t Amount = 1);
   void add(HostCount What, std::uint64_t Amount = 1);
 
-  /// Counts a request that ended so on a route, by its name.
-  void addOutcome(RouteId Route, std::string_view Outcome);
-  std::uint64_t outcomes(RouteId Route, std::string_view Outcome) const;
+  /// Counts a request that ended so: once for its route, its tier and, if it
+  /// has one, its account.
+  void addOutcome(const RequestLabels &Labels, std::string_view Outcome);
+  std::uint64_t outcomes(LabelKind Kind, std::uint64_t Id,
+                         std::string_view Outcome) const;
 
   std::uint64_t count(TierCount What, TierRank Tier) const;
   std::uint64_t count(HostCount What) const;
--- a/packages/state/marjorambay/state/settings.h
+++ b/packages/state/marjorambay/state/settings.h
@@ -65,6 +65,7 @@
   Duration DrainTimeout = minutes(30); ///< requests in progress may take this
   // [log]
   std::string LogLevel = "info"; ///< info, warning or error
+  double LogSuccessShare = 1;    ///< of requests served, told by a line each
 };
 
 /// Field of HostSettings that a row sets.
--- a/packages/state/src/metrics.cpp
+++ b/packages/state/src/metrics.cpp
@@ -19,6 +19,8 @@
 
 using SpanHistograms = std::array<LatencyHistogram, SpanCount>;
 
+using OutcomeCounts = std::map<std::string, std::uint64_t, std::less<>>;
+
 struct LabelSeries {
   std::unordered_map<std::uint64_t, SpanHistograms> ById{};
   std::unordered_map<std::uint64_t, std::string> Names{};
@@ -82,6 +84,23 @@
       << Name << "_count{" << Label << "} " << Total << "\n";
 }
 
+/// The family of routes has the plain name.
+void printOutcomes(
+    std::ostream &Out, LabelKind Kind, const LabelSeries &Series,
+    const std::unordered_map<std::uint64_t, OutcomeCounts> &ById) {
+  if (ById.empty())
+    return;
+  const std::string Label(nameOf(Kind));
+  const std::string Name = "marjorambay_" +
+                           (Kind == LabelKind::Route ? "" : Label + "_") +
+                           "requests_total";
+  Out << "# TYPE " << Name << " counter\n";
+  for (const auto &[Id, Counts] : ById)
+    for (const auto &[Outcome, Count] : Counts)
+      Out << Name << "{" << Label << "=\"" << labelName(Series, Id)
+          << "\",outcome=\"" << escaped(Outcome) << "\"} " << Count << "\n";
+}
+
 void printSpan(std::ostream &Out, Span What, LabelKind Kind,
                const LabelSeries &Series) {
   const std::string Name = "marjorambay_" + std::string(nameOf(Kind)) + "_" +
@@ -100,7 +119,9 @@
   std::array<LabelSeries, LabelKindCount> Series{};
   std::array<std::array<std::uint64_t, MaxTiers>, TierCountCount> ByTier{};
   std::array<std::uint64_t, HostCountCount> ByHost{};
-  std::map<std::pair<std::uint64_t, std::string>, std::uint64_t> Outcomes{};
+  /// By label, id and outcome.
+  std::array<std::unordered_map<std::uint64_t, OutcomeCounts>, LabelKindCount>
+      Outcomes{};
 
   LabelSeries &of(LabelKind Kind) { return Series[index(Kind)]; }
 };
@@ -121,18 +142,32 @@
     Record(LabelKind::Route, number(Labels.Route));
 }
 
-void Metrics::addOutcome(RouteId Route, std::string_view Outcome) {
-  const std::pair Key(number(Route), std::string(Outcome));
-  const bool Known = Data->Outcomes.count(Key) != 0;
-  if (Known || Data->Outcomes.size() < MaxSeriesPerLabel)
-    ++Data->Outcomes[Key];
-  else
-    ++Data->Outcomes[{OtherSeries, std::string(Outcome)}];
+void Metrics::addOutcome(const RequestLabels &Labels,
+                         std::string_view Outcome) {
+  const auto Count = [&](LabelKind Kind, std::uint64_t Id) {
+    auto &ById = Data->Outcomes[index(Kind)];
+    const bool Room = ById.size() < MaxSeriesPerLabel || ById.count(Id) != 0;
+    OutcomeCounts &Counts = ById[Room ? Id : OtherSeries];
+    const auto Found = Counts.find(Outcome);
+    if (Found == Counts.end())
+      Counts.emplace(Outcome, 1);
+    else
+      ++Found->second;
+  };
+  Count(LabelKind::Route, number(Labels.Route));
+  Count(LabelKind::Tier, number(Labels.Tier));
+  if (Labels.Account != AccountId{})
+    Count(LabelKind::Account, number(Labels.Account));
 }
 
-std::uint64_t Metrics::outcomes(RouteId Route, std::string_view Outcome) const {
-  const auto Found = Data->Outcomes.find({number(Route), std::string(Outcome)});
-  return Found == Data->Outcomes.end() ? 0 : Found->second;
+std::uint64_t Metrics::outcomes(LabelKind Kind, std::uint64_t Id,
+                                std::string_view Outcome) const {
+  const auto &ById = Data->Outcomes[index(Kind)];
+  const auto Counts = ById.find(Id);
+  if (Counts == ById.end())
+    return 0;
+  const auto Found = Counts->second.find(Outcome);
+  return Found == Counts->second.end() ? 0 : Found->second;
 }
 
 void Metrics::add(TierCount What, TierRank Tier, std::uint64_t Amount) {
@@ -206,11 +241,9 @@
             << labelName(Tiers, Rank) << "\"} " << Data->ByTier[What][Rank]
             << "\n";
   }
-  Out << "# TYPE marjorambay_requests_total counter\n";
-  for (const auto &[Key, Count] : Data->Outcomes)
-    Out << "marjorambay_requests_total{route=\""
-        << labelName(Data->of(LabelKind::Route), Key.first) << "\",outcome=\""
-        << escaped(Key.second) << "\"} " << Count << "\n";
+  for (std::size_t Kind = 0; Kind < LabelKindCount; ++Kind)
+    printOutcomes(Out, static_cast<LabelKind>(Kind), Data->Series[Kind],
+                  Data->Outcomes[Kind]);
   for (std::size_t Kind = 0; Kind < LabelKindCount; ++Kind)
     for (std::size_t What = 0; What < SpanCount; ++What)
       printSpan(Out, static_cast<Span>(What), static_cast<LabelKind>(Kind),
--- a/packages/state/src/settings.cpp
+++ b/packages/state/src/settings.cpp
@@ -96,6 +96,8 @@
      24 * HourMs, "ms", "that a stop waits for requests in progress"},
     {"log", "level", &Host::LogLevel, LogSeverity, false, 0, 0, "",
      "lowest severity logged: info, warning or error"},
+    {"log", "success_share", &Host::LogSuccessShare, Fraction, false, 0, 1, "",
+     "of forwarded requests that are served, told by a line each"},
 });
 
 std::string fullKey(const SettingRow &Row) {
--- a/packages/state/tests/metrics_test.cpp
+++ b/packages/state/tests/metrics_test.cpp
@@ -18,19 +18,38 @@
   for (int Count = 0; Count < 5; ++Count)
     Recorded.observe(Span::FirstToken, Labels, milliseconds(3000));
 
-  SUBCASE("outcomes are counted by route, within bounds") {
-    const RouteId Route{5};
+  SUBCASE("outcomes are counted by route, tier and account, within bounds") {
+    RequestLabels Call{TierRank{0}, AccountId{7}, VersionId{}, RouteId{5}};
     Recorded.nameLabel(LabelKind::Route, 5, "sheet");
-    Recorded.addOutcome(Route, "served");
-    Recorded.addOutcome(Route, "served");
-    CHECK(Recorded.outcomes(Route, "served") == 2);
-    CHECK(Recorded.prometheusText().find(
-              "marjorambay_requests_total{route=\"sheet\",outcome=\"served\"} "
-              "2\n") != std::string::npos);
-    for (std::uint64_t Id = 10; Id < 10 + 2 * MaxSeriesPerLabel; ++Id)
-      Recorded.addOutcome(RouteId{Id}, "served");
-    CHECK(Recorded.prometheusText().find("route=\"other\"") !=
-          std::string::npos);
+    Recorded.nameLabel(LabelKind::Tier, 0, "gold");
+    Recorded.nameLabel(LabelKind::Account, 7, "member");
+    Recorded.addOutcome(Call, "served");
+    Recorded.addOutcome(Call, "served");
+    Recorded.addOutcome(Call, "over_quota");
+    CHECK(Recorded.outcomes(LabelKind::Route, 5, "served") == 2);
+    CHECK(Recorded.outcomes(LabelKind::Account, 7, "over_quota") == 1);
+    const std::string Text = Recorded.prometheusText();
+    CHECK(contains(Text, "marjorambay_requests_total{route=\"sheet\","
+                         "outcome=\"served\"} 2\n"));
+    CHECK(contains(Text, "marjorambay_tier_requests_total{tier=\"gold\","
+                         "outcome=\"over_quota\"} 1\n"));
+    CHECK(contains(Text, "marjorambay_account_requests_total{account="
+                         "\"member\",outcome=\"served\"} 2\n"));
+
+    SUBCASE("of accounts that are unknown none is told") {
+      Recorded.addOutcome({}, "unauthenticated");
+      CHECK(Recorded.outcomes(LabelKind::Account, 0, "unauthenticated") == 0);
+      CHECK(Recorded.outcomes(LabelKind::Route, 0, "unauthenticated") == 1);
+    }
+    SUBCASE("what is beyond the bound is counted together") {
+      for (std::uint64_t Id = 10; Id < 10 + 2 * MaxSeriesPerLabel; ++Id) {
+        Call.Route = RouteId{Id};
+        Call.Account = AccountId{Id};
+        Recorded.addOutcome(Call, "served");
+      }
+      CHECK(contains(Recorded.prometheusText(), "route=\"other\""));
+      CHECK(contains(Recorded.prometheusText(), "account=\"other\""));
+    }
   }
   SUBCASE("by tier, account and version") {
     CHECK(Recorded.seriesCount() == 3);
--- a/packages/transport/marjorambay/transport/log.h
+++ b/packages/transport/marjorambay/transport/log.h
@@ -17,10 +17,11 @@
 
 class TimerService;
 
-/// Sends log lines to standard output instead: gathered, written when the
-/// descriptor takes them and never waited for. Lines beyond a bound are left
-/// out, and how many is said in a line of its own.
-void startLineLog(TimerService &Timers);
+/// Sends log lines of \p Level and above to standard output instead: gathered,
+/// written when the descriptor takes them and never waited for. Lines beyond a
+/// bound are left out, expendable ones first, and how many is said in a line of
+/// its own.
+void startLineLog(TimerService &Timers, std::string_view Level = "info");
 /// Writes what is gathered, as far as that goes, and ends startLineLog().
 void stopLineLog();
 
@@ -35,10 +36,14 @@
   /// Adds key=value; a value with blanks, quotes or "=" is quoted.
   LogLine &with(std::string_view Key, std::string_view Value);
   LogLine &with(std::string_view Key, std::int64_t Value);
+  /// Left out before others are, when not all find room: it tells of nothing
+  /// that anyone will have to explain.
+  LogLine &expendable();
 
 private:
   std::string Line{};
   LogLevel Level;
+  bool Expendable = false;
 };
 
 } // namespace marjorambay
--- a/packages/transport/src/log.cpp
+++ b/packages/transport/src/log.cpp
@@ -15,6 +15,9 @@
 
 namespace {
 
+constexpr auto LevelNames =
+    std::to_array<std::string_view>({"info", "warning", "error"});
+
 bool needsQuotes(std::string_view Value) {
   if (Value.empty())
     return true;
@@ -43,12 +46,16 @@
   static constexpr Duration WriteInterval = milliseconds(200);
 
   bool Active = false;
+  LogLevel Lowest = LogLevel::Info;
   std::string Lines{};
   std::uint64_t Dropped = 0;
   TimerConnection Timer{};
 
-  void add(std::string_view Level, const std::string &Line) {
-    if (Lines.size() + Line.size() > MostBytes) {
+  void add(LogLevel Level, const std::string &Line, bool Expendable) {
+    if (Level < Lowest)
+      return;
+    const std::size_t Room = Expendable ? MostBytes / 2 : MostBytes;
+    if (Lines.size() + Line.size() > Room) {
       ++Dropped;
       return;
     }
@@ -60,7 +67,7 @@
                       "t=%lld.%03ld level=", static_cast<long long>(Now.tv_sec),
                       Now.tv_nsec / 1000000);
     Lines.append(Stamp.data(), static_cast<std::size_t>(Size));
-    Lines += Level;
+    Lines += LevelNames[static_cast<std::size_t>(Level)];
     Lines += ' ';
     Lines += Line;
     Lines += '\n';
@@ -89,11 +96,14 @@
 
 } // namespace
 
-void startLineLog(TimerService &Timers) {
+void startLineLog(TimerService &Timers, std::string_view Level) {
   const int Flags = fcntl(STDOUT_FILENO, F_GETFL);
   fcntl(STDOUT_FILENO, F_SETFL, Flags | O_NONBLOCK);
   LineBuffer &Buffer = lineBuffer();
   Buffer.Active = true;
+  Buffer.Lowest = Level == "error"     ? LogLevel::Error
+                  : Level == "warning" ? LogLevel::Warning
+                                       : LogLevel::Info;
   Buffer.Timer =
       Timers.every(LineBuffer::WriteInterval, [&Buffer]() { Buffer.write(); });
 }
@@ -121,9 +131,7 @@
 
 LogLine::~LogLine() {
   if (lineBuffer().Active) {
-    constexpr auto Names =
-        std::to_array<std::string_view>({"info", "warning", "error"});
-    lineBuffer().add(Names[static_cast<std::size_t>(Level)], Line);
+    lineBuffer().add(Level, Line, Expendable);
     return;
   }
   switch (Level) {
@@ -139,6 +147,11 @@
   }
 }
 
+LogLine &LogLine::expendable() {
+  Expendable = true;
+  return *this;
+}
+
 LogLine &LogLine::with(std::string_view Key, std::string_view Value) {
   Line += ' ';
   Line += Key;
--- a/packages/transport/tests/line_log_test.cpp
+++ b/packages/transport/tests/line_log_test.cpp
@@ -49,6 +49,33 @@
       stopLineLog();
       Seen = Output.read();
     }
+    SUBCASE("leave successes out before failures") {
+      const std::string Long(200, 'x');
+      for (int Line = 0; Line < 20'000; ++Line)
+        LogLine("served").with("text", Long).expendable();
+      LogLine("failed").with("request", "r1");
+      const auto Has = [&](std::string_view Part) {
+        return Seen.find(Part) != std::string::npos;
+      };
+      runUntil([&]() {
+        Seen += Output.read();
+        return Has("event=failed request=r1\n");
+      });
+      runUntil([&]() {
+        Seen += Output.read();
+        return Seen.find("event=log_lines_dropped") != std::string::npos;
+      });
+      stopLineLog();
+    }
+    SUBCASE("are those of the level that is asked for") {
+      stopLineLog();
+      startLineLog(Timers, "warning");
+      LogLine("quiet");
+      LogLine("happened", LogLevel::Warning).with("what", "a b").with("n", 3);
+      stopLineLog();
+      Seen = Output.read();
+      CHECK(Seen.find("event=quiet") == std::string::npos);
+    }
     SUBCASE("don't block when nobody reads, and what is lost is counted") {
       const std::string Long(200, 'x');
       for (int Line = 0; Line < 20'000; ++Line)
--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -105,7 +105,7 @@
 class Store(Server):
     """The object store. `mode`: up, silent, busy, reset."""
 
-    def __init__(self, runner):
+    def __init__(self, runner, page=500):
         self.kinds = {}
         self.revision = 100
         self.events = []  # (revision, kind, object, deleted)
@@ -114,6 +114,8 @@
         self.mode = "up"
         self.lose_writes = 0  # so many are done and not answered
         self.calls = 0
+        self.page = page  # objects of one answer to a list
+        self.watches = {}  # by the connection that they came on
         super().__init__(runner)
 
     # ---- What a test or an operator does ----
@@ -195,6 +197,9 @@
         if message is None:
             return False
         self.calls += 1
+        if "watch=" in message[0]:
+            caller = writer.get_extra_info("peername")
+            self.watches[caller] = self.watches.get(caller, 0) + 1
         if self.mode == "silent":
             await asyncio.sleep(60)
             return False
@@ -244,7 +249,7 @@
             )
         after = query.get("after_revision", "")
         names = sorted(each for each in objects if each > after)
-        page = names[:500]
+        page = names[:self.page]
         return 200, {
             "items": [objects[each] for each in page],
             "has_more": len(names) > len(page),
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -242,6 +242,30 @@
         for answer in pace(0.2, lambda: fleet.call("/safe/a")):
             self.assert_served(answer)
 
+    def test_lists_are_read_page_by_page(self):
+        fleet = self.fleet(hosts=3, workers=5, page=2)
+        place = self.arbiter_of(fleet)
+        # Five workers of four slots each.
+        wait_until(lambda: fleet.hosts[place].lines("pool_load", declared=20),
+                   "all workers at the arbiter", 3)
+        fleet.configure(6)  # the watch goes on from the list
+        wait_until(lambda: fleet.in_force(6), "version 6", 3)
+
+    def test_a_host_that_starts_follows_hubs_without_a_watch(self):
+        fleet = self.fleet(hosts=6)
+        time.sleep(1)
+        follower = next(host for host in fleet.hosts
+                        if host.lines("platform_source", **{"from": "hubs"}))
+        known = set(fleet.store.watches)
+        follower.kill()
+        follower.start()
+        wait_until(follower.ready, "ready again", 5)
+        time.sleep(2)
+        self.assertEqual(set(fleet.store.watches) - known, set())
+        fleet.configure(6)
+        wait_until(lambda: follower.lines("config_in_force", version=6),
+                   "version 6", 3)
+
     def test_a_planned_stop_cuts_nothing(self):
         fleet = self.fleet(hosts=2)
         for worker in fleet.of("pool"):
@@ -453,9 +477,28 @@
         self.assertIn('marjorambay_requests_total{route="safe",'
                       'outcome="served"} 1', text)
         self.assertIn('outcome="unauthenticated"} 1', text)
+        self.assertIn('marjorambay_account_requests_total{account="one",'
+                      'outcome="served"} 1', text)
+        self.assertIn('marjorambay_tier_requests_total{tier="1",'
+                      'outcome="served"} 1', text)
         self.assertIn('marjorambay_route_total_seconds_count{route="safe"} 1',
                       text)
 
+    def test_successes_are_sampled_and_failures_are_not(self):
+        fleet = self.fleet(hosts=1)
+        host = fleet.hosts[0]
+        host.kill()
+        host.settings.write_text(host.settings.read_text()
+                                 + "\n[log]\nsuccess_share = 0\n")
+        host.start()
+        wait_until(host.ready, "ready")
+        self.assert_served(fleet.call("/safe/a"))
+        for worker in fleet.of("desk"):
+            worker.trouble = lambda run: "reset_after"
+        lost = fleet.call("/once/a")
+        self.story(fleet, lost.attempt)
+        self.assertEqual(len(host.lines("request_ended")), 1)
+
 
 class LimitTest(ForwardingTest):
     """Rates of accounts, and budgets of repeats."""
--- a/tests/system/platform_fleet.py
+++ b/tests/system/platform_fleet.py
@@ -165,13 +165,13 @@
     """A store, workers of two services, and daemons."""
 
     def __init__(self, hosts=2, bounds=None, workers=2, first=None,
-                 proxied=False):
+                 proxied=False, page=500):
         self.bounds = bounds or {}
         self.proxied, self.proxies = proxied, {}
         self.temporary = tempfile.TemporaryDirectory(prefix="marjorambay-")
         self.folder = pathlib.Path(self.temporary.name)
         self.runner = Loop()
-        self.store = Store(self.runner)
+        self.store = Store(self.runner, page)
         self.store.put("config", "main", first or config(3))
         self.workers = {}
         for service, number in itertools.product(("desk", "pool"),
