--- a/apps/marjorambayd/forward_pools.cpp
+++ b/apps/marjorambayd/forward_pools.cpp
@@ -307,11 +307,34 @@
     send(H, Knows, Pool, Event);
 }
 
+namespace {
+
+/// Logs that the end of a request made the arbiter leave its target out.
+void logIfLeftOut(const ForwardHost &H, const Arbiter &Policy,
+                  const SlotReleased &Released, TargetId Target,
+                  bool WasUsable) {
+  const TimePoint Now = H.Loop.now();
+  if (!WasUsable || Policy.targets().usable(Target, Now))
+    return;
+  const ListedTarget *Known = targetOf(H, Target);
+  LogLine("target_left_out", LogLevel::Warning)
+      .with("target", Known == nullptr ? "unlisted" : Known->Name)
+      .with("end", nameOf(Released.Used.End));
+}
+
+} // namespace
+
 void toArbiter(ForwardHost &H, PoolId Pool, const ArbiterEvent &Event) {
   Arbiter &Held = wholeArbiter(H, Pool);
+  const auto *Released = std::get_if<SlotReleased>(&Event);
+  const Slot *Ended = Released == nullptr ? nullptr : Held.slot(Released->Key);
+  const TargetId At = Ended == nullptr ? TargetId{} : Ended->Target;
+  const bool WasUsable = Held.targets().usable(At, H.Loop.now());
   if (std::holds_alternative<SlotRequested>(Event))
     H.Pools[Pool].WholeUsedAt = H.Loop.now();
   const ArbiterActions Actions = Held.step(Event, H.Loop.now());
+  if (number(At) != 0)
+    logIfLeftOut(H, Held, *Released, At, WasUsable);
   for (const ArbiterAction &Action : Actions) {
     const HostId Origin =
         std::visit([](const auto &Known) { return Known.Key.Origin; }, Action);
--- a/bench/policy_bench/workload.h
+++ b/bench/policy_bench/workload.h
@@ -20,6 +20,8 @@
   std::uint32_t Prompt = 0; ///< tokens, mean
   std::uint32_t Output = 1; ///< tokens, mean
   Duration Deadline{};
+  Duration From{}; ///< arrives from then on
+  Duration Until = Duration::max();
 };
 
 /// Offered work from a time on, in multiples of what the engines can do.
@@ -28,6 +30,13 @@
   double Load = 0;
 };
 
+/// How many of the engines are listed from a time on; the others leave, and
+/// finish what they have.
+struct PoolChange {
+  Duration At{};
+  std::size_t Listed = 0;
+};
+
 struct Scenario {
   std::string Name{};
   std::vector<EngineSpec> Engines{};
@@ -40,6 +49,13 @@
   std::size_t SlowEngine = 0;    ///< runs at a fifth of its speed for a while
   Duration SlowFrom{};
   Duration SlowUntil{};
+  std::vector<PoolChange> Changes{};
+  std::size_t DeadEngine = 0; ///< fails what it gets at once for a while
+  Duration DeadFrom{};
+  Duration DeadUntil{};
+  double HotPrefixShare = 0;  ///< of long prompts, that begin alike
+  bool CallersReturn = false; ///< a refused one comes once more, when told to
+  bool KnownRed = false;      ///< what it misses is listed in KNOWN-RED.txt
 };
 
 struct Arrival {
--- a/packages/coordination/marjorambay/coordination/requests.h
+++ b/packages/coordination/marjorambay/coordination/requests.h
@@ -2,10 +2,13 @@
 #ifndef MARJORAMBAY_COORDINATION_REQUESTS_H
 #define MARJORAMBAY_COORDINATION_REQUESTS_H
 
+#include "marjorambay/state/enum_names.h"
 #include "marjorambay/state/ids.h"
 #include "marjorambay/state/time.h"
 
+#include <array>
 #include <cstdint>
+#include <string_view>
 
 namespace marjorambay {
 
@@ -46,6 +49,10 @@
   Failed,    ///< the target answered with an error, or cut the answer
   Cancelled, ///< the caller left
 };
+template <>
+inline constexpr std::array NamesOf<UsageEnd> = std::to_array<std::string_view>(
+    {"complete", "not_run", "failed", "cancelled"});
+static_assert(NamesOf<UsageEnd>.size() == 4);
 
 /// What a dispatched request used; feeds speed and length learning.
 struct Usage {
--- a/packages/coordination/marjorambay/coordination/target_health.h
+++ b/packages/coordination/marjorambay/coordination/target_health.h
@@ -39,8 +39,8 @@
         Ejections = 0;
       return;
     }
-    const bool Outlier = Failures >= Settings.LeastSeen &&
-                         Share > Settings.EjectAbove + PoolShare;
+    const bool Outlier = OnTrial || (Failures >= Settings.LeastSeen &&
+                                     Share > Settings.EjectAbove + PoolShare);
     if (!Outlier || Now < Until)
       return;
     Until = Now + backOff(Settings.FirstEjection, Ejections++);
--- a/packages/coordination/marjorambay/coordination/target_table.h
+++ b/packages/coordination/marjorambay/coordination/target_table.h
@@ -94,6 +94,10 @@
   void learnProgress(Slot &Held, std::uint32_t Tokens, TimePoint Now);
   void learnRelease(const Slot &Held, const Usage &Used, TimePoint Now);
 
+  /// Returns whether the answers of \p Target, if it is known, are no reason to
+  /// leave it out.
+  bool usable(TargetId Target, TimePoint Now) const;
+
   /// Judges a target by how a request ended there.
   void judge(TargetId Target, UsageEnd End, TimePoint Now);
 
@@ -153,6 +157,8 @@
 
   std::uint32_t limitOf(const Entry &Each, TimePoint Now) const;
   void forgetUnlisted();
+  static void learnOverdue(Entry &Each, const Slot &Held, const Usage &Used,
+                           TimePoint Now);
   void learnFirstProgress(Entry &Each, const Slot &Held, std::uint32_t Tokens,
                           TimePoint Now);
   bool available(const Entry &Each, const VersionShare &Shares) const;
--- a/packages/coordination/src/arbiter.cpp
+++ b/packages/coordination/src/arbiter.cpp
@@ -14,6 +14,10 @@
 // Of the capacity, for a tier whose betters ask for all of it.
 constexpr double SmallestShare = 0.02;
 
+// Prompts are read more slowly while the batch decodes; one whose deadline
+// comes first was read in vain. From scripts/policy-bench.
+constexpr double PromptMargin = 1.5;
+
 constexpr double ShortestRetry = 0.1; // seconds
 constexpr double LongestRetry = 30.0; // seconds
 
@@ -76,7 +80,8 @@
   const LengthEstimate Length = Costs.estimate(Request);
   Entry.Cost = {Request.Cost.Prompt, Length.Mean};
   Entry.LeastCost = {Request.Cost.Prompt, Length.Least};
-  Entry.SafeCost = {Request.Cost.Prompt, Length.Most};
+  const double Prompt = PromptMargin * Request.Cost.Prompt;
+  Entry.SafeCost = {static_cast<std::uint32_t>(Prompt), Length.Most};
   Entry.Work = workOf(Entry.Cost);
   Entry.Queued = Now;
   Entry.Deadline = Now + Request.Remaining;
--- a/packages/coordination/src/target_table.cpp
+++ b/packages/coordination/src/target_table.cpp
@@ -132,6 +132,11 @@
              (1 - Settings.MostEjected) * static_cast<double>(Listed);
 }
 
+bool TargetTable::usable(TargetId Target, TimePoint Now) const {
+  const Entry *Each = find(Target);
+  return Each == nullptr || Each->Health.usable(Now);
+}
+
 void TargetTable::judge(TargetId Target, UsageEnd End, TimePoint Now) {
   constexpr double Gain = 0.03; // of one answer in the pool's share
   const auto Found = Places.find(Target);
@@ -313,12 +318,33 @@
   Held.TokensAt = Now;
 }
 
+/// A request was given up before its first token. If that was already late, the
+/// target is slower than was thought. Learned from whole answers alone, it
+/// would seem as fast as the few that are in time.
+void TargetTable::learnOverdue(Entry &Each, const Slot &Held, const Usage &Used,
+                               TimePoint Now) {
+  const bool Begun =
+      Held.Tokens != 0 || Used.OutputTokens > 1 ||
+      (Used.ToFirstToken.count() > 0 && Used.ToFirstToken < Used.Total);
+  const Duration Waited = Now - Held.Granted;
+  const double Expected =
+      Each.Model.firstTokenSeconds(Held.Cost.Prompt, Held.PromptAhead, Now);
+  if (!Begun && toSeconds(Waited) > Expected)
+    Each.Model.learnPrefill(Held.Cost.Prompt,
+                            static_cast<std::uint32_t>(Held.PromptAhead),
+                            Waited, Now);
+}
+
 void TargetTable::learnRelease(const Slot &Held, const Usage &Used,
                                TimePoint Now) {
   const auto Found = Places.find(Held.Target);
-  if (Found == Places.end() || Used.End != UsageEnd::Complete)
+  if (Found == Places.end())
     return;
   Entry &Each = Entries[Found->second];
+  if (Used.End == UsageEnd::Cancelled)
+    return learnOverdue(Each, Held, Used, Now);
+  if (Used.End != UsageEnd::Complete)
+    return;
   Each.Refusals = 0;
   const std::uint32_t Uncached =
       Used.PromptTokens - std::min(Used.PromptTokens, Used.CachedTokens);
--- a/packages/coordination/tests/arbiter_test.cpp
+++ b/packages/coordination/tests/arbiter_test.cpp
@@ -82,6 +82,45 @@
   }
 }
 
+TEST_CASE("an engine that misses deadlines is not taken for a fast one") {
+  Arbiter Policy;
+  const TimePoint Start = at(seconds(0));
+  Policy.step(TargetsChanged{{worker("w1", 8), worker("w2", 8)}}, Start);
+  Reservation Long = reservation(1);
+  Long.Cost.Prompt = 6000; // 0.6 s at the guessed speed
+  const auto First =
+      only<GrantSlot>(Policy.step(SlotRequested{Long}, Start)).at(0);
+
+  SUBCASE("one given up late, before its first token, tells how slow it is") {
+    Usage None;
+    None.End = UsageEnd::Cancelled;
+    Policy.step(SlotReleased{Long.Key, None}, at(seconds(8)));
+    Long.Key = key(2);
+    const auto Next =
+        only<GrantSlot>(Policy.step(SlotRequested{Long}, at(seconds(9)))).at(0);
+    CHECK(Next.Target != First.Target);
+  }
+  SUBCASE("one whose caller left in the middle of its stream tells nothing") {
+    Usage Begun;
+    Begun.End = UsageEnd::Cancelled;
+    Begun.OutputTokens = 40;
+    Policy.step(SlotReleased{Long.Key, Begun}, at(seconds(8)));
+    Long.Key = key(2);
+    const auto Next =
+        only<GrantSlot>(Policy.step(SlotRequested{Long}, at(seconds(9)))).at(0);
+    CHECK(Next.Target == First.Target);
+  }
+  SUBCASE("one whose caller left early tells nothing") {
+    Usage None;
+    None.End = UsageEnd::Cancelled;
+    Policy.step(SlotReleased{Long.Key, None}, at(milliseconds(100)));
+    Long.Key = key(2);
+    const auto Next =
+        only<GrantSlot>(Policy.step(SlotRequested{Long}, at(seconds(9)))).at(0);
+    CHECK(Next.Target == First.Target);
+  }
+}
+
 TEST_CASE("long prompts fill an engine before its slots are") {
   Arbiter Policy;
   const TimePoint Start = at(seconds(0));
--- a/packages/state/marjorambay/state/fleet_config.h
+++ b/packages/state/marjorambay/state/fleet_config.h
@@ -112,7 +112,8 @@
   Duration DispatchTimeout = seconds(30); ///< silence of a target before a cut
   double RetryBudgetRatio = 0.1; ///< retries of proven NotRun per request
   std::uint32_t DefaultOutputTokens = 256; ///< guess before any is learned
-  double TargetFillSeconds = 2.0; ///< work kept at an engine, in seconds
+  double TargetFillSeconds = 0.5; ///< of unread prompts that a target may hold
+                                  ///< before it gets more; scripts/policy-bench
   double CanaryShareCap = 0.01;   ///< largest share of an unproven version
   Duration IdempotencyRetention = hours(1); ///< how long a key is remembered
   bool SpillAcrossZones = true; ///< use another zone before shedding
--- a/packages/state/marjorambay/state/metrics.h
+++ b/packages/state/marjorambay/state/metrics.h
@@ -105,8 +105,8 @@
   void add(TierCount What, TierRank Tier, std::uint64_t Amount = 1);
   void add(HostCount What, std::uint64_t Amount = 1);
 
-  /// Counts a request that ended so: once for its route, its tier and, if it
-  /// has one, its account.
+  /// Counts a request that ended so: for its route, and for its tier and
+  /// account if they are known.
   void addOutcome(const RequestLabels &Labels, std::string_view Outcome);
   std::uint64_t outcomes(LabelKind Kind, std::uint64_t Id,
                          std::string_view Outcome) const;
--- a/packages/state/src/metrics.cpp
+++ b/packages/state/src/metrics.cpp
@@ -155,7 +155,8 @@
       ++Found->second;
   };
   Count(LabelKind::Route, number(Labels.Route));
-  Count(LabelKind::Tier, number(Labels.Tier));
+  if (Labels.Route != RouteId{}) // else its tier was not found either
+    Count(LabelKind::Tier, number(Labels.Tier));
   if (Labels.Account != AccountId{})
     Count(LabelKind::Account, number(Labels.Account));
 }
--- a/packages/state/tests/metrics_test.cpp
+++ b/packages/state/tests/metrics_test.cpp
@@ -40,6 +40,7 @@
       Recorded.addOutcome({}, "unauthenticated");
       CHECK(Recorded.outcomes(LabelKind::Account, 0, "unauthenticated") == 0);
       CHECK(Recorded.outcomes(LabelKind::Route, 0, "unauthenticated") == 1);
+      CHECK(Recorded.outcomes(LabelKind::Tier, 0, "unauthenticated") == 0);
     }
     SUBCASE("what is beyond the bound is counted together") {
       for (std::uint64_t Id = 10; Id < 10 + 2 * MaxSeriesPerLabel; ++Id) {
--- a/packages/transport/marjorambay/transport/kept_client.h
+++ b/packages/transport/marjorambay/transport/kept_client.h
@@ -73,8 +73,6 @@
   CallId start(KeptCall Call);
   /// Closes the call's connection; no callback comes after this.
   void cancel(CallId Id);
-  /// Stops reading the answer, so that the target feels backpressure.
-  void pause(CallId Id, bool Paused);
   /// Ends calls whose time to connect or to answer is over, and closes
   /// connections that have idled for long. Call each few dozen milliseconds.
   void expire(TimePoint Now);
--- a/packages/transport/src/kept_client.cpp
+++ b/packages/transport/src/kept_client.cpp
@@ -218,12 +218,6 @@
     retire(*Connections.at(Found->second));
 }
 
-void KeptClient::pause(CallId Id, bool Paused) {
-  const auto Found = Calls.find(Id);
-  if (Found != Calls.end())
-    Connections.at(Found->second)->Socket.pauseReading(Paused);
-}
-
 void KeptClient::expire(TimePoint Now) {
   while (!Expiries.empty() && Expiries.begin()->first <= Now) {
     Connection &Late = *Connections.at(Expiries.begin()->second);
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -149,6 +149,28 @@
             self.assertEqual(events_of(answer.body), [1, 2, 3, 4, 5])
             self.assertEqual(len(fleet.runs(answer.attempt)), 2)
 
+    def test_a_worker_that_resets_everything_is_left_out(self):
+        fleet = self.fleet()
+        self.arbiter_of(fleet)  # one, that all hosts ask from here on
+        fleet.workers["pool-0"].trouble = lambda run: "reset_before"
+        answers = [answer for host in range(2) for answer in
+                   pace(2, lambda: fleet.call("/streamonce/a", host=host))]
+        failed = [each for each in answers if each.status != 200]
+        self.assertGreater(len(answers), 40)
+        # Three, one on its way, and one at each of two trials in four seconds.
+        self.assertLessEqual(len(failed), 6)
+        self.assertTrue(any(host.lines("target_left_out", target="pool-0")
+                            for host in fleet.hosts))
+        # Back on trial, it serves again.
+        fleet.workers["pool-0"].trouble = lambda run: None
+        before = len(fleet.workers["pool-0"].runs)
+
+        def is_back():
+            with concurrent.futures.ThreadPoolExecutor(6) as pool:
+                list(pool.map(lambda _: fleet.call("/stream/a"), range(6)))
+            return len(fleet.workers["pool-0"].runs) > before
+        wait_until(is_back, "the worker that recovered", 6)
+
     def test_a_stream_that_may_not_resume_ends_as_incomplete(self):
         fleet = self.fleet(hosts=1)
         for worker in fleet.of("pool"):
