--- a/packages/transport/tests/line_log_test.cpp
+++ b/packages/transport/tests/line_log_test.cpp
@@ -70,7 +70,7 @@
     SUBCASE("are those of the level that is asked for") {
       stopLineLog();
       startLineLog(Timers, "warning");
-      LogLine("quiet");
+      LogLine("quiet").with("n", 1);
       LogLine("happened", LogLevel::Warning).with("what", "a b").with("n", 3);
       stopLineLog();
       Seen = Output.read();
