Share what two owners of connections, two contexts and two pool judges did alike

Cause: a read of the whole change found the same logic in two places each. CallerServer and KeptClient kept retired connections until the loop's next turn; Daemon and ForwardHost worked out who they are; the arbiter's target table and the plain pools of a host each had the share of failures of a pool and the rule that at most half of it is left out (one as a setting that nobody set). A beat ranked the hubs twice. Three subcases of a test repeated their steps.

Ruled out: one form of back-off for TargetTable and TargetHealth. Theirs end at 5 s and 8 s, and a refused connection does not put a target on trial.

--- a/apps/marjorambayd/daemon.cpp
+++ b/apps/marjorambayd/daemon.cpp
@@ -2,6 +2,7 @@
 #include "daemon.h"
 
 #include "actions.h"
+#include "host_identity.h"
 #include "rollout_side.h"
 
 #include "marjorambay/protocol/config_manifest_json.h"
@@ -14,11 +15,6 @@
 
 namespace {
 
-HostInfo selfOf(const HostSettings &Settings) {
-  return {idOf<HostId>(Settings.HostName), Settings.PeerAddress,
-          idOf<ZoneId>(Settings.ZoneName), idOf<RegionId>(Settings.RegionName)};
-}
-
 HttpServerLimits callerLimits(const HostSettings &Settings) {
   HttpServerLimits Limits;
   Limits.MaxHeaderBytes = Settings.MaxHeaderBytes;
@@ -85,11 +81,6 @@
   return Made;
 }
 
-Incarnation lifeAt(WallTime Now) {
-  return Incarnation{
-      static_cast<std::uint64_t>(Now.time_since_epoch().count())};
-}
-
 } // namespace
 
 void BufferDeleter::operator()(evbuffer *Buffer) const {
--- a/apps/marjorambayd/forward_answers.cpp
+++ b/apps/marjorambayd/forward_answers.cpp
@@ -52,11 +52,9 @@
                         : Local.Seconds + Gain * (Took - Local.Seconds);
   }
   if (How == UsageEnd::Complete || How == UsageEnd::Failed) {
-    constexpr double PoolGain = 0.03;
     const bool Failed = How == UsageEnd::Failed;
-    PoolState &Pool = H.Pools[Call.Pool];
-    H.Health[Call.At].noteAnswer(!Failed, Pool.FailureShare, H.Loop.now());
-    Pool.FailureShare += PoolGain * ((Failed ? 1.0 : 0.0) - Pool.FailureShare);
+    H.Pools[Call.Pool].Health.noteAnswer(H.Health[Call.At], !Failed,
+                                         H.Loop.now());
     observeVersion(H, Call, Used, Failed);
   }
   releaseSlot(H, Call, Used);
--- a/apps/marjorambayd/forward_fleet.cpp
+++ b/apps/marjorambayd/forward_fleet.cpp
@@ -98,8 +98,7 @@
 }
 
 /// Decides whether this host watches the platform or follows hubs that do.
-void reviewSource(ForwardHost &H) {
-  const std::vector<HostId> Hubs = hubs(H);
+void reviewSource(ForwardHost &H, const std::vector<HostId> &Hubs) {
   chooseSource(H, std::find(Hubs.begin(), Hubs.end(), H.Self.Id) != Hubs.end());
 }
 
@@ -137,7 +136,7 @@
   takeDigestHere(H, Digest);
   followHub(H, From.Id, Digest);
   if (H.Watching)
-    reviewSource(H);
+    reviewSource(H, hubs(H));
 }
 
 void receive(ForwardHost &H, const PeerSender &, const ArbiterMessage &Said) {
@@ -206,8 +205,9 @@
   Beat.Draining = H.Draining;
   Beat.Uses = H.Meter.report();
   H.Ledger.setReach(reach(H));
-  reviewSource(H);
-  for (const HostId Hub : hubs(H)) {
+  const std::vector<HostId> Hubs = hubs(H);
+  reviewSource(H, Hubs);
+  for (const HostId Hub : Hubs) {
     if (Hub != H.Self.Id) {
       sendTo(H, Hub, Beat);
       continue;
@@ -307,7 +307,7 @@
       Peer.Address = value(Address);
   }
   shareRepeats(H);
-  reviewSource(H);
+  reviewSource(H, hubs(H));
 }
 
 } // namespace marjorambay
--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -165,7 +165,7 @@
   std::unique_ptr<Arbiter> Share{}; ///< this host's own part of the slots
   RetryBudget Repeats{};            ///< this host's part
   bool RepeatsShared = false;
-  double FailureShare = 0; ///< of recent answers
+  PoolHealth Health{};
   PoolVersions Versions{};
   HostId ReportedTo{}; ///< arbiter that knows this host's slots
 };
--- a/apps/marjorambayd/forward_lifecycle.cpp
+++ b/apps/marjorambayd/forward_lifecycle.cpp
@@ -1,5 +1,6 @@
 /// Start, stop and ticks of a host that serves forwarded routes.
 #include "forward_host.h"
+#include "host_identity.h"
 
 #include <algorithm>
 #include <csignal>
@@ -24,11 +25,6 @@
 
 const HttpHeaders PlainText{{"Content-Type", "text/plain; charset=utf-8"}};
 
-HostInfo selfOf(const HostSettings &Settings) {
-  return {idOf<HostId>(Settings.HostName), Settings.PeerAddress,
-          idOf<ZoneId>(Settings.ZoneName), idOf<RegionId>(Settings.RegionName)};
-}
-
 ForwardSettings boundsOf(const HostSettings &Settings) {
   ForwardSettings Bounds;
   Bounds.Rollout.CanaryShare = Settings.CanaryShare;
@@ -128,9 +124,7 @@
 ForwardHost::ForwardHost(HostSettings Given, ForwardHeaders Named)
     : Settings(std::move(Given)), Names(std::move(Named)),
       Bounds(boundsOf(Settings)), Self(selfOf(Settings)),
-      Life(Incarnation{static_cast<std::uint64_t>(
-          Loop.wallNow().time_since_epoch().count())}),
-      Random(number(Self.Id) ^ number(Life)),
+      Life(lifeAt(Loop.wallNow())), Random(number(Self.Id) ^ number(Life)),
       Callers(Loop, Timers, limitsOf(Settings)),
       Probes(Loop, Timers, HttpServerLimits{}),
       Operators(Loop, Timers, HttpServerLimits{}), Feeds(Loop, Timers) {}
--- a/apps/marjorambayd/forward_pools.cpp
+++ b/apps/marjorambayd/forward_pools.cpp
@@ -15,8 +15,6 @@
 constexpr double OtherZoneCost = 1.5;
 /// Guessed time of an answer before the first one, in seconds.
 constexpr double GuessedSeconds = 0.02;
-/// Part of a pool's targets that may be kept out by their answers.
-constexpr double MostEjected = 0.5;
 /// An arbiter forgets what an origin held when nothing was heard for this long.
 constexpr Duration OriginPatience = milliseconds(2500);
 /// Of an engine pool's slots, for each tier in which something waits: enough
@@ -167,7 +165,7 @@
     const auto Health = H.Health.find(Id);
     Usable += Health == H.Health.end() || Health->second.usable(Now) ? 1 : 0;
   }
-  return static_cast<double>(Usable) >= MostEjected * static_cast<double>(All);
+  return PoolHealth::mayEject(Usable, All);
 }
 
 const ListedTarget *choosePlain(ForwardHost &H, const ForwardCall &Call,
--- /dev/null
+++ b/apps/marjorambayd/host_identity.h
@@ -0,0 +1,25 @@
+/// Who this host is, in both forms of operation.
+#ifndef MARJORAMBAY_APPS_MARJORAMBAYD_HOST_IDENTITY_H
+#define MARJORAMBAY_APPS_MARJORAMBAYD_HOST_IDENTITY_H
+
+#include "marjorambay/coordination/membership.h"
+#include "marjorambay/state/settings.h"
+
+#include <cstdint>
+
+namespace marjorambay {
+
+inline HostInfo selfOf(const HostSettings &Settings) {
+  return {idOf<HostId>(Settings.HostName), Settings.PeerAddress,
+          idOf<ZoneId>(Settings.ZoneName), idOf<RegionId>(Settings.RegionName)};
+}
+
+/// A later life of a host has a higher number.
+inline Incarnation lifeAt(WallTime Now) {
+  return Incarnation{
+      static_cast<std::uint64_t>(Now.time_since_epoch().count())};
+}
+
+} // namespace marjorambay
+
+#endif // MARJORAMBAY_APPS_MARJORAMBAYD_HOST_IDENTITY_H
--- a/packages/coordination/marjorambay/coordination/target_health.h
+++ b/packages/coordination/marjorambay/coordination/target_health.h
@@ -9,6 +9,7 @@
 #include "marjorambay/state/time.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 
 namespace marjorambay {
@@ -76,6 +77,29 @@
   TimePoint Until{};
 };
 
+/// How often the targets of one pool fail, and whether enough of them answer
+/// well for the others to be left out.
+class PoolHealth {
+public:
+  /// Learns from an answer of \p Target, a target of the pool.
+  void noteAnswer(TargetHealth &Target, bool Good, TimePoint Now) {
+    constexpr double Gain = 0.03; // of one answer in the pool's share
+    Target.noteAnswer(Good, FailureShare, Now);
+    FailureShare += Gain * ((Good ? 0.0 : 1.0) - FailureShare);
+  }
+
+  /// With more than half of the targets failing, it is not they who are at
+  /// fault.
+  static bool mayEject(std::size_t Usable, std::size_t All) {
+    constexpr double LeastUsable = 0.5;
+    return static_cast<double>(Usable) >=
+           LeastUsable * static_cast<double>(All);
+  }
+
+private:
+  double FailureShare = 0;
+};
+
 } // namespace marjorambay
 
 #endif // MARJORAMBAY_COORDINATION_TARGET_HEALTH_H
--- a/packages/coordination/marjorambay/coordination/target_table.h
+++ b/packages/coordination/marjorambay/coordination/target_table.h
@@ -47,9 +47,6 @@
   /// The declared slots are what a target runs at once: a wait for a first
   /// token says that prompts are read, not that requests queue.
   bool DeclaredSlotsHold = false;
-  /// Of the targets, that may be kept out by their answers; with more of them
-  /// failing it is not they who are at fault.
-  double MostEjected = 0.5;
   double TakeoverFraction = 0.125; ///< of a limit, before origins report
   std::size_t MaxPrefixes = 4096;  ///< remembered for cache affinity
 };
@@ -176,8 +173,8 @@
   TargetTableSettings Settings;
   std::vector<Entry> Entries{};
   std::vector<SpeedLine> Lines{};
-  double FailureShare = 0; ///< of recent answers of all targets
-  bool MayEject = true;    ///< enough of the others answer well
+  PoolHealth Health{};
+  bool MayEject = true; ///< enough of the others answer well
   double Capacity = 0;
   double PromptWeight = 0; ///< 0: not learned
   std::unordered_map<TargetId, std::size_t> Places{};
--- a/packages/coordination/src/target_table.cpp
+++ b/packages/coordination/src/target_table.cpp
@@ -128,8 +128,7 @@
     Listed += Each.Listed ? 1 : 0;
     Usable += Each.Listed && Each.Health.usable(Now) ? 1 : 0;
   }
-  MayEject = static_cast<double>(Usable) >=
-             (1 - Settings.MostEjected) * static_cast<double>(Listed);
+  MayEject = PoolHealth::mayEject(Usable, Listed);
 }
 
 bool TargetTable::usable(TargetId Target, TimePoint Now) const {
@@ -138,13 +137,11 @@
 }
 
 void TargetTable::judge(TargetId Target, UsageEnd End, TimePoint Now) {
-  constexpr double Gain = 0.03; // of one answer in the pool's share
   const auto Found = Places.find(Target);
   const bool Failed = End == UsageEnd::Failed;
   if (Found == Places.end() || (!Failed && End != UsageEnd::Complete))
     return;
-  Entries[Found->second].Health.noteAnswer(!Failed, FailureShare, Now);
-  FailureShare += Gain * ((Failed ? 1.0 : 0.0) - FailureShare);
+  Health.noteAnswer(Entries[Found->second].Health, !Failed, Now);
 }
 
 bool TargetTable::hasRoom(const Entry &Each, bool Takeover,
--- a/packages/coordination/tests/arbiter_test.cpp
+++ b/packages/coordination/tests/arbiter_test.cpp
@@ -91,33 +91,25 @@
   const auto First =
       only<GrantSlot>(Policy.step(SlotRequested{Long}, Start)).at(0);
 
-  SUBCASE("one given up late, before its first token, tells how slow it is") {
-    Usage None;
-    None.End = UsageEnd::Cancelled;
-    Policy.step(SlotReleased{Long.Key, None}, at(seconds(8)));
+  // The target of the same request again, after the first was given up.
+  const auto TargetAfter = [&](Duration GivenUp, std::uint32_t Tokens) {
+    Usage Used;
+    Used.End = UsageEnd::Cancelled;
+    Used.OutputTokens = Tokens;
+    Policy.step(SlotReleased{Long.Key, Used}, at(GivenUp));
     Long.Key = key(2);
-    const auto Next =
-        only<GrantSlot>(Policy.step(SlotRequested{Long}, at(seconds(9)))).at(0);
-    CHECK(Next.Target != First.Target);
+    return only<GrantSlot>(Policy.step(SlotRequested{Long}, at(seconds(9))))
+        .at(0)
+        .Target;
+  };
+  SUBCASE("one given up late, before its first token, tells how slow it is") {
+    CHECK(TargetAfter(seconds(8), 0) != First.Target);
   }
   SUBCASE("one whose caller left in the middle of its stream tells nothing") {
-    Usage Begun;
-    Begun.End = UsageEnd::Cancelled;
-    Begun.OutputTokens = 40;
-    Policy.step(SlotReleased{Long.Key, Begun}, at(seconds(8)));
-    Long.Key = key(2);
-    const auto Next =
-        only<GrantSlot>(Policy.step(SlotRequested{Long}, at(seconds(9)))).at(0);
-    CHECK(Next.Target == First.Target);
+    CHECK(TargetAfter(seconds(8), 40) == First.Target);
   }
   SUBCASE("one whose caller left early tells nothing") {
-    Usage None;
-    None.End = UsageEnd::Cancelled;
-    Policy.step(SlotReleased{Long.Key, None}, at(milliseconds(100)));
-    Long.Key = key(2);
-    const auto Next =
-        only<GrantSlot>(Policy.step(SlotRequested{Long}, at(seconds(9)))).at(0);
-    CHECK(Next.Target == First.Target);
+    CHECK(TargetAfter(milliseconds(100), 0) == First.Target);
   }
 }
 
--- a/packages/transport/marjorambay/transport/caller_server.h
+++ b/packages/transport/marjorambay/transport/caller_server.h
@@ -9,6 +9,7 @@
 #define MARJORAMBAY_TRANSPORT_CALLER_SERVER_H
 
 #include "marjorambay/transport/http1.h"
+#include "marjorambay/transport/retiring_map.h"
 #include "marjorambay/transport/stream_socket.h"
 #include "marjorambay/transport/timer_service.h"
 
@@ -101,9 +102,8 @@
   bool Closing = false;
   std::uint64_t LastConnection = 0;
   std::uint64_t LastExchange = 0;
-  std::unordered_map<ConnectionId, std::unique_ptr<Connection>> Connections;
+  RetiringMap<ConnectionId, Connection> Connections;
   std::unordered_map<ExchangeId, ConnectionId> Exchanges{};
-  std::vector<std::unique_ptr<Connection>> Retired; ///< freed after the turn
   TimerConnection Sweeper{};
 };
 
--- a/packages/transport/marjorambay/transport/kept_client.h
+++ b/packages/transport/marjorambay/transport/kept_client.h
@@ -13,6 +13,7 @@
 
 #include "marjorambay/transport/http1.h"
 #include "marjorambay/transport/http_client.h"
+#include "marjorambay/transport/retiring_map.h"
 #include "marjorambay/transport/stream_socket.h"
 
 #include <map>
@@ -101,11 +102,10 @@
   EventLoop &Loop;
   std::uint64_t LastCall = 0;
   std::uint64_t LastConnection = 0;
-  std::unordered_map<ConnectionId, std::unique_ptr<Connection>> Connections;
+  RetiringMap<ConnectionId, Connection> Connections;
   std::unordered_map<CallId, ConnectionId> Calls{};
   std::map<SocketAddress, std::vector<ConnectionId>> Idle{};
   std::set<std::pair<TimePoint, ConnectionId>> Expiries{};
-  std::vector<std::unique_ptr<Connection>> Retired; ///< freed after the turn
 };
 
 } // namespace marjorambay
--- a/packages/transport/src/caller_server.cpp
+++ b/packages/transport/src/caller_server.cpp
@@ -76,7 +76,7 @@
 
 CallerServer::CallerServer(EventLoop &Loop, TimerService &Timers,
                            CallerServerLimits Limits)
-    : Loop(Loop), Limits(Limits),
+    : Loop(Loop), Limits(Limits), Connections(Loop),
       Sweeper(Timers.every(SweepInterval, [this]() { sweep(); })) {}
 
 CallerServer::~CallerServer() { stopListening(); }
@@ -225,8 +225,7 @@
   const auto Place = Exchanges.find(Id);
   if (Place == Exchanges.end())
     return nullptr;
-  const auto Found = Connections.find(Place->second);
-  return Found == Connections.end() ? nullptr : Found->second.get();
+  return Connections.find(Place->second);
 }
 
 void CallerServer::answer(ExchangeId Id, int Status, const HttpHeaders &Headers,
@@ -313,9 +312,8 @@
   if (Which.Ahead.empty() || Which.Parsing)
     return;
   Loop.defer([this, Id = Which.Id]() {
-    const auto Found = Connections.find(Id);
-    if (Found != Connections.end())
-      parse(*Found->second);
+    if (Connection *Found = Connections.find(Id))
+      parse(*Found);
   });
 }
 
@@ -327,13 +325,7 @@
 void CallerServer::retire(Connection &Which) {
   Exchanges.erase(Which.Exchange);
   Which.Socket.close();
-  const auto Found = Connections.find(Which.Id);
-  if (Found == Connections.end())
-    return;
-  if (Retired.empty())
-    Loop.defer([this]() { Retired.clear(); });
-  Retired.push_back(std::move(Found->second));
-  Connections.erase(Found);
+  Connections.retire(Which.Id);
 }
 
 void CallerServer::startClosing() { Closing = true; }
--- a/packages/transport/src/kept_client.cpp
+++ b/packages/transport/src/kept_client.cpp
@@ -47,7 +47,7 @@
   TimePoint ExpiresAt{}; ///< entry in Expiries
 };
 
-KeptClient::KeptClient(EventLoop &Loop) : Loop(Loop) {}
+KeptClient::KeptClient(EventLoop &Loop) : Loop(Loop), Connections(Loop) {}
 
 KeptClient::~KeptClient() = default;
 
@@ -57,7 +57,7 @@
   if (Found == Idle.end() || Found->second.empty())
     return nullptr;
   // The one used last is the least likely to be closed by the target.
-  Connection &Last = *Connections.at(Found->second.back());
+  Connection &Last = Connections.at(Found->second.back());
   return Loop.now() - Last.IdleSince <= MaxIdle ? &Last : nullptr;
 }
 
@@ -102,7 +102,7 @@
     Loop.defer([this, Id]() {
       const auto Found = Calls.find(Id);
       if (Found != Calls.end())
-        endCall(*Connections.at(Found->second), KeptEnd::Refused);
+        endCall(Connections.at(Found->second), KeptEnd::Refused);
     });
   else
     Over->Socket.flush();
@@ -215,12 +215,12 @@
 void KeptClient::cancel(CallId Id) {
   const auto Found = Calls.find(Id);
   if (Found != Calls.end())
-    retire(*Connections.at(Found->second));
+    retire(Connections.at(Found->second));
 }
 
 void KeptClient::expire(TimePoint Now) {
   while (!Expiries.empty() && Expiries.begin()->first <= Now) {
-    Connection &Late = *Connections.at(Expiries.begin()->second);
+    Connection &Late = Connections.at(Expiries.begin()->second);
     Expiries.erase(Expiries.begin());
     if (Late.CallNow == CallId{}) {
       retire(Late);
@@ -241,7 +241,7 @@
     return;
   const std::vector<ConnectionId> Ids = Found->second;
   for (const ConnectionId Id : Ids)
-    retire(*Connections.at(Id));
+    retire(Connections.at(Id));
 }
 
 void KeptClient::unpool(Connection &Which) {
@@ -259,13 +259,7 @@
   Which.CallNow = CallId{};
   unpool(Which);
   Which.Socket.close();
-  const auto Found = Connections.find(Which.Id);
-  if (Found == Connections.end())
-    return;
-  if (Retired.empty())
-    Loop.defer([this]() { Retired.clear(); });
-  Retired.push_back(std::move(Found->second));
-  Connections.erase(Found);
+  Connections.retire(Which.Id);
 }
 
 } // namespace marjorambay
