Follow a store that comes back from an older copy

Cause: revisions alone told one view of the platform from another. After a restore, revisions go back and are given out again: a host kept its old view until they had caught up and then mixed changes of two histories; what it had written itself was gone unnoticed.

Change: positions are (era, revision) wherever they are stored, compared or passed on between hosts. Objects that the restore has undone are retained until their writers have had two seconds to write them again, the configuration until another one is written; a rollout's status is taken over at once, so that its coordinator writes it again. Hosts of earlier releases are served by revision as before, and not followed.

Found on the way by the random histories: a feed with the creation and the removal of one object left the object in place. Records are applied one by one.

Forwarding logs tell the account, charge and deadline.

Ruled out: each host lists the store after a restore (195 lists of each kind); followers take over the view of their hub, with what it retains.

--- a/apps/marjorambayd/forward_fleet.cpp
+++ b/apps/marjorambayd/forward_fleet.cpp
@@ -89,7 +89,7 @@
   Digest.Sequence = Sequence;
   Digest.Ready = isReady(H);
   Digest.Decisions = coordinatedDecisions(H);
-  Digest.FeedRevisions = feedRevisions(H);
+  Digest.FeedPositions = feedPositions(H);
   Digest.WatchHealthy = isWatchHealthy(H);
   if (!H.Table)
     return Digest;
@@ -144,7 +144,8 @@
              const FleetDigest &Digest) {
   if (Digest.Ready)
     H.Fleet[From.Id].AnsweredAt = H.Loop.now();
-  H.Fleet[From.Id].FreshAt = Digest.WatchHealthy ? H.Loop.now() : TimePoint{};
+  const bool Fresh = Digest.WatchHealthy && knowsLatestEra(H, Digest);
+  H.Fleet[From.Id].FreshAt = Fresh ? H.Loop.now() : TimePoint{};
   applyDigest(H, Digest);
   pullFromHub(H, From.Id, Digest);
   if (H.Watching)
--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -271,7 +271,13 @@
   AccountMeter Meter{};
 
   // Objects of the platform.
-  std::array<ObjectMirror, ObjectKindCount> Mirrors{};
+  /// By ObjectKind. The newest configuration stays until another one is
+  /// written. The restored status of a rollout is taken over at once, because
+  /// its coordinator must notice that the outcome is to be written again.
+  std::array<ObjectMirror, ObjectKindCount> Mirrors{
+      ObjectMirror(ObjectMirror::RetainForever), ObjectMirror(),
+      ObjectMirror(Duration(0)), ObjectMirror()};
+  std::uint64_t StoreEra = 0; ///< latest era of the platform's store; 0 if none
   std::array<ObjectPull, ObjectKindCount> Pulls{};
   bool Watching = true; ///< whether this host watches the platform; otherwise
                         ///< it follows hubs
@@ -290,6 +296,9 @@
   /// A rollout has reached a stage that is to be written to the platform.
   sigc::signal<void(PoolId, const std::string &Version, VersionStage)>
       StageReached{};
+  /// The platform's store was restored from an older copy; what this host wrote
+  /// may be lost.
+  sigc::signal<void()> StoreRestored{};
   /// This host is stopping; the platform should no longer list it.
   sigc::signal<void()> DeregisterRequested{};
 };
@@ -369,7 +378,11 @@
 void pullFromHub(ForwardHost &H, HostId Hub, const FleetDigest &Digest);
 /// Decides whether this host watches the platform itself.
 void selectObjectSource(ForwardHost &H, bool IsHub);
-std::array<std::uint64_t, ObjectKindCount> feedRevisions(const ForwardHost &H);
+std::array<StorePosition, ObjectKindCount> feedPositions(const ForwardHost &H);
+/// Takes over restored objects that nobody has written again in time.
+void expireRetainedObjects(ForwardHost &H);
+/// Whether the sender of \p Digest knows the store's latest era.
+bool knowsLatestEra(const ForwardHost &H, const FleetDigest &Digest);
 bool isWatchHealthy(const ForwardHost &H);
 
 // forward_versions.cpp
--- a/apps/marjorambayd/forward_lifecycle.cpp
+++ b/apps/marjorambayd/forward_lifecycle.cpp
@@ -158,6 +158,7 @@
   AddTimer(ArbiterTick, [&H]() { tickArbiters(H); });
   AddTimer(VersionTick, [&H]() {
     tickVersions(H);
+    expireRetainedObjects(H);
     if (H.Directory.expireMissing(H.Loop.now()))
       applyTargets(H);
   });
--- a/apps/marjorambayd/forward_objects.cpp
+++ b/apps/marjorambayd/forward_objects.cpp
@@ -68,8 +68,10 @@
   Pull.Body.clear();
   KeepAliveCall Request;
   Request.Address = Hub.Address;
-  Request.RequestTarget = FeedPath + std::string(nameOf(Kind)) + "?since=" +
-                          std::to_string(mirrorOf(H, Kind).revision());
+  const StorePosition Known = mirrorOf(H, Kind).position();
+  Request.RequestTarget = FeedPath + std::string(nameOf(Kind)) +
+                          "?since=" + std::to_string(Known.Revision) +
+                          "&era=" + std::to_string(Known.Era);
   Request.Headers = {{"Host", "peer"}};
   Request.ConnectTimeout = PullTimeout;
   Request.HeadTimeout = PullTimeout;
@@ -97,11 +99,24 @@
   return Choice.found() ? Choice.best() : HostId{};
 }
 
+/// Parses "REVISION&era=ERA". Hosts of earlier releases send no era and are
+/// served by revision alone, as before.
+StorePosition parseKnownPosition(std::string_view Text,
+                                 std::uint64_t DefaultEra) {
+  constexpr std::string_view EraField = "&era=";
+  StorePosition Known{DefaultEra, 0};
+  const char *End = Text.data() + Text.size();
+  std::from_chars(Text.data(), End, Known.Revision);
+  const std::size_t Era = Text.find(EraField);
+  if (Era != std::string_view::npos)
+    std::from_chars(Text.data() + Era + EraField.size(), End, Known.Era);
+  return Known;
+}
+
 /// Responds to a pull of a host that follows this one.
 void handlePullRequest(ForwardHost &H, CallerRequest &Request) {
   std::string_view Target = Request.Head.RequestTarget;
   const std::size_t Query = Target.find("?since=");
-  std::uint64_t KnownRevision = 0;
   const bool WellFormed =
       Target.starts_with(FeedPath) && Query != std::string_view::npos;
   const auto Kind = WellFormed ? parseEnum<ObjectKind>(Target.substr(
@@ -109,15 +124,34 @@
                                : std::nullopt;
   if (!Kind || !mirrorOf(H, *Kind).initialized())
     return H.ObjectServer.answer(Request.Id, 404, {}, "");
-  const std::string_view Since = Target.substr(Query + 7);
-  std::from_chars(Since.data(), Since.data() + Since.size(), KnownRevision);
-  ObjectFeed Feed = mirrorOf(H, *Kind).since(KnownRevision);
+  const ObjectMirror &Mirror = mirrorOf(H, *Kind);
+  ObjectFeed Feed = Mirror.since(
+      parseKnownPosition(Target.substr(Query + 7), Mirror.position().Era));
   Feed.SettlingTime = H.Directory.settlingTime(H.Loop.now());
   H.ObjectServer.answer(Request.Id, 200,
                         {{"Content-Type", "application/x-protobuf"}},
                         serializeFeed(Feed));
 }
 
+/// Records that objects of a kind are of a new era of the store.
+void recordRestore(ForwardHost &H, ObjectKind Kind, StorePosition Before) {
+  const ObjectMirror &Mirror = mirrorOf(H, Kind);
+  LogLine("store_restored", LogLevel::Warning)
+      .with("kind", nameOf(Kind))
+      .with("era", static_cast<std::int64_t>(Mirror.position().Era))
+      .with("was_era", static_cast<std::int64_t>(Before.Era))
+      .with("revision", static_cast<std::int64_t>(Mirror.position().Revision))
+      .with("was_revision", static_cast<std::int64_t>(Before.Revision))
+      .with("retained", static_cast<std::int64_t>(Mirror.retained()));
+  if (Mirror.position().Era <= H.StoreEra)
+    return; // another kind was listed first
+  H.Stats.add(HostCounter::StoreRestores);
+  // The coordinators write the stages of their rollouts again.
+  for (auto &[Pool, State] : H.Pools)
+    State.Versions.HasWrittenStage = false;
+  H.StoreRestored.emit();
+}
+
 } // namespace
 
 Result<Done> startObjects(ForwardHost &H) {
@@ -136,13 +170,20 @@
   return Done{};
 }
 
-std::array<std::uint64_t, ObjectKindCount> feedRevisions(const ForwardHost &H) {
-  std::array<std::uint64_t, ObjectKindCount> All{};
+std::array<StorePosition, ObjectKindCount> feedPositions(const ForwardHost &H) {
+  std::array<StorePosition, ObjectKindCount> All{};
   for (std::size_t Kind = 0; Kind < ObjectKindCount; ++Kind)
-    All[Kind] = H.Mirrors[Kind].lastChangeRevision();
+    All[Kind] = H.Mirrors[Kind].lastChange();
   return All;
 }
 
+bool knowsLatestEra(const ForwardHost &H, const FleetDigest &Digest) {
+  return std::all_of(Digest.FeedPositions.begin(), Digest.FeedPositions.end(),
+                     [&H](const StorePosition &Position) {
+                       return Position.Era >= H.StoreEra;
+                     });
+}
+
 bool isWatchHealthy(const ForwardHost &H) {
   return H.Watching && H.PlatformRespondedAt != TimePoint{} &&
          H.Loop.now() - H.PlatformRespondedAt < PlatformTimeout;
@@ -159,10 +200,16 @@
     H.Directory.settleUntil(Now + Feed.SettlingTime);
   ObjectMirror &Mirror = mirrorOf(H, Kind);
   const bool First = !Mirror.initialized();
-  const std::vector<ObjectRecord> Changes = Mirror.apply(Feed);
-  if (Changes.empty() && !First)
+  const StorePosition Before = Mirror.position();
+  const std::vector<ObjectRecord> Changes = Mirror.apply(Feed, Now);
+  const bool Restored = Mirror.position().Era > Before.Era;
+  if (Restored && !First)
+    recordRestore(H, Kind, Before);
+  H.StoreEra = std::max(H.StoreEra, Mirror.position().Era);
+  if (Changes.empty() && !First && !Restored)
     return;
-  H.ObjectsChanged.emit(Kind, Changes);
+  if (!Changes.empty() || First)
+    H.ObjectsChanged.emit(Kind, Changes);
   if (H.DigestDue)
     return;
   H.DigestDue = true;
@@ -172,13 +219,31 @@
   });
 }
 
+void expireRetainedObjects(ForwardHost &H) {
+  TimePoint HeardAt = H.PlatformRespondedAt;
+  for (const auto &[Id, Peer] : H.Fleet)
+    HeardAt = std::max(HeardAt, Peer.FreshAt);
+  for (std::size_t Index = 0; Index < ObjectKindCount; ++Index) {
+    const auto Kind = static_cast<ObjectKind>(Index);
+    if (pullOf(H, Kind).BehindSince != TimePoint{})
+      continue; // a hub has changes that this host lacks
+    const auto Changes = mirrorOf(H, Kind).expireRetained(HeardAt);
+    if (Changes.empty())
+      continue;
+    LogLine("restored_objects_in_force", LogLevel::Warning)
+        .with("kind", nameOf(Kind))
+        .with("objects", static_cast<std::int64_t>(Changes.size()));
+    H.ObjectsChanged.emit(Kind, Changes);
+  }
+}
+
 void pullFromHub(ForwardHost &H, HostId Hub, const FleetDigest &Digest) {
   const TimePoint Now = H.Loop.now();
   const bool Preferred = preferredHub(H) == Hub;
   for (std::size_t Index = 0; Index < ObjectKindCount; ++Index) {
     const auto Kind = static_cast<ObjectKind>(Index);
     ObjectPull &Pull = pullOf(H, Kind);
-    if (Digest.FeedRevisions[Index] <= mirrorOf(H, Kind).lastChangeRevision())
+    if (Digest.FeedPositions[Index] <= mirrorOf(H, Kind).lastChange())
       continue;
     if (Pull.BehindSince == TimePoint{})
       Pull.BehindSince = Now;
--- a/apps/marjorambayd/forward_requests.cpp
+++ b/apps/marjorambayd/forward_requests.cpp
@@ -141,6 +141,10 @@
       .with("request", Name)
       .with("reason", nameOf(Reason.Kind))
       .with("target", Request.Head.RequestTarget)
+      .with("account", Call.AccountName)
+      .with("tier", number(Call.Tier))
+      .with("quota_charge", static_cast<std::int64_t>(Call.QuotaCharge))
+      .with("deadline_ms", Request.Head.header(H.HeaderNames.DeadlineMs))
       .with("config",
             H.Table ? static_cast<std::int64_t>(H.Table->version()) : 0)
       .with(
@@ -339,7 +343,11 @@
       .with("first_ms", MsSince(Call.FirstEventAt))
       .with("total_ms", MsSince(Now))
       .with("events", Call.EventsBefore + Call.Events.events())
-      .with("prompt", Call.PromptTokens);
+      .with("prompt", Call.PromptTokens)
+      .with("quota_charge", static_cast<std::int64_t>(Call.QuotaCharge))
+      .with("deadline_ms", std::chrono::duration_cast<milliseconds>(
+                               Call.Deadline - Call.Arrived)
+                               .count());
   if (Outcome == ServedOutcome)
     Line.expendable();
 }
--- a/apps/marjorambayd/forward_versions.cpp
+++ b/apps/marjorambayd/forward_versions.cpp
@@ -255,7 +255,6 @@
       Versions.RolloutName = Spec.Version;
       Versions.Decision = VersionDecision{Spec.Pool, NewVersion};
       Versions.Credit = 0;
-      Versions.HasWrittenStage = false;
       LogLine("rollout_ordered")
           .with("pool", static_cast<std::int64_t>(number(Spec.Pool)))
           .with("version", Spec.Version)
@@ -266,10 +265,11 @@
       updateGuard(Spec.Pool, Versions);
       publishTargets(H, Spec.Pool);
     }
+    // Without a status, none was written yet or a restore has undone it.
+    Versions.HasWrittenStage = Spec.Stage.has_value();
     if (!Spec.Stage)
       continue;
     Versions.WrittenStage = *Spec.Stage;
-    Versions.HasWrittenStage = true;
     if (isFinal(*Spec.Stage) && !isFinal(Versions.Decision.Stage)) {
       VersionDecision Final{Spec.Pool, NewVersion, *Spec.Stage};
       Final.Share = *Spec.Stage == VersionStage::Completed ? 1 : 0;
--- a/apps/marjorambayd/peer_codec.cpp
+++ b/apps/marjorambayd/peer_codec.cpp
@@ -294,8 +294,10 @@
   Body->set_config_version(Digest.ConfigVersion);
   Body->set_ready(Digest.Ready);
   Body->set_fresh(Digest.WatchHealthy);
-  for (const std::uint64_t Position : Digest.FeedRevisions)
-    Body->add_positions(Position);
+  for (const StorePosition &Position : Digest.FeedPositions) {
+    Body->add_positions(Position.Revision);
+    Body->add_eras(Position.Era);
+  }
   for (const AccountLevel &Level : Digest.AccountLevels) {
     peer::AccountLevel *Entry = Body->add_levels();
     Entry->set_account(number(Level.Account));
@@ -417,7 +419,8 @@
   Digest.WatchHealthy = In.fresh();
   const auto Known = std::min<int>(In.positions_size(), ObjectKindCount);
   for (int Kind = 0; Kind < Known; ++Kind)
-    Digest.FeedRevisions[static_cast<std::size_t>(Kind)] = In.positions(Kind);
+    Digest.FeedPositions[static_cast<std::size_t>(Kind)] = {
+        Kind < In.eras_size() ? In.eras(Kind) : 0, In.positions(Kind)};
   for (const peer::AccountLevel &Entry : In.levels())
     Digest.AccountLevels.push_back({AccountId{Entry.account()}, Entry.level(),
                                     Entry.others_rate(), Entry.counted()});
@@ -602,14 +605,17 @@
 
 std::string serializeFeed(const ObjectFeed &Feed) {
   peer::ObjectFeed Out;
-  Out.set_at(Feed.Revision);
+  Out.set_at(Feed.At.Revision);
+  Out.set_era(Feed.At.Era);
   Out.set_whole(Feed.IsSnapshot);
   Out.set_settling_us(Feed.SettlingTime.count());
   for (const ObjectRecord &Record : Feed.Records) {
     peer::ObjectRecord *Entry = Out.add_records();
     Entry->set_name(Record.Name);
-    Entry->set_revision(Record.Revision);
+    Entry->set_revision(Record.At.Revision);
+    Entry->set_era(Record.At.Era);
     Entry->set_removed(Record.Removed);
+    Entry->set_provisional(Record.Provisional);
     Entry->set_text(Record.Text);
   }
   return Out.SerializeAsString();
@@ -620,12 +626,15 @@
   if (!In.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())))
     return Error{ErrorKind::BadRequest, "a peer sent a malformed feed"};
   ObjectFeed Feed;
-  Feed.Revision = In.at();
+  Feed.At = {In.era(), In.at()};
   Feed.IsSnapshot = In.whole();
   Feed.SettlingTime = Duration(In.settling_us());
   for (const peer::ObjectRecord &Entry : In.records())
-    Feed.Records.push_back(
-        {Entry.name(), Entry.revision(), Entry.removed(), Entry.text()});
+    Feed.Records.push_back({Entry.name(),
+                            {Entry.era(), Entry.revision()},
+                            Entry.removed(),
+                            Entry.text(),
+                            Entry.provisional()});
   return Feed;
 }
 
--- a/packages/coordination/marjorambay/coordination/fleet_heartbeat.h
+++ b/packages/coordination/marjorambay/coordination/fleet_heartbeat.h
@@ -60,8 +60,8 @@
   bool Ready = false;
   std::vector<AccountLevel> AccountLevels{};
   std::vector<VersionDecision> Decisions{};
-  /// Revision of the last change, by object kind.
-  std::array<std::uint64_t, ObjectKindCount> FeedRevisions{};
+  /// Position of the last change, by object kind.
+  std::array<StorePosition, ObjectKindCount> FeedPositions{};
   bool WatchHealthy = false; ///< the sender's platform watch is responding
 };
 
--- a/packages/coordination/marjorambay/coordination/object_mirror.h
+++ b/packages/coordination/marjorambay/coordination/object_mirror.h
@@ -2,11 +2,17 @@
 /// recent changes.
 ///
 /// A few hosts watch the platform; the other hosts receive changes from them.
-/// Changes carry revisions, so that a host may receive them from different
+/// Changes carry positions, so that a host may receive them from different
 /// hosts in turn, and applying a change twice has no effect.
+///
+/// After the store was restored from an older copy, an object may be lacking or
+/// outdated until its writer has written it again. The mirror retains the newer
+/// object that it has for a while, and takes over the restored state only if
+/// nobody has written the object by then.
 #ifndef MARJORAMBAY_COORDINATION_OBJECT_MIRROR_H
 #define MARJORAMBAY_COORDINATION_OBJECT_MIRROR_H
 
+#include "marjorambay/coordination/store_position.h"
 #include "marjorambay/state/enum_names.h"
 #include "marjorambay/state/time.h"
 
@@ -30,17 +36,19 @@
 
 struct ObjectRecord {
   std::string Name{};
-  /// Revision of the last change or the removal of the object.
-  std::uint64_t Revision = 0;
+  /// Position of the last change or the removal of the object.
+  StorePosition At{};
   bool Removed = false;
   /// As stored by the platform; parsed only by the platform adapter.
   std::string Text{};
+  /// From a restored copy, while the sender retains a newer state.
+  bool Provisional = false;
 };
 
-/// Changes up to a revision, or a snapshot of all objects.
+/// Changes up to a position, or a snapshot of all objects.
 struct ObjectFeed {
-  std::uint64_t Revision = 0; ///< all changes up to this revision are included
-  bool IsSnapshot = false;    ///< objects that are not included do not exist
+  StorePosition At{};      ///< all changes up to this position are included
+  bool IsSnapshot = false; ///< objects that are not included do not exist
   /// Time for which removals may still be an effect of a platform outage.
   Duration SettlingTime{};
   std::vector<ObjectRecord> Records{};
@@ -48,30 +56,62 @@
 
 class ObjectMirror {
 public:
-  /// Applies a feed. Returns the changes that it made to this copy.
-  std::vector<ObjectRecord> apply(const ObjectFeed &Feed);
+  /// Retains objects until they are written again, however long that takes.
+  static constexpr Duration RetainForever = Duration::max();
+
+  /// \p RetainTime is how long newer objects are retained after a restore of
+  /// the store; 0 takes over the restored state at once.
+  explicit ObjectMirror(Duration RetainTime = seconds(2))
+      : RetainTime(RetainTime) {}
+
+  /// Applies a feed. Returns the changes that it made to this copy. Ignores
+  /// feeds of an earlier era, and changes of a later era without a snapshot.
+  std::vector<ObjectRecord> apply(const ObjectFeed &Feed, TimePoint Now);
 
-  /// Returns the changes after \p KnownRevision, or a snapshot if the log does
-  /// not reach back that far.
-  ObjectFeed since(std::uint64_t KnownRevision) const;
+  /// Takes over the restored state of objects that were retained for long
+  /// enough. \p HeardAt is when the store last answered: what was written until
+  /// then has been applied. Returns the changes.
+  std::vector<ObjectRecord> expireRetained(TimePoint HeardAt);
 
-  std::uint64_t revision() const { return CurrentRevision; }
-  /// Revision of the last change; 0 if no feed was applied yet.
-  std::uint64_t lastChangeRevision() const { return LastChange; }
-  bool initialized() const { return CurrentRevision != 0; }
+  /// Returns the changes after \p Known, or a snapshot if the log does not
+  /// reach back that far or \p Known is of another era.
+  ObjectFeed since(StorePosition Known) const;
+
+  StorePosition position() const { return Current; }
+  /// Position of the last change; 0 if no feed was applied yet.
+  StorePosition lastChange() const { return LastChange; }
+  bool initialized() const { return Current.Revision != 0; }
   std::size_t size() const { return Objects.size(); }
+  /// Number of objects whose restored state is not in force yet.
+  std::size_t retained() const { return Retained.size(); }
 
 private:
   /// Changes kept for hosts that are behind.
   static constexpr std::size_t MaxLog = 512;
 
+  struct RestoredState {
+    ObjectRecord Record{}; ///< in the store since its restore
+    TimePoint RetainUntil{};
+  };
+
+  bool isOutdated(const ObjectRecord &Restored) const;
+  bool isRetained(const ObjectRecord &Record) const;
+  void retain(const ObjectRecord &Restored, TimePoint Now);
+  bool isChange(const ObjectRecord &Record, bool Restored, TimePoint Now);
+  std::vector<ObjectRecord> removalsOf(const ObjectFeed &Feed, bool Restored,
+                                       TimePoint Now);
+  void retainProvisional(const ObjectFeed &Feed, TimePoint Now);
+  void store(const ObjectRecord &Change);
+  void startLog(const ObjectFeed &Feed);
   void appendToLog(const ObjectRecord &Change);
 
+  Duration RetainTime;
   std::map<std::string, ObjectRecord> Objects{};
-  std::deque<ObjectRecord> Log{}; ///< oldest first
-  std::uint64_t LogStart = 0;     ///< the log is complete after this revision
-  std::uint64_t CurrentRevision = 0;
-  std::uint64_t LastChange = 0;
+  std::map<std::string, RestoredState> Retained{}; ///< by object name
+  std::deque<ObjectRecord> Log{};                  ///< oldest first
+  StorePosition LogStart{}; ///< the log is complete after this position
+  StorePosition Current{};
+  StorePosition LastChange{};
 };
 
 } // namespace marjorambay
--- a/packages/coordination/src/object_mirror.cpp
+++ b/packages/coordination/src/object_mirror.cpp
@@ -8,59 +8,180 @@
 
 void ObjectMirror::appendToLog(const ObjectRecord &Change) {
   Log.push_back(Change);
-  LastChange = std::max(LastChange, Change.Revision);
+  LastChange = std::max(LastChange, Change.At);
   if (Log.size() <= MaxLog)
     return;
-  LogStart = std::max(LogStart, Log.front().Revision);
+  LogStart = std::max(LogStart, Log.front().At);
   Log.pop_front();
 }
 
-std::vector<ObjectRecord> ObjectMirror::apply(const ObjectFeed &Feed) {
-  std::vector<ObjectRecord> Changes;
-  if (Feed.IsSnapshot && Feed.Revision < CurrentRevision)
-    return Changes; // older than this copy
-  const bool IsFirstFeed = !initialized();
+/// Returns whether this mirror has seen a later state of a restored object.
+/// Both histories have the same revisions up to the copy, so that a higher
+/// revision of the earlier era is a change that the restore has undone.
+bool ObjectMirror::isOutdated(const ObjectRecord &Restored) const {
+  const auto Found = Objects.find(Restored.Name);
+  if (Found != Objects.end())
+    return Restored.At.Revision < Found->second.At.Revision;
+  const auto Removal =
+      std::find_if(Log.rbegin(), Log.rend(), [&](const ObjectRecord &Change) {
+        return Change.Name == Restored.Name && Change.Removed;
+      });
+  return Removal != Log.rend() && Restored.At.Revision < Removal->At.Revision;
+}
+
+/// Returns whether \p Record is the restored state of a retained object, as
+/// opposed to a later change.
+bool ObjectMirror::isRetained(const ObjectRecord &Record) const {
+  const auto Found = Retained.find(Record.Name);
+  return Found != Retained.end() &&
+         (Record.Removed ? Found->second.Record.Removed
+                         : Record.At <= Found->second.Record.At);
+}
+
+void ObjectMirror::retain(const ObjectRecord &Restored, TimePoint Now) {
+  const TimePoint Until =
+      RetainTime == RetainForever ? TimePoint::max() : Now + RetainTime;
+  Retained.insert_or_assign(Restored.Name, RestoredState{Restored, Until});
+}
+
+/// Returns whether \p Record changes this copy. \p Restored: it belongs to the
+/// first snapshot after a restore.
+bool ObjectMirror::isChange(const ObjectRecord &Record, bool Restored,
+                            TimePoint Now) {
+  const auto Found = Objects.find(Record.Name);
+  const bool Exists = Found != Objects.end();
+  if (isRetained(Record) || (Exists && Record.At <= Found->second.At))
+    return false;
+  if (!Exists && Record.Removed) {
+    Retained.erase(Record.Name);
+    return false;
+  }
+  if (!Restored)
+    return true;
+  if (Exists && Record.Text == Found->second.Text) {
+    Found->second.At = Record.At; // the same in both histories
+    return false;
+  }
+  if (RetainTime.count() == 0 || !isOutdated(Record))
+    return true;
+  retain(Record, Now);
+  return false;
+}
+
+/// Returns the removals of objects that the snapshot \p Feed lacks.
+std::vector<ObjectRecord>
+ObjectMirror::removalsOf(const ObjectFeed &Feed, bool Restored, TimePoint Now) {
   std::set<std::string> SeenNames;
+  for (const ObjectRecord &Record : Feed.Records)
+    if (!Record.Provisional)
+      SeenNames.insert(Record.Name);
+  std::vector<ObjectRecord> Removals;
+  for (const auto &[Name, Record] : Objects) {
+    const ObjectRecord Removal{Name, Feed.At, true, ""};
+    if (SeenNames.count(Name) != 0 || Record.At > Feed.At ||
+        isRetained(Removal))
+      continue;
+    if (Restored && RetainTime.count() != 0)
+      retain(Removal, Now);
+    else
+      Removals.push_back(Removal);
+  }
+  return Removals;
+}
+
+/// Retains the objects for which the sender of \p Feed has a newer state than
+/// the restored one.
+void ObjectMirror::retainProvisional(const ObjectFeed &Feed, TimePoint Now) {
   for (const ObjectRecord &Record : Feed.Records) {
-    SeenNames.insert(Record.Name);
     const auto Found = Objects.find(Record.Name);
     const bool Exists = Found != Objects.end();
-    const bool IsNewer =
-        Exists ? Record.Revision > Found->second.Revision : !Record.Removed;
-    if (IsNewer)
-      Changes.push_back(Record);
+    const bool Differs =
+        Exists ? Record.At > Found->second.At : !Record.Removed;
+    if (Record.Provisional && Differs && !isRetained(Record))
+      retain(Record, Now);
   }
+}
+
+void ObjectMirror::store(const ObjectRecord &Change) {
+  Retained.erase(Change.Name);
+  if (Change.Removed)
+    Objects.erase(Change.Name);
+  else
+    Objects[Change.Name] = Change;
+}
+
+std::vector<ObjectRecord> ObjectMirror::apply(const ObjectFeed &Feed,
+                                              TimePoint Now) {
+  const bool NewEra = Feed.At.Era > Current.Era;
+  const bool Unusable = Feed.IsSnapshot ? Feed.At < Current
+                        : NewEra        ? initialized()
+                                        : Feed.At.Era < Current.Era;
+  if (Unusable)
+    return {};
+  const bool IsFirstFeed = !initialized();
+  const bool Restored = NewEra && !IsFirstFeed;
+  if (Restored)
+    Retained.clear(); // the snapshot has the state that is in the store now
+  std::vector<ObjectRecord> Changes;
+  const auto Apply = [this, &Changes](const ObjectRecord &Change) {
+    store(Change);
+    appendToLog(Change);
+    Changes.push_back(Change);
+  };
+  // One by one: a feed may hold the creation and the removal of an object.
+  for (const ObjectRecord &Record : Feed.Records)
+    if (!Record.Provisional && isChange(Record, Restored, Now))
+      Apply(Record);
   if (Feed.IsSnapshot)
-    for (const auto &[Name, Record] : Objects)
-      if (SeenNames.count(Name) == 0 && Record.Revision <= Feed.Revision)
-        Changes.push_back({Name, Feed.Revision, true, ""});
-  for (const ObjectRecord &Record : Changes) {
-    if (Record.Removed)
-      Objects.erase(Record.Name);
-    else
-      Objects[Record.Name] = Record;
-    appendToLog(Record);
-  }
-  CurrentRevision = std::max(CurrentRevision, Feed.Revision);
-  if (IsFirstFeed) {
-    Log.clear();
-    LogStart = CurrentRevision;
-    LastChange = std::max<std::uint64_t>(LastChange, 1);
-  }
+    for (const ObjectRecord &Removal : removalsOf(Feed, Restored, Now))
+      Apply(Removal);
+  retainProvisional(Feed, Now);
+  Current = std::max(Current, Feed.At);
+  if (IsFirstFeed || NewEra)
+    startLog(Feed);
+  return Changes;
+}
+
+/// Starts the log at \p Feed. Entries of an earlier era remain, for removals
+/// that a restore undoes.
+void ObjectMirror::startLog(const ObjectFeed &Feed) {
+  LogStart = Current;
+  // The same on all hosts, whenever they listed the objects.
+  StorePosition Latest{Current.Era, 1};
+  for (const ObjectRecord &Record : Feed.Records)
+    if (Record.At.Era == Current.Era && !Record.Removed)
+      Latest = std::max(Latest, Record.At);
+  LastChange = std::max(LastChange, Latest);
+}
+
+std::vector<ObjectRecord> ObjectMirror::expireRetained(TimePoint HeardAt) {
+  std::vector<ObjectRecord> Changes;
+  for (const auto &[Name, Restored] : Retained)
+    if (Restored.RetainUntil <= HeardAt) {
+      Changes.push_back(Restored.Record);
+      Changes.back().Provisional = false;
+    }
+  for (const ObjectRecord &Change : Changes)
+    store(Change);
   return Changes;
 }
 
-ObjectFeed ObjectMirror::since(std::uint64_t KnownRevision) const {
+ObjectFeed ObjectMirror::since(StorePosition Known) const {
   ObjectFeed Feed;
-  Feed.Revision = CurrentRevision;
-  Feed.IsSnapshot = KnownRevision == 0 || KnownRevision < LogStart;
+  Feed.At = Current;
+  Feed.IsSnapshot =
+      Known.Revision == 0 || Known.Era != Current.Era || Known < LogStart;
   if (Feed.IsSnapshot) {
     for (const auto &[Name, Record] : Objects)
       Feed.Records.push_back(Record);
+    for (const auto &[Name, Restored] : Retained) {
+      Feed.Records.push_back(Restored.Record);
+      Feed.Records.back().Provisional = true;
+    }
     return Feed;
   }
   for (const ObjectRecord &Record : Log)
-    if (Record.Revision > KnownRevision)
+    if (Record.At > Known)
       Feed.Records.push_back(Record);
   return Feed;
 }
--- a/packages/state/marjorambay/state/metrics.h
+++ b/packages/state/marjorambay/state/metrics.h
@@ -63,6 +63,7 @@
   ConnectionsRefused,
   CallersCutOff,
   ControlMicros, ///< CPU time of control-plane work, in microseconds
+  StoreRestores, ///< restores of the platform's store from an older copy
 };
 template <>
 inline constexpr std::array
@@ -70,8 +71,8 @@
         {"peer_messages_sent", "peer_messages_received", "peer_bytes_sent",
          "peer_bytes_received", "peer_messages_dropped", "platform_reads",
          "platform_writes", "platform_watches", "connections_refused",
-         "callers_cut_off", "control_microseconds"});
-inline constexpr std::size_t HostCounterCount = 11;
+         "callers_cut_off", "control_microseconds", "store_restores"});
+inline constexpr std::size_t HostCounterCount = 12;
 static_assert(NamesOf<HostCounter>.size() == HostCounterCount);
 
 /// Label by which series are split.
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """A randomized fault soak of forwarded routes, on real processes.
 
-soak.py [--seed N] [--seconds S] [--hosts N] [--keep FOLDER]
+soak.py [--seed N] [--seconds S] [--hosts N] [--restores] [--keep FOLDER]
 
 Callers keep their connections open and send requests of every kind, while
 workers, the store, connections and processes fail in overlapping series. What
@@ -33,6 +33,7 @@
 STOP_S = 10  # twice the grace period
 LOADING_S = 0.2  # from exec to main(), on a busy machine
 KINDS = ("/safe/", "/once/", "/stream/", "/streamonce/")
+RESTORE_WEIGHT = 3  # against 12 of the other faults
 NOT_RUN = (408, 421, 429, 503)
 
 
@@ -87,8 +88,8 @@
 
 
 class Soak:
-    def __init__(self, seed, hosts):
-        self.seed = seed
+    def __init__(self, seed, hosts, restores):
+        self.seed, self.restores = seed, restores
         self.random = random.Random(seed)
         self.over = threading.Event()
         self.lock = threading.Lock()
@@ -96,6 +97,7 @@
         self.faults = []
         self.fleet = PlatformFleet(hosts=hosts, workers=3)
         self.version = 3
+        self.newest = config(3)  # as the operator last wrote it
         self.proxies = []
         for worker in self.fleet.workers.values():
             proxy = Proxy(self.fleet.runner, worker.port)
@@ -163,7 +165,8 @@
         choice = self.random.choice((
             self.kill, self.kill, self.freeze, self.stop, self.reload,
             self.worker_proxy, self.worker_proxy, self.store_mode,
-            self.store_cut, self.forget, self.lose_writes, self.configure))
+            self.store_cut, self.forget, self.lose_writes, self.configure)
+            + (self.restore,) * RESTORE_WEIGHT * self.restores)
         self.faults.append(choice.__name__)
         return choice()
 
@@ -229,6 +232,28 @@
         self.fleet.store.forget_history()
         return lambda: None
 
+    def restore(self):
+        """The store is away for a moment and comes back from a copy.
+
+        The operator and the workers then write again what is theirs.
+        """
+        store = self.fleet.store
+        taken = store.copy()
+
+        def put_back():
+            store.mode = "reset"
+            time.sleep(0.2)
+            store.restore(taken)
+            store.mode = "up"
+            time.sleep(self.random.uniform(0, 1))
+            for worker, proxy in zip(self.fleet.workers.values(), self.proxies):
+                entry = worker.entry("ready")
+                entry["address"] = proxy.address
+                store.put("servers", worker.name, entry)
+            store.put("config", "main", self.newest)
+
+        return put_back
+
     def lose_writes(self):
         self.fleet.store.lose_writes = 3
         return lambda: setattr(self.fleet.store, "lose_writes", 0)
@@ -237,7 +262,8 @@
         self.version += self.random.randint(1, 3)
         more = [route(f"more-{each}", f"/more{each}/", "desk", "safe")
                 for each in range(self.random.randint(0, 5))]
-        self.fleet.configure(self.version, routes=config(1)["routes"] + more)
+        self.newest = config(self.version, routes=config(1)["routes"] + more)
+        self.fleet.store.put("config", "main", self.newest)
         return lambda: None
 
     # ---- A run ----
@@ -297,8 +323,8 @@
                 f"{len(self.faults)} faults, {len(self.broken)} broken")
 
 
-def play(seed, seconds, hosts, keep):
-    soak = Soak(seed, hosts)
+def play(seed, seconds, hosts, restores, keep):
+    soak = Soak(seed, hosts, restores)
     try:
         soak.run(seconds)
     finally:
@@ -321,6 +347,8 @@
                         help="a file of seeds that once failed")
     parser.add_argument("--seconds", type=float, default=12)
     parser.add_argument("--hosts", type=int, default=4)
+    parser.add_argument("--restores", action="store_true",
+                        help="the store also comes back from older copies")
     parser.add_argument("--keep", help="folder for the logs of failed seeds")
     given = parser.parse_args()
     seeds = list(given.seed)
@@ -328,7 +356,7 @@
         seeds += [int(line.split()[0]) for line in
                   given.seeds.read_text().splitlines()
                   if line and not line.startswith("#")]
-    results = [play(seed, given.seconds, given.hosts, given.keep)
+    results = [play(seed, given.seconds, given.hosts, given.restores, given.keep)
                for seed in seeds or [random.randrange(10**6)]]
     sys.exit(0 if all(results) else 1)
 
--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -6,6 +6,7 @@
 thread of its own; callers of this module are in another.
 """
 import asyncio
+import copy
 import json
 import socket
 import threading
@@ -116,6 +117,8 @@
         self.calls = 0
         self.page = page  # objects of one answer to a list
         self.watches = {}  # by the connection that they came on
+        self.era = 1
+        self.era_header = lambda: str(self.era)  # None: answers have no header
         super().__init__(runner)
 
     # ---- What a test or an operator does ----
@@ -134,6 +137,28 @@
 
         self.runner.call(forget())
 
+    def copy(self):
+        """Takes a copy that restore() puts back."""
+
+        async def take():
+            return (self.revision, copy.deepcopy(self.kinds), list(self.events),
+                    self.forgotten)
+
+        return self.runner.call(take())
+
+    def restore(self, taken):
+        """Puts a copy back; all that was written since is gone."""
+
+        async def put_back():
+            self.revision, kinds, events, self.forgotten = taken
+            self.kinds, self.events = copy.deepcopy(kinds), list(events)
+            self.era += 1
+            self._wake()
+            for writer in list(self.writers):
+                reset(writer)
+
+        self.runner.call(put_back())
+
     def cut_connections(self):
         async def cut():
             for writer in list(self.writers):
@@ -213,8 +238,10 @@
         if status is None:
             return False
         body = json.dumps(answer).encode()
+        era = self.era_header()
+        named = "" if era is None else f"Store-Era: {era}\r\n"
         writer.write(
-            f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
+            f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n{named}"
             f"Content-Length: {len(body)}\r\n\r\n".encode()
             + body
         )
@@ -259,7 +286,7 @@
     async def _watch(self, kind, since, wait):
         end = time.monotonic() + wait
         while True:
-            if since < self.forgotten:
+            if since < self.forgotten or since > self.revision:
                 return 410, {"error": "history is gone"}
             news = [
                 {"object": changed, "deleted": deleted}
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -5,6 +5,7 @@
 """
 
 import concurrent.futures
+import itertools
 import signal
 import socket
 import subprocess
@@ -422,6 +423,84 @@
                    "the host that woke")
 
 
+class RestoreTest(ForwardingTest):
+    """The store comes back from a copy, and revisions are given out again."""
+
+    def restored(self, fleet, era, **kinds):
+        """Whether every host has seen this era of the store, in all kinds."""
+        return all(host.lines("store_restored", kind=kind, era=era)
+                   for host in fleet.hosts
+                   for kind in ("config", "targets", "rollouts", "hosts"))
+
+    def test_callers_notice_nothing(self):
+        fleet = self.fleet(hosts=4, workers=3)
+        taken = fleet.store.copy()
+        added = config(3)["routes"] + [route("new", "/new/", "desk", "safe")]
+        fleet.configure(9, routes=added)
+        fleet.add_worker("desk", "desk-late")
+        leaving = fleet.of("desk")[0]
+        leaving.register("draining")
+        wait_until(lambda: fleet.in_force(9), "version 9", 2)
+        time.sleep(0.5)
+        fleet.store.restore(taken)
+        runs = len(leaving.runs)
+        places = itertools.cycle(range(4))
+        for answer in pace(1.5, lambda: fleet.call("/new/a", host=next(places))):
+            self.assert_served(answer)
+        self.assertEqual(len(leaving.runs), runs, "a leaving worker came back")
+        wait_until(lambda: self.restored(fleet, 2), "the new era", 2)
+        fleet.workers["desk-late"].register("ready")
+        leaving.register("draining")
+        fleet.configure(9, routes=added)
+        for answer in pace(2, lambda: fleet.call("/new/a", host=next(places))):
+            self.assert_served(answer)
+        self.assertEqual(len(leaving.runs), runs, "a leaving worker came back")
+        # Changes arrive although their revisions were given out before.
+        fleet.configure(10, tenants=[{"name": "one", "api_keys": ["other"]}])
+        wait_until(lambda: fleet.in_force(10), "version 10", 2)
+
+    def test_hosts_are_listed_again(self):
+        fleet = self.fleet(hosts=1)
+        taken = fleet.store.copy()
+        fleet.hosts.append(Daemon(fleet, "entry-1"))
+        wait_until(fleet.hosts[1].ready, "entry-1 ready")
+        wait_until(lambda: "entry-1" in fleet.store.kinds["entry-hosts"],
+                   "its entry", 2)
+        for era in (2, 3):
+            fleet.store.restore(taken)
+            wait_until(lambda: self.restored(fleet, era), "the new era", 3)
+            wait_until(lambda: "entry-1" in fleet.store.kinds["entry-hosts"],
+                       "its entry, written again", 3)
+        for host in fleet.hosts:
+            self.assertIn("marjorambay_store_restores_total 2",
+                          host.metrics_text())
+
+    def test_a_worker_that_is_not_written_again_is_gone(self):
+        fleet = self.fleet(hosts=2, workers=2)
+        taken = fleet.store.copy()
+        gone = fleet.add_worker("desk", "desk-gone")
+        pace(0.5, lambda: fleet.call("/safe/a"))
+        fleet.store.restore(taken)
+        pace(3.5, lambda: fleet.call("/safe/a"))
+        runs = len(gone.runs)
+        for answer in pace(1, lambda: fleet.call("/safe/a")):
+            self.assert_served(answer)
+        self.assertEqual(len(gone.runs), runs)
+
+    def test_answers_of_an_unclear_era_are_not_mixed_in(self):
+        fleet = self.fleet(hosts=2)
+        store = fleet.store
+        for header in (None, "many", "0"):
+            store.era_header = lambda value=header: value
+            fleet.configure(3 + store.calls)  # with a version that is not seen
+            for answer in pace(0.5, lambda: fleet.call("/safe/a")):
+                self.assert_served(answer)
+        self.assertTrue(fleet.hosts[0].lines("store_era_invalid", era="many"))
+        store.era_header = lambda: str(store.era)
+        fleet.configure(100_000)
+        wait_until(lambda: fleet.in_force(100_000), "the last version", 4)
+
+
 class ExplainTest(ForwardingTest):
     """From the id of a failed request to its cause, as in docs/OPERATIONS.md."""
 
--- a/tests/system_tests.cmake
+++ b/tests/system_tests.cmake
@@ -25,11 +25,13 @@
   marjorambay_system_test(failures_${Class} failures_test.py 100 ${Class})
 endforeach()
 # The adapter and forwarded routes, before a stand-in of the users' platform.
-foreach(Class RequestTest RepeatTest FleetChangeTest OutageTest ExplainTest LimitTest RolloutTest)
+foreach(Class RequestTest RepeatTest FleetChangeTest OutageTest RestoreTest ExplainTest LimitTest RolloutTest)
   marjorambay_system_test(forwarding_${Class} forwarding_test.py 150 ${Class})
 endforeach()
 # Each seed that once failed, and two more; longer ones are run by hand.
 add_test(NAME soak COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/soak/soak.py
   --seeds ${CMAKE_SOURCE_DIR}/tests/soak/seeds.txt --seed 2 --seed 3 --seconds 8)
-set_tests_properties(soak PROPERTIES TIMEOUT 240
+add_test(NAME soak_restores COMMAND ${Python3_EXECUTABLE}
+  ${CMAKE_SOURCE_DIR}/tests/soak/soak.py --restores --seed 1 --seed 2 --seconds 8)
+set_tests_properties(soak soak_restores PROPERTIES TIMEOUT 240
   ENVIRONMENT "MARJORAMBAY_BIN=${CMAKE_BINARY_DIR}/bin;PYTHONDONTWRITEBYTECODE=1")
