Charge accounts for what hosts admit before they hear from a hub

Cause: a hub that starts forgives the usage that a host reports first, as part of the bucket's initial level. When all hosts start at once, half a burst is thus admitted by the hub and, before its first message, one request or a local share by each host: with 195 hosts more than a burst.

Change: heartbeats tell the host's uptime; usage of hosts that started with the bucket or after it is charged in full.

Ruled out: a lower initial level alone, which does not bound the hosts' part.

--- a/apps/marjorambayd/forward_fleet.cpp
+++ b/apps/marjorambayd/forward_fleet.cpp
@@ -134,8 +134,8 @@
   if (Message.Draining)
     Peer.DrainingAt = H.Loop.now();
   if (H.Table)
-    H.Ledger.recordUsage(From.Id, From.Incarnation, Message.AccountUsages,
-                         *H.Table, H.Loop.now());
+    H.Ledger.recordUsage(From.Id, From.Incarnation, Message.Uptime,
+                         Message.AccountUsages, *H.Table, H.Loop.now());
   Peer.HeartbeatAt = H.Loop.now();
   sendTo(H, From.Id, makeDigest(H, From.Id, Message.Sequence));
 }
@@ -222,6 +222,7 @@
   Message.Sequence = ++H.HeartbeatSequence;
   Message.ConfigVersion = H.Table ? H.Table->version() : 0;
   Message.Draining = H.Draining;
+  Message.Uptime = H.Loop.now() - H.StartedAt;
   Message.AccountUsages = H.Meter.collectUsage();
   H.Ledger.setReachableFraction(reachableFraction(H));
   const std::vector<HostId> Hubs = selectHubs(H);
@@ -233,8 +234,8 @@
     }
     if (!H.Table)
       continue;
-    H.Ledger.recordUsage(H.Self.Id, H.Incarnation, Message.AccountUsages,
-                         *H.Table, H.Loop.now());
+    H.Ledger.recordUsage(H.Self.Id, H.Incarnation, Message.Uptime,
+                         Message.AccountUsages, *H.Table, H.Loop.now());
     applyDigest(H, makeDigest(H, H.Self.Id, Message.Sequence));
   }
 }
--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -229,6 +229,7 @@
   TimerService Timers{Loop};
   HostInfo Self{};
   IncarnationId Incarnation{};
+  TimePoint StartedAt{};
   SplitMix64 Random;
   Metrics Stats{};
   bool Draining = false;
--- a/apps/marjorambayd/forward_lifecycle.cpp
+++ b/apps/marjorambayd/forward_lifecycle.cpp
@@ -127,7 +127,7 @@
 ForwardHost::ForwardHost(HostSettings Given, ForwardHeaders Headers)
     : Settings(std::move(Given)), HeaderNames(std::move(Headers)),
       Bounds(boundsOf(Settings)), Self(hostInfoFrom(Settings)),
-      Incarnation(incarnationAt(Loop.wallClockNow())),
+      Incarnation(incarnationAt(Loop.wallClockNow())), StartedAt(Loop.now()),
       Random(number(Self.Id) ^ number(Incarnation)),
       Callers(Loop, Timers, limitsOf(Settings)),
       Probes(Loop, Timers, HttpServerLimits{}),
--- a/apps/marjorambayd/peer_codec.cpp
+++ b/apps/marjorambayd/peer_codec.cpp
@@ -282,6 +282,7 @@
   Body->set_sequence(Message.Sequence);
   Body->set_config_version(Message.ConfigVersion);
   Body->set_draining(Message.Draining);
+  Body->set_uptime_us(Message.Uptime.count());
   for (const AccountUsage &Use : Message.AccountUsages) {
     peer::AccountUse *Entry = Body->add_uses();
     Entry->set_account(number(Use.Account));
@@ -406,6 +407,7 @@
   Message.Sequence = In.sequence();
   Message.ConfigVersion = In.config_version();
   Message.Draining = In.draining();
+  Message.Uptime = Duration(In.uptime_us());
   for (const peer::AccountUse &Entry : In.uses())
     Message.AccountUsages.push_back({AccountId{Entry.account()}, Entry.used()});
   return Message;
--- a/packages/coordination/marjorambay/coordination/fleet_heartbeat.h
+++ b/packages/coordination/marjorambay/coordination/fleet_heartbeat.h
@@ -24,6 +24,7 @@
   std::uint64_t ConfigVersion = 0;
   bool Draining = false;
   std::vector<AccountUsage> AccountUsages{};
+  Duration Uptime{}; ///< since the sender started; 0 if unknown
 };
 
 /// Stage of a version under rollout.
--- a/packages/coordination/tests/account_ledger_test.cpp
+++ b/packages/coordination/tests/account_ledger_test.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <deque>
+#include <vector>
 
 namespace marjorambay {
 namespace {
@@ -30,18 +31,31 @@
 
 /// Hosts that admit requests of one account, and the hubs that they report to.
 struct Fleet {
-  static constexpr std::size_t Hosts = 8;
+  explicit Fleet(std::size_t Hosts = 8) : Hosts(Hosts), Meters(Hosts) {}
+
+  std::size_t Hosts;
   ForwardTable Limits = limits();
-  std::array<AccountMeter, Hosts> Meters;
+  TimePoint StartedAt = at(seconds(0));
+  std::vector<AccountMeter> Meters;
   std::array<AccountLedger, 2> Hubs;
   std::deque<std::pair<TimePoint, double>> Admitted{};
   /// Partitioned: hosts 0 to 3 reach hub 0 only, the others hub 1 only.
   bool Partitioned = false;
+  double RequestCost = 0; ///< of one request; 0: shares of the demand
+  double Unsent = 0;      ///< demand that is not a whole request yet
+  std::size_t NextHost = 0;
 
   static HostId host(std::size_t Place) {
     return HostId{static_cast<std::uint64_t>(Place + 1)};
   }
 
+  /// All hosts and hubs lose what they know.
+  void restart(TimePoint Now) {
+    StartedAt = Now;
+    Meters.assign(Hosts, AccountMeter());
+    Hubs.fill(AccountLedger());
+  }
+
   void sendHeartbeats(TimePoint Now) {
     for (std::size_t Hub = 0; Hub < Hubs.size(); ++Hub) {
       Hubs[Hub].setReachableFraction(Partitioned ? 0.5 : 1.0);
@@ -49,7 +63,7 @@
         const bool Reaches = !Partitioned || (Host < Hosts / 2) == (Hub == 0);
         if (!Reaches || (!Partitioned && Hub == 1))
           continue;
-        Hubs[Hub].recordUsage(host(Host), IncarnationId{1},
+        Hubs[Hub].recordUsage(host(Host), IncarnationId{1}, Now - StartedAt,
                               Meters[Host].collectUsage(), Limits, Now);
         for (const AccountLevel &Level :
              Hubs[Hub].levels(host(Host), Limits, Now))
@@ -64,7 +78,7 @@
     constexpr Duration Step = milliseconds(10);
     constexpr Duration HeartbeatInterval = milliseconds(250);
     const ForwardAccount &Account = Limits.config().Accounts[0];
-    const double Cost = PerSecond * toSeconds(Step) / Hosts;
+    const double Demand = PerSecond * toSeconds(Step);
     TimePoint NextHeartbeat = Begin;
     for (TimePoint Now = Begin; Now < End; Now += Step) {
       const bool Early = std::any_of(Meters.begin(), Meters.end(),
@@ -75,9 +89,12 @@
         sendHeartbeats(Now);
         NextHeartbeat = Now + HeartbeatInterval;
       }
-      for (AccountMeter &Meter : Meters)
-        if (!Meter.admit(Account, Cost, Hosts, Now))
+      const double Cost = RequestCost > 0 ? RequestCost : Demand / Hosts;
+      for (Unsent += Demand; Unsent > Cost / 2; Unsent -= Cost) {
+        NextHost = (NextHost + 1) % Hosts;
+        if (!Meters[NextHost].admit(Account, Cost, Hosts, Now))
           Admitted.emplace_back(Now, Cost);
+      }
     }
   }
 
@@ -149,6 +166,24 @@
   }
 }
 
+TEST_CASE("hosts that all restart while an account is over its rate") {
+  // Each of many hosts may admit a request of 1% of the rate before it hears
+  // from a hub.
+  Fleet All(200);
+  All.RequestCost = 0.01 * Rate;
+  All.request(0.1 * Rate, at(seconds(0)), at(seconds(4)), true);
+  All.request(8 * Rate, at(seconds(4)), at(seconds(8)), true);
+  All.restart(at(seconds(9)));
+  All.request(8 * Rate, at(seconds(9)), at(milliseconds(9250)), false);
+  All.request(8 * Rate, at(milliseconds(9250)), at(seconds(20)), true);
+  SUBCASE("do not admit the account's burst anew") {
+    CHECK(All.maxInWindow() < AllowedInWindow * 1.1);
+  }
+  SUBCASE("go on at the account's rate") {
+    CHECK(All.sum() > 0.9 * (4 + 11) * Rate);
+  }
+}
+
 TEST_CASE("a host that restarts") {
   const ForwardTable Limits = limits();
   AccountLedger Hub;
@@ -157,16 +192,16 @@
   const auto Level = [&](TimePoint Now) {
     return Hub.levels(Host, Limits, Now)[0].Level;
   };
-  Hub.recordUsage(Host, IncarnationId{1}, {{Hot, 5000}}, Limits,
+  Hub.recordUsage(Host, IncarnationId{1}, hours(1), {{Hot, 5000}}, Limits,
                   at(seconds(0)));
   const double Start = Level(at(seconds(0)));
 
   SUBCASE("is charged from zero again") {
-    Hub.recordUsage(Host, IncarnationId{2}, {{Hot, 100}}, Limits,
-                    at(seconds(0)));
+    Hub.recordUsage(Host, IncarnationId{2}, milliseconds(200), {{Hot, 100}},
+                    Limits, at(seconds(0)));
     CHECK(Level(at(seconds(0))) == doctest::Approx(Start - 100));
     SUBCASE("and a late datagram of its last incarnation changes nothing") {
-      Hub.recordUsage(Host, IncarnationId{1}, {{Hot, 5500}}, Limits,
+      Hub.recordUsage(Host, IncarnationId{1}, hours(1), {{Hot, 5500}}, Limits,
                       at(seconds(0)));
       CHECK(Level(at(seconds(0))) == doctest::Approx(Start - 100));
     }
