--- a/apps/marjorambayd/forward_fleet.cpp
+++ b/apps/marjorambayd/forward_fleet.cpp
@@ -148,7 +148,7 @@
   H.Fleet[From.Id].FreshAt = Fresh ? H.Loop.now() : TimePoint{};
   applyDigest(H, Digest);
   pullFromHub(H, From.Id, Digest);
-  if (H.Watching)
+  if (H.Source != ObjectSource::Hubs)
     updateObjectSource(H, selectHubs(H));
 }
 
--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -161,6 +161,18 @@
   bool HasWrittenStage = false;
 };
 
+/// Where a host gets the platform's objects from.
+enum class ObjectSource : std::uint8_t {
+  Hubs,
+  Platform,
+  PlatformWithoutHubs, ///< because no hub has objects that are up to date
+};
+template <>
+inline constexpr std::array NamesOf<ObjectSource> =
+    std::to_array<std::string_view>({"hubs", "platform",
+                                     "platform_without_hubs"});
+static_assert(NamesOf<ObjectSource>.size() == 3);
+
 /// A request for objects to a host that watches the platform.
 struct ObjectPull {
   CallId Call{};
@@ -280,8 +292,7 @@
       ObjectMirror(Duration(0)), ObjectMirror()};
   std::uint64_t StoreEra = 0; ///< latest era of the platform's store; 0 if none
   std::array<ObjectPull, ObjectKindCount> Pulls{};
-  bool Watching = true; ///< whether this host watches the platform; otherwise
-                        ///< it follows hubs
+  ObjectSource Source = ObjectSource::Platform;
   TimePoint PlatformRespondedAt{}; ///< when the platform last responded
   TimePoint WatchUntil{}; ///< until then this host watches the platform,
                           ///< because pulls from hubs failed
@@ -292,8 +303,8 @@
   /// below.
   sigc::signal<void(ObjectKind, const std::vector<ObjectRecord> &)>
       ObjectsChanged{};
-  /// The adapter should start (true) or stop watching the platform.
-  sigc::signal<void(bool)> WatchRequested{};
+  /// The adapter should start or stop watching the platform.
+  sigc::signal<void(ObjectSource)> WatchRequested{};
   /// A rollout has reached a stage that is to be written to the platform.
   sigc::signal<void(PoolId, const std::string &Version, VersionStage)>
       StageReached{};
--- a/apps/marjorambayd/forward_objects.cpp
+++ b/apps/marjorambayd/forward_objects.cpp
@@ -185,7 +185,8 @@
 }
 
 bool isWatchHealthy(const ForwardHost &H) {
-  return H.Watching && H.PlatformRespondedAt != TimePoint{} &&
+  return H.Source != ObjectSource::Hubs &&
+         H.PlatformRespondedAt != TimePoint{} &&
          H.Loop.now() - H.PlatformRespondedAt < PlatformTimeout;
 }
 
@@ -263,16 +264,18 @@
   bool Initialized = true;
   for (const ObjectMirror &Mirror : H.Mirrors)
     Initialized = Initialized && Mirror.initialized();
-  const bool ShouldWatch =
-      IsHub || !HubAvailable || !Initialized || Now < H.WatchUntil;
-  if (ShouldWatch == H.Watching) {
+  const ObjectSource Source =
+      IsHub || !Initialized || Now < H.WatchUntil ? ObjectSource::Platform
+      : HubAvailable                              ? ObjectSource::Hubs
+                     : ObjectSource::PlatformWithoutHubs;
+  if (Source == H.Source) {
     if (IsHub)
-      H.WatchRequested.emit(true); // other hosts depend on this watch
+      H.WatchRequested.emit(Source); // other hosts depend on this watch
     return;
   }
-  H.Watching = ShouldWatch;
-  LogLine("platform_source").with("from", ShouldWatch ? "platform" : "hubs");
-  H.WatchRequested.emit(ShouldWatch);
+  H.Source = Source;
+  LogLine("platform_source").with("from", nameOf(Source));
+  H.WatchRequested.emit(Source);
 }
 
 } // namespace marjorambay
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -13,6 +13,7 @@
         self.runner, self.target = runner, target_port
         self.mode, self.delay = "pass", 0.05
         self.pairs = set()
+        self.watches = 0  # watches of the store that passed toward the server
         self.server = runner.call(self._listen())
         self.port = self.server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{self.port}"
@@ -43,6 +44,8 @@
                 while self.mode == "silent" or (answers and
                                                 self.mode == "no_answers"):
                     await asyncio.sleep(0.02)
+                if not answers:
+                    self.watches += data.count(b"watch=")
                 if self.mode == "delay":
                     await asyncio.sleep(self.delay)
                 writer.write(data)
--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -116,7 +116,6 @@
         self.lose_writes = 0  # so many are done and not answered
         self.calls = 0
         self.page = page  # objects of one answer to a list
-        self.watches = {}  # by the connection that they came on
         self.era = 1
         self.era_header = lambda: str(self.era)  # None: answers have no header
         super().__init__(runner)
@@ -222,9 +221,6 @@
         if message is None:
             return False
         self.calls += 1
-        if "watch=" in message[0]:
-            caller = writer.get_extra_info("peername")
-            self.watches[caller] = self.watches.get(caller, 0) + 1
         if self.mode == "silent":
             await asyncio.sleep(60)
             return False
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -275,16 +275,17 @@
         wait_until(lambda: fleet.in_force(6), "version 6", 3)
 
     def test_a_host_that_starts_follows_hubs_without_a_watch(self):
-        fleet = self.fleet(hosts=6)
+        fleet = self.fleet(hosts=6, proxied=True)
         time.sleep(1)
         follower = next(host for host in fleet.hosts
                         if host.lines("platform_source", **{"from": "hubs"}))
-        known = set(fleet.store.watches)
+        proxy = fleet.proxies[follower.name]
         follower.kill()
+        before = proxy.watches
         follower.start()
         wait_until(follower.ready, "ready again", 5)
         time.sleep(2)
-        self.assertEqual(set(fleet.store.watches) - known, set())
+        self.assertEqual(proxy.watches, before)
         fleet.configure(6)
         wait_until(lambda: follower.lines("config_in_force", version=6),
                    "version 6", 3)
