--- a/packages/coordination/marjorambay/coordination/store_position.h
+++ b/packages/coordination/marjorambay/coordination/store_position.h
@@ -15,7 +15,12 @@
 struct StorePosition {
   std::uint64_t Era = 0;      ///< 0 if the store reports none
   std::uint64_t Revision = 0; ///< 0 before the first answer
-  auto operator<=>(const StorePosition &) const = default;
+  bool operator==(const StorePosition &) const = default;
+  constexpr std::strong_ordering operator<=>(const StorePosition &Other) const {
+    const std::strong_ordering ByEra = Era <=> Other.Era;
+    return ByEra == std::strong_ordering::equal ? Revision <=> Other.Revision
+                                                : ByEra;
+  }
 };
 
 /// How the history of an answer relates to the history of a view.
