Measure a tier's service only while the pool grants often

Cause: with a few slots and long answers, the time between two grants exceeds the half second over which service is measured.

Change: the measurement counts only while the pool as a whole grants 16 times a second, weighted like the rate.

--- a/packages/coordination/marjorambay/coordination/backlog_service.h
+++ b/packages/coordination/marjorambay/coordination/backlog_service.h
@@ -8,7 +8,6 @@
 #include <array>
 #include <cmath>
 #include <cstddef>
-#include <cstdint>
 #include <optional>
 
 namespace marjorambay {
@@ -26,7 +25,6 @@
       return;
     if (Now - Entry.LastWaiting > MaxGap) {
       Entry.Since = Now;
-      Entry.GrantsBefore = Grants;
       Entry.Work = 0;
       Entry.UpdatedAt = Now;
     }
@@ -34,19 +32,21 @@
   }
 
   void recordGrant(TierRank Tier, double Work, TimePoint Now) {
-    ++Grants;
+    PoolGrants = PoolGrants * decay(PoolGrantedAt, Now) + 1;
+    PoolGrantedAt = Now;
     Backlog &Entry = Tiers[number(Tier) % MaxTiers];
     Entry.Work = decayed(Entry, Now) + Work;
     Entry.UpdatedAt = Now;
   }
 
   /// Returns the work per second that \p Tier is granted; nothing if it has had
-  /// no backlog for long enough, or the pool has granted too little since.
+  /// no backlog for long enough, or the pool as a whole grants so little that
+  /// the time between two grants says nothing.
   std::optional<double> rate(TierRank Tier, TimePoint Now) const {
     const Backlog &Entry = Tiers[number(Tier) % MaxTiers];
     const Duration Age = Now - Entry.Since;
     if (Now - Entry.LastWaiting > MaxGap || Age < MinAge ||
-        Grants - Entry.GrantsBefore < MinGrants)
+        PoolGrants * decay(PoolGrantedAt, Now) < MinPoolGrants)
       return std::nullopt;
     // Corrects for the short time over which the sum was taken.
     const double Weight = 1 - std::exp(-toSeconds(Age) / AverageSeconds);
@@ -58,8 +58,9 @@
   /// tiers, long enough for several grants.
   static constexpr double AverageSeconds = 0.5;
   static constexpr Duration MinAge = milliseconds(100);
-  /// Grants to all tiers that make a measurement, even of a tier without any.
-  static constexpr std::uint64_t MinGrants = 16;
+  /// Grants to all tiers, weighted like the average, that make a measurement:
+  /// 16 a second.
+  static constexpr double MinPoolGrants = 8;
   /// A backlog that ends for no longer than this is still the same.
   static constexpr Duration MaxGap = milliseconds(200);
 
@@ -68,15 +69,17 @@
     TimePoint UpdatedAt{};
     TimePoint Since{};
     TimePoint LastWaiting{};
-    std::uint64_t GrantsBefore = 0; ///< of the pool, until Since
   };
+  static double decay(TimePoint Since, TimePoint Now) {
+    return std::exp(-toSeconds(Now - Since) / AverageSeconds);
+  }
   static double decayed(const Backlog &Entry, TimePoint Now) {
-    return Entry.Work *
-           std::exp(-toSeconds(Now - Entry.UpdatedAt) / AverageSeconds);
+    return Entry.Work * decay(Entry.UpdatedAt, Now);
   }
 
   std::array<Backlog, MaxTiers> Tiers{};
-  std::uint64_t Grants = 0; ///< to all tiers
+  double PoolGrants = 0; ///< to all tiers, each decayed by its age
+  TimePoint PoolGrantedAt{};
 };
 
 } // namespace marjorambay
--- a/packages/coordination/tests/arbiter_test.cpp
+++ b/packages/coordination/tests/arbiter_test.cpp
@@ -607,5 +607,32 @@
   }
 }
 
+TEST_CASE("a small pool whose answers take seconds (long answers)") {
+  Arbiter Policy;
+  Policy.step(TargetsChanged{{worker("w1", 4)}}, at(seconds(0)));
+  std::vector<std::uint64_t> InFlight;
+  std::size_t Refused = 0;
+  const auto Record = [&](const ArbiterActions &Actions) {
+    for (const std::uint64_t Id : granted(Actions))
+      InFlight.push_back(Id);
+    Refused += refused(Actions).size();
+  };
+  for (std::uint64_t Id = 1; Id <= 60; ++Id)
+    Record(Policy.step(SlotRequested{reservation(Id)}, at(seconds(0))));
+  for (int Tick = 1; Tick <= 300; ++Tick) {
+    const TimePoint Now = at(milliseconds(100) * Tick);
+    if (Tick % 30 == 0) {
+      std::vector<std::uint64_t> Ended;
+      Ended.swap(InFlight);
+      for (const std::uint64_t Id : Ended)
+        Record(Policy.step(SlotReleased{key(Id), {}}, Now));
+    }
+    Record(Policy.step(ArbiterTicked{}, Now));
+  }
+  SUBCASE("refuses nobody because of the pause between two grants") {
+    CHECK(Refused == 0);
+  }
+}
+
 } // namespace
 } // namespace marjorambay
--- a/packages/coordination/tests/object_mirror_test.cpp
+++ b/packages/coordination/tests/object_mirror_test.cpp
@@ -234,7 +234,7 @@
   }
   std::uint64_t seenEra() const { return Naive ? Era : StoreEra; }
 
-  void write(const std::string &Name, std::string Text) {
+  void write(const std::string &Name, const std::string &Text) {
     ++Revision;
     Events.push_back({Name, {seenEra(), Revision}, Text.empty(), Text});
     if (Text.empty())
