Test that a rollout's outcome is written again after a restore

Copies the store while the version is a canary, restores it in the middle of the rollout and again after its completion.

--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -636,7 +636,7 @@
 class RolloutTest(ForwardingTest):
     """A version moves in by its deadline, or is taken back."""
 
-    def roll(self, trouble, seconds=6):
+    def roll(self, trouble, seconds=6, while_rolling=lambda fleet: None):
         fleet = self.fleet(hosts=2)
         for number in range(2):
             worker = fleet.add_worker("desk", f"desk-new-{number}", "v2")
@@ -659,6 +659,7 @@
                 status = fleet.store.status("rollouts", "desk") or {}
                 return status.get("state") in ("completed", "rolled_back")
 
+            while_rolling(fleet)
             wait_until(final, "the outcome", seconds + 1)
             took = time.monotonic() - begun
             time.sleep(1)
@@ -680,6 +681,29 @@
                     if each.version == "v1")
         self.assertEqual(before, after)
 
+    def test_the_outcome_is_written_again_after_a_restore(self):
+        copies = []
+
+        def copy_and_restore(fleet):
+            time.sleep(1)
+            copies.append(fleet.store.copy())  # the version is a canary
+            time.sleep(1)
+            fleet.store.restore(copies[0])  # in the middle of the rollout
+
+        fleet, status, took, _ = self.roll(lambda run: None,
+                                           while_rolling=copy_and_restore)
+        self.assertEqual(status, {"state": "completed", "target": "v2"})
+        self.assertLess(took, 6)
+        fleet.store.restore(copies[0])  # the outcome is lost
+        self.assertNotEqual(fleet.store.status("rollouts", "desk"), status)
+        wait_until(lambda: fleet.store.status("rollouts", "desk") == status,
+                   "the outcome, written again", 3)
+        for answer in pace(1, lambda: fleet.call("/safe/a")):
+            self.assert_served(answer)
+        late = [run for each in fleet.of("desk") if each.version == "v1"
+                for run in each.runs[-1:] if run["at"] > time.monotonic() - 1]
+        self.assertEqual(late, [], "the old version serves again")
+
     def test_a_bad_version_is_taken_back(self):
         failing = threading.Lock()
         count = [0]
