Charge only hosts that have just started for their first report

Cause: a first report was charged in full if the host had started no earlier than the hub's bucket was created. A bucket may exist since the fleet's start on a host that becomes a hub much later: the whole usage of all hosts since then would be charged at once.

Change: a first report is charged if the host has been up for two seconds at most.

Ruled out: a bound by the bucket's age, since a bucket doesn't charge over time for hosts that it doesn't hear.

--- a/packages/coordination/marjorambay/coordination/account_ledger.h
+++ b/packages/coordination/marjorambay/coordination/account_ledger.h
@@ -43,9 +43,9 @@
   double InitialFraction = 0.5;
   /// Averaging window of AccountLevel::OthersRate.
   Duration RateWindow = seconds(1);
-  /// A host that started within this time before a bucket was created belongs
-  /// to the same start of the fleet.
-  Duration StartSpread = seconds(1);
+  /// Time since its start within which a host reports for the first time, also
+  /// when all hosts start at once.
+  Duration FirstReportTime = seconds(2);
 };
 
 class AccountLedger {
@@ -53,9 +53,9 @@
   explicit AccountLedger(AccountLedgerSettings Given = {}) : Settings(Given) {}
 
   /// Merges the running totals that a host reports. The first report of a host
-  /// that is new to this hub sets its baseline, unless the host started at
-  /// about the same time as the bucket or later: its entire usage is then
-  /// charged. \p Uptime is the time since the host started; 0 if unknown.
+  /// that is new to this hub sets its baseline, unless the host has just
+  /// started: its entire usage is then charged. \p Uptime is the time since the
+  /// host started; 0 if unknown.
   void recordUsage(HostId From, IncarnationId Incarnation, Duration Uptime,
                    const std::vector<AccountUsage> &Uses,
                    const ForwardTable &Limits, TimePoint Now);
@@ -76,7 +76,6 @@
   struct Bucket {
     double Level = 0;
     TimePoint At{};
-    TimePoint CreatedAt{};
     std::unordered_map<HostId, Reported> Hosts{};
   };
   Bucket &bucketOf(const ForwardAccount &Account, TimePoint Now);
--- a/packages/coordination/src/account_ledger.cpp
+++ b/packages/coordination/src/account_ledger.cpp
@@ -14,7 +14,6 @@
   if (New) {
     Entry.Level = Settings.InitialFraction * Account.Burst;
     Entry.At = Now;
-    Entry.CreatedAt = Now;
   }
   const double Refill =
       ReachableFraction * Account.RatePerSecond * toSeconds(Now - Entry.At);
@@ -39,16 +38,15 @@
     if (Known && Incarnation < Last.Incarnation)
       continue;
     // The usage so far of an incarnation that is new to this hub is part of the
-    // bucket's initial level, unless all of it came after the bucket was
-    // created or at a start of the whole fleet. Otherwise such a start would
-    // permit the initial level twice: once at the hub, and once at all hosts
-    // together.
-    const bool IsRecent =
-        Uptime.count() > 0 &&
-        Uptime <= Now - Entry.CreatedAt + Settings.StartSpread;
-    const double Baseline = Known && !Restarted     ? Last.Used
-                            : Restarted || IsRecent ? 0
-                                                    : Use.Used;
+    // bucket's initial level, unless the host has just started. Otherwise a
+    // start of the whole fleet would permit the initial level twice: once at
+    // the hub, and once at all hosts together. The usage of a host that has run
+    // for longer was charged by other hubs.
+    const bool JustStarted =
+        Uptime.count() > 0 && Uptime <= Settings.FirstReportTime;
+    const double Baseline = Known && !Restarted        ? Last.Used
+                            : Restarted || JustStarted ? 0
+                                                       : Use.Used;
     const double Delta = std::max(0.0, Use.Used - Baseline);
     const double Elapsed = Known ? toSeconds(Now - Last.At) : 0;
     const double Window = toSeconds(Settings.RateWindow);
--- a/packages/coordination/tests/account_ledger_test.cpp
+++ b/packages/coordination/tests/account_ledger_test.cpp
@@ -184,6 +184,31 @@
   }
 }
 
+TEST_CASE("a host that reports to a hub for the first time (hub failover)") {
+  const ForwardTable Limits = limits();
+  AccountLedger Hub;
+  const AccountId Hot = idOf<AccountId>("hot");
+  const auto Level = [&](TimePoint Now) {
+    return Hub.levels(HostId{1}, Limits, Now)[0].Level;
+  };
+  // The hub has had a bucket since the fleet started.
+  Hub.recordUsage(HostId{1}, IncarnationId{1}, milliseconds(250), {{Hot, 0}},
+                  Limits, at(seconds(0)));
+  const TimePoint Failover = at(minutes(5));
+  const double Before = Level(Failover);
+
+  SUBCASE("is not charged for all that it used at another hub") {
+    Hub.recordUsage(HostId{2}, IncarnationId{1}, minutes(5),
+                    {{Hot, 300 * Rate}}, Limits, Failover);
+    CHECK(Level(Failover) == doctest::Approx(Before));
+  }
+  SUBCASE("is charged if it has just started") {
+    Hub.recordUsage(HostId{2}, IncarnationId{1}, milliseconds(500),
+                    {{Hot, 100}}, Limits, Failover);
+    CHECK(Level(Failover) == doctest::Approx(Before - 100));
+  }
+}
+
 TEST_CASE("a host that restarts") {
   const ForwardTable Limits = limits();
   AccountLedger Hub;
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -427,7 +427,7 @@
 class RestoreTest(ForwardingTest):
     """The store comes back from a copy, and revisions are given out again."""
 
-    def restored(self, fleet, era, **kinds):
+    def restored(self, fleet, era):
         """Whether every host has seen this era of the store, in all kinds."""
         return all(host.lines("store_restored", kind=kind, era=era)
                    for host in fleet.hosts
@@ -694,8 +694,9 @@
                                            while_rolling=copy_and_restore)
         self.assertEqual(status, {"state": "completed", "target": "v2"})
         self.assertLess(took, 6)
+        _, kinds, _, _ = copies[0]
+        self.assertNotEqual(kinds["rollouts"]["desk"]["status"], status)
         fleet.store.restore(copies[0])  # the outcome is lost
-        self.assertNotEqual(fleet.store.status("rollouts", "desk"), status)
         wait_until(lambda: fleet.store.status("rollouts", "desk") == status,
                    "the outcome, written again", 3)
         for answer in pace(1, lambda: fleet.call("/safe/a")):
