Bound the measured service by the tier's floor; late requests need no margin

Change: the measured rate is at least the tier's floor; the margin, which is for meeting an objective, does not apply once that has passed.

New test of hosts without a hub, which fails on the daemon before.

--- a/packages/coordination/src/arbiter.cpp
+++ b/packages/coordination/src/arbiter.cpp
@@ -147,7 +147,9 @@
     return std::nullopt;
   const WorkAhead Ahead = Queue.workAhead(
       Entry.Request.Tier, Entry.Request.Account, Entry.LatestStart);
-  const double Least = MinCapacityShare * Targets.capacity();
+  // A pause between two grants of the tier does not take its floor away.
+  const double Least =
+      std::max(MinCapacityShare, Settings.TierFloor) * Targets.capacity();
   return (Ahead.SameTier + Entry.Work) / std::max({1e-3, Least, *Rate});
 }
 
@@ -168,9 +170,9 @@
   // long as its answer is of use.
   const bool IsLate = Entry.LatestStart <= Now + Settings.MinFirstTokenWait;
   const TimePoint WaitsUntil = IsLate ? Entry.GiveUpAt : Entry.LatestStart;
-  const double Margin = Entry.Request.FirstTokenObjective.count() > 0
-                            ? Settings.AdmissionMargin
-                            : 1;
+  const bool HasMargin =
+      Entry.Request.FirstTokenObjective.count() > 0 && !IsLate;
+  const double Margin = HasMargin ? Settings.AdmissionMargin : 1;
   const double Late =
       expectedWait(Entry, Now) - Margin * toSeconds(WaitsUntil - Now);
   if (Late <= 0 && Queue.size() < Settings.MaxQueued)
--- a/packages/coordination/tests/arbiter_test.cpp
+++ b/packages/coordination/tests/arbiter_test.cpp
@@ -529,6 +529,7 @@
     ArbiterSettings Settings;
     Settings.TierFloor = 0.05;
     Settings.FirstTokenPatience = 4;
+    Settings.MinFirstTokenPatience = milliseconds(1500);
     Settings.AdmissionMargin = 0.5;
     Settings.Targets.TrustDeclaredSlots = true;
     Policy = Arbiter(Settings);
@@ -560,18 +561,24 @@
   }
 
   Outcome Low{};
+  Outcome Late{}; ///< requests of the lower tier whose objective has passed
 
 private:
   void request(int Rank, TimePoint Now) {
     Reservation Request = reservation(++LastId * 4 + Rank, Rank);
     Request.Remaining = seconds(10);
-    Request.FirstTokenObjective = milliseconds(300);
+    const bool IsLate = Rank == 2 && Low.Requests % 10 == 9;
+    Request.FirstTokenObjective = IsLate ? Duration(1) : milliseconds(300);
     Low.Requests += Rank == 2 ? 1 : 0;
+    Late.Requests += IsLate ? 1 : 0;
+    if (IsLate)
+      LateIds.insert(number(Request.Key.Id));
     record(Policy.step(SlotRequested{Request}, Now), number(Request.Key.Id));
   }
   void record(const ArbiterActions &Actions, std::uint64_t Arriving) {
     for (const std::uint64_t Id : granted(Actions)) {
       Low.Granted += Id % 4 == 2 ? 1 : 0;
+      Late.Granted += LateIds.count(Id);
       Ends.emplace_back(at(Elapsed) + Service, Id);
     }
     for (const RefuseSlot &Refusal : only<RefuseSlot>(Actions)) {
@@ -588,6 +595,7 @@
   SplitMix64 Random{7};
   Duration Elapsed{};
   std::uint64_t LastId = 0;
+  std::set<std::uint64_t> LateIds{};
   std::deque<std::pair<TimePoint, std::uint64_t>> Ends{};
 };
 
@@ -595,6 +603,7 @@
   FilledPool Pool;
   Pool.offer(34, 0, seconds(5));
   Pool.offer(34, 24, seconds(25));
+  Pool.offer(34, 0, seconds(28)); // what waits is granted or refused
   SUBCASE("are refused on arrival, not after a wait") {
     CHECK(static_cast<double>(Pool.Low.RefusedLater) <
           0.1 * static_cast<double>(Pool.Low.Requests));
@@ -602,6 +611,9 @@
   SUBCASE("are met as far as the higher tier leaves slots") {
     CHECK(Pool.Low.Granted > 0.8 * 6 * 20);
   }
+  SUBCASE("do not keep late requests, as after a failed attempt, from slots") {
+    CHECK(Pool.Late.Granted == Pool.Late.Requests);
+  }
   SUBCASE("are not asked to return while the overload goes on") {
     CHECK(Pool.Low.LongestRetryAfter > seconds(10));
   }
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -375,6 +375,28 @@
         # In force within two seconds, and 0.2 s until the line is written.
         self.assertLess(time.monotonic() - begun, 2.2)
 
+    def test_hosts_without_a_hub_call_for_one_kind(self):
+        fleet = self.fleet(hosts=6, proxied=True)
+        time.sleep(1)
+        followers = [host for host in fleet.hosts
+                     if host.lines("platform_source", **{"from": "hubs"})]
+        fleet.store.mode = "busy"
+        for host in followers:
+            wait_until(lambda: host.lines("platform_source",
+                                          **{"from": "platform_without_hubs"}),
+                       "a host that is on its own", 4)
+        proxies = [fleet.proxies[host.name] for host in followers]
+        before = [proxy.watches for proxy in proxies]
+        time.sleep(4)
+        # Half of a delay of 0.8 s at least, so ten of one kind.
+        for proxy, watches in zip(proxies, before):
+            self.assertLessEqual(proxy.watches - watches, 10)
+        fleet.store.mode = "up"
+        fleet.configure(9)
+        wait_until(lambda: fleet.in_force(9), "version 9", 3)
+        for host in range(6):
+            self.assert_served(fleet.call("/safe/a", host=host))
+
     def test_a_host_without_a_configuration_says_so(self):
         fleet = self.fleet(hosts=1)
         fleet.store.mode = "busy"
