Log how a target's answer is framed and whether it ends within an event

Callers got streams that ended as complete although their target had broken them off. The log said "served" and could not tell an answer without a length that ended within an event from a framed one whose end was forwarded early. request_ended and attempt_failed now have framing and partial_bytes.

--- a/apps/marjorambayd/forward_dispatch.cpp
+++ b/apps/marjorambayd/forward_dispatch.cpp
@@ -90,7 +90,9 @@
       .with("cause", Cause)
       .with("attempt", Call.Attempts)
       .with("not_run", NotRun ? "yes" : "no")
-      .with("events", Call.Events.events());
+      .with("events", Call.Events.events())
+      .with("framing", nameOf(Call.Framing))
+      .with("partial_bytes", Call.Events.partial().size());
   if (mayRetry(H, Call, NotRun)) {
     if (Call.Relaying)
       Call.Events.resume();
@@ -106,6 +108,7 @@
   const TimePoint Now = H.Loop.now();
   Call->LastBytesAt = Now;
   Call->Status = Head.Status;
+  Call->Framing = Head.Framing;
   const bool NotRun =
       !Head.header(H.HeaderNames.NotRun).empty() || Head.Status == 421;
   Call->TargetDeclined = NotRun;
--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -128,6 +128,7 @@
   bool TargetDeclined = false;
   // Response to the caller.
   int Status = 0;
+  BodyFraming Framing = BodyFraming::Length; ///< of the target's response
   bool Relaying = false; ///< the response is relayed event by event
   bool ResponseStarted =
       false;                  ///< the response headers were sent to the caller
--- a/apps/marjorambayd/forward_requests.cpp
+++ b/apps/marjorambayd/forward_requests.cpp
@@ -343,6 +343,8 @@
       .with("first_ms", MsSince(Call.FirstEventAt))
       .with("total_ms", MsSince(Now))
       .with("events", Call.EventsBefore + Call.Events.events())
+      .with("framing", nameOf(Call.Framing))
+      .with("partial_bytes", Call.Events.partial().size())
       .with("prompt", Call.PromptTokens)
       .with("quota_charge", static_cast<std::int64_t>(Call.QuotaCharge))
       .with("deadline_ms", std::chrono::duration_cast<milliseconds>(
--- a/packages/transport/marjorambay/transport/http1.h
+++ b/packages/transport/marjorambay/transport/http1.h
@@ -7,8 +7,10 @@
 #ifndef MARJORAMBAY_TRANSPORT_HTTP1_H
 #define MARJORAMBAY_TRANSPORT_HTTP1_H
 
+#include "marjorambay/state/enum_names.h"
 #include "marjorambay/transport/http_server.h"
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <http_parser.h>
@@ -17,6 +19,17 @@
 
 namespace marjorambay {
 
+/// How the recipient of a message knows where its body ends.
+enum class BodyFraming : std::uint8_t {
+  Length,     ///< by its length; also messages that have no body
+  Chunked,    ///< by a last chunk
+  UntilClose, ///< by the end of the connection
+};
+template <>
+inline constexpr std::array NamesOf<BodyFraming> =
+    std::to_array<std::string_view>({"length", "chunked", "until_close"});
+static_assert(NamesOf<BodyFraming>.size() == 3);
+
 /// Start line and headers of a message.
 struct HttpHead {
   std::string Method{};        ///< requests only
@@ -24,9 +37,7 @@
   int Status = 0;              ///< responses only
   HttpHeaders Headers{};
   bool KeepAlive = false; ///< the connection may serve another message
-  /// Has a length or chunks; otherwise ends when the connection closes.
-  bool Framed = false;
-  bool Chunked = false;
+  BodyFraming Framing = BodyFraming::Length;
 
   /// Value of the first header named \p Name, ignoring case; empty if absent.
   std::string_view header(std::string_view Name) const;
@@ -85,6 +96,7 @@
   static const http_parser_settings &callbacks();
   bool addHeaderBytes(std::size_t Size);
   bool hasAmbiguousFraming() const;
+  BodyFraming framing() const;
 
   HttpMessageType Type;
   std::size_t MaxHeaderBytes;
--- a/packages/transport/src/http1.cpp
+++ b/packages/transport/src/http1.cpp
@@ -168,6 +168,15 @@
   return Lengths + Encodings > 1;
 }
 
+BodyFraming Http1Parser::framing() const {
+  if ((Parser.flags & F_CHUNKED) != 0)
+    return BodyFraming::Chunked;
+  const bool HasLength = !Head.header("content-length").empty() || NoBody ||
+                         Head.Status == 204 || Head.Status == 304 ||
+                         Type == HttpMessageType::Request;
+  return HasLength ? BodyFraming::Length : BodyFraming::UntilClose;
+}
+
 int Http1Parser::onHeaders(http_parser *Parser) {
   auto &Self = *static_cast<Http1Parser *>(Parser->data);
   for (HttpHeader &Header : Self.Head.Headers) {
@@ -182,12 +191,9 @@
     Self.Head.Method =
         http_method_str(static_cast<http_method>(Parser->method));
   Self.Head.Status = Parser->status_code;
-  Self.Head.Chunked = (Parser->flags & F_CHUNKED) != 0;
-  Self.Head.Framed =
-      Self.Head.Chunked || !Self.Head.header("content-length").empty() ||
-      Self.NoBody || Self.Head.Status == 204 || Self.Head.Status == 304 ||
-      Self.Type == HttpMessageType::Request;
-  Self.Head.KeepAlive = http_should_keep_alive(Parser) != 0 && Self.Head.Framed;
+  Self.Head.Framing = Self.framing();
+  Self.Head.KeepAlive = http_should_keep_alive(Parser) != 0 &&
+                        Self.Head.Framing != BodyFraming::UntilClose;
   if (Self.OnHead)
     Self.OnHead(Self.Head);
   return Self.NoBody ? 1 : 0;
--- a/packages/transport/src/keep_alive_client.cpp
+++ b/packages/transport/src/keep_alive_client.cpp
@@ -212,7 +212,8 @@
     return endCall(Conn, KeepAliveOutcome::Refused);
   // Only an orderly close completes a response without a length.
   const bool Unframed = Conn.Parser.headComplete() &&
-                        !Conn.DiscardingResponse && !Conn.Parser.head().Framed;
+                        !Conn.DiscardingResponse &&
+                        Conn.Parser.head().Framing == BodyFraming::UntilClose;
   if (Reason == SocketCloseReason::Closed && Unframed &&
       Conn.Parser.feedEof() == ParseOutcome::Complete)
     return endCall(Conn, KeepAliveOutcome::Complete);
