Test that a stream which closes within an event is not complete; fails

Callers saw a last chunk after a stream that its target had broken off. The stand-in's targets answer without length or chunks if asked to, and close in an orderly way within an event: forwarding_test.py ResponseEndTest shows the caller events 1, 2 and half of 3 with status 200, framed as complete, and no second run where the stream may be resumed. Both tests are marked as expected failures and listed in KNOWN-RED.txt; the fix takes both marks out.

--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -328,7 +328,8 @@
 
     `trouble` is asked for each request and returns one of: None, "full",
     "error", "reset_before", "reset_after", "silent", "twice", "break:N" (the
-    stream breaks in the middle of the event after N).
+    stream is reset in the middle of the event after N), "cut:N" (there it is
+    closed in an orderly way).
     """
 
     def __init__(self, runner, store, service, name, version="v1", slots=4):
@@ -339,6 +340,7 @@
         self.seconds = 0.005  # a request takes
         self.events = 5  # of a stream
         self.gap = 0.01  # between two events, seconds
+        self.until_close = False  # answers end with their connection
         super().__init__(runner)
         self.register("ready")
 
@@ -411,36 +413,42 @@
             f"HTTP/1.1 {status} X",
             f"X-Marjorambay-Attempt-Id: {headers.get('x-marjorambay-attempt-id', '')}",
             f"X-Marjorambay-Server-Signature: sign-{self.name}",
-            f"Content-Length: {len(body)}",
         ] + [f"{name}: {value}" for name, value in more.items()]
+        if not self.until_close:
+            lines.append(f"Content-Length: {len(body)}")
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
         await writer.drain()
-        return True
+        return not self.until_close
 
     async def _stream(self, writer, run, trouble):
-        headers = run["headers"]
+        framing = "" if self.until_close else "Transfer-Encoding: chunked\r\n"
         writer.write(
             (
                 "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
                 f"X-Marjorambay-Attempt-Id: {run['id']}\r\n"
                 f"X-Marjorambay-Server-Signature: sign-{self.name}\r\n"
-                "Transfer-Encoding: chunked\r\n\r\n"
+                f"{framing}\r\n"
             ).encode()
         )
-        first = int(headers.get("last-event-id", "0")) + 1
+        how, _, last_whole = trouble.partition(":")
+        first = int(run["headers"].get("last-event-id", "0")) + 1
         for number in range(first, self.events + 1):
             event = f"id: {number}\ndata: of {run['id']}\n\n".encode()
-            if trouble.startswith("break:") and number > int(trouble[6:]):
-                part = event[: len(event) // 2]
-                writer.write(b"%x\r\n" % len(event) + part)
+            if how in ("break", "cut") and number > int(last_whole):
+                writer.write(self._piece(event)[:-len(event) // 2])
                 await writer.drain()
                 await asyncio.sleep(0.02)
-                reset(writer)
+                if how == "break":
+                    reset(writer)
                 return False
-            writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
+            writer.write(self._piece(event))
             await writer.drain()
             await asyncio.sleep(self.gap)
-        writer.write(b"0\r\n\r\n")
+        writer.write(b"" if self.until_close else b"0\r\n\r\n")
         await writer.drain()
         run["done"] = True
-        return True
+        return not self.until_close
+
+    def _piece(self, event):
+        return event if self.until_close else b"%x\r\n%s\r\n" % (len(event),
+                                                                 event)
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -205,6 +205,53 @@
         self.assertFalse(run["done"])
 
 
+class ResponseEndTest(ForwardingTest):
+    """Answers that have neither a length nor chunks, and where they end."""
+
+    def unframed(self, trouble):
+        fleet = self.fleet(hosts=1)
+        for worker in fleet.workers.values():
+            worker.until_close = True
+            worker.trouble = trouble
+        return fleet
+
+    def test_an_answer_ends_with_its_connection(self):
+        fleet = self.unframed(lambda run: None)
+        for path in ("/safe/a", "/once/a"):
+            answer = fleet.call(path)
+            self.assert_served(answer)
+            self.assertEqual(answer.body, b"answer to " + answer.attempt.encode())
+        for path in ("/stream/a", "/streamonce/a"):
+            answer = fleet.call(path)
+            self.assert_served(answer)
+            self.assertEqual(events_of(answer.body), [1, 2, 3, 4, 5])
+
+    # Guards against a stream that its target broke off and that reached its
+    # caller with a last chunk: an orderly close within an event is no end.
+    @unittest.expectedFailure  # KNOWN-RED.txt
+    def test_a_stream_that_closes_within_an_event_is_incomplete(self):
+        fleet = self.unframed(lambda run: "cut:2")
+        answer = fleet.call("/streamonce/a")
+        self.assertIn("IncompleteRead", answer.failure, dump(answer))
+        self.assertEqual(len(fleet.runs(answer.attempt)), 1)
+
+    # Guards against the same where the stream may be resumed: its caller gets
+    # the rest from another target.
+    @unittest.expectedFailure  # KNOWN-RED.txt
+    def test_a_stream_that_closes_within_an_event_is_resumed(self):
+        fleet = self.unframed(lambda run: (
+            None if "last-event-id" in run["headers"] else "cut:2"))
+        answer = fleet.call("/stream/a")
+        self.assert_served(answer)
+        self.assertEqual(events_of(answer.body), [1, 2, 3, 4, 5], dump(answer))
+        self.assertEqual(len(fleet.runs(answer.attempt)), 2)
+
+    def test_a_stream_that_is_reset_is_incomplete(self):
+        fleet = self.unframed(lambda run: "break:2")
+        answer = fleet.call("/streamonce/a")
+        self.assertIn("IncompleteRead", answer.failure, dump(answer))
+
+
 class FleetChangeTest(ForwardingTest):
     """Workers, configuration and hosts come and go."""
 
