Treat a stream that ends within an event as broken off

Callers got status 200, half an event and a last chunk. An answer without a length ends with its connection, so the client reports an orderly close as a complete answer; the end of the stream then forwarded what the splitter held of an incomplete event. The splitter knows that the stream broke off: such an end is now a failed attempt, which is resumed where the route allows it and otherwise closes the caller's connection without a last chunk, and it counts against the target and the version. An answer on a route of streams that says it is no event stream has no events to end; it is buffered and passed on whole.

--- a/apps/marjorambayd/forward_dispatch.cpp
+++ b/apps/marjorambayd/forward_dispatch.cpp
@@ -103,6 +103,15 @@
   failCall(H, Call, Call.MayHaveRun ? Kind : ErrorKind::Overloaded);
 }
 
+/// Whether a response on a route of streams consists of events; one without a
+/// content type does.
+bool isEventStream(const HttpHead &Head) {
+  constexpr std::string_view EventStream = "text/event-stream";
+  const std::string_view Type = Head.header("content-type");
+  return Type.empty() ||
+         equalsIgnoringCase(Type.substr(0, EventStream.size()), EventStream);
+}
+
 void handleHeaders(ForwardHost &H, CallId Id, const HttpHead &Head) {
   ForwardCall *Call = findCall(H, H.CallsByDispatch.at(Id));
   const TimePoint Now = H.Loop.now();
@@ -115,8 +124,9 @@
   if (NotRun)
     return; // handled when the response is complete
   Call->MayHaveRun = true;
-  const bool Events = isStream(Call->Route->Kind) && Head.Status / 100 == 2;
-  if (Call->Relaying && !Events) // the stream could not be resumed
+  Call->ReceivingEvents = isStream(Call->Route->Kind) &&
+                          Head.Status / 100 == 2 && isEventStream(Head);
+  if (Call->Relaying && !Call->ReceivingEvents) // could not be resumed
     return;
   if (!Call->ResponseStarted) {
     Call->ResponseHeaders.clear();
@@ -125,7 +135,7 @@
           !equalsIgnoringCase(Header.Name, "content-length"))
         Call->ResponseHeaders.push_back(Header);
   }
-  Call->Relaying = Call->Relaying || Events;
+  Call->Relaying = Call->Relaying || Call->ReceivingEvents;
 }
 
 void relayBytes(ForwardHost &H, ForwardCall &Call, std::string_view Bytes) {
@@ -143,7 +153,7 @@
 void handleBytes(ForwardHost &H, CallId Id, std::string_view Bytes) {
   ForwardCall *Call = findCall(H, H.CallsByDispatch.at(Id));
   Call->LastBytesAt = H.Loop.now();
-  if (Call->Relaying && Call->Status / 100 == 2)
+  if (Call->ReceivingEvents)
     return relayBytes(H, *Call, Call->Events.feed(Bytes));
   if (Call->BufferedBody.size() + Bytes.size() <= MaxBufferedBytes)
     Call->BufferedBody.append(Bytes);
@@ -195,8 +205,11 @@
 }
 
 void finishStream(ForwardHost &H, ForwardCall &Call) {
-  const std::string Partial(Call.Events.partial());
-  relayBytes(H, Call, Partial);
+  if (!Call.Events.partial().empty()) {
+    endDispatch(H, Call, DispatchOutcome::Failed, false);
+    return retryOrFail(H, Call, false, ErrorKind::AnswerCut,
+                       "stream ended within an event");
+  }
   endDispatch(H, Call, DispatchOutcome::Complete, false);
   if (!Call.ResponseStarted)
     H.Callers.beginResponse(Call.Exchange, Call.Status, Call.ResponseHeaders);
@@ -228,7 +241,7 @@
     return handleFailedCall(H, *Call, Outcome);
   if (Call->TargetDeclined)
     return handleNotRun(H, *Call);
-  if (Call->Relaying && Call->Status / 100 == 2)
+  if (Call->ReceivingEvents)
     return finishStream(H, *Call);
   handleBufferedResponse(H, *Call);
 }
@@ -288,6 +301,7 @@
   Call.DispatchedAt = Now;
   Call.LastBytesAt = Now;
   Call.Status = 0;
+  Call.ReceivingEvents = false;
   Call.TargetDeclined = false;
   ++Call.Attempts;
   ++H.LocalTargets[Target.Id].InFlight;
--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -129,7 +129,8 @@
   // Response to the caller.
   int Status = 0;
   BodyFraming Framing = BodyFraming::Length; ///< of the target's response
-  bool Relaying = false; ///< the response is relayed event by event
+  bool Relaying = false;        ///< the response is relayed event by event
+  bool ReceivingEvents = false; ///< the current target responds with events
   bool ResponseStarted =
       false;                  ///< the response headers were sent to the caller
   bool CallerStalled = false; ///< the caller's unread bytes exceed the limit
--- a/packages/protocol/marjorambay/protocol/sse_splitter.h
+++ b/packages/protocol/marjorambay/protocol/sse_splitter.h
@@ -16,7 +16,8 @@
   /// be forwarded; valid until the next call.
   std::string_view feed(std::string_view Bytes);
 
-  /// Bytes of an incomplete event.
+  /// Bytes of an incomplete event. A stream that ends with some was broken off,
+  /// whatever its framing says.
   std::string_view partial() const { return Partial; }
   /// Discards an incomplete event, after its stream has ended.
   void dropPartial() { Partial.clear(); }
--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -329,7 +329,7 @@
     `trouble` is asked for each request and returns one of: None, "full",
     "error", "reset_before", "reset_after", "silent", "twice", "break:N" (the
     stream is reset in the middle of the event after N), "cut:N" (there it is
-    closed in an orderly way).
+    closed in an orderly way), "plain" (a document instead of events).
     """
 
     def __init__(self, runner, store, service, name, version="v1", slots=4):
@@ -399,6 +399,10 @@
             return False
         if trouble == "error":
             return await self._say(writer, headers, 500, b"broken", {})
+        if trouble == "plain":
+            document = b'{"of": "%s"}' % run["id"].encode()
+            return await self._say(writer, headers, 200, document,
+                                   {"Content-Type": "application/json"})
         if target.startswith("/stream"):
             return await self._stream(writer, run, trouble)
         run["done"] = True
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -228,7 +228,6 @@
 
     # Guards against a stream that its target broke off and that reached its
     # caller with a last chunk: an orderly close within an event is no end.
-    @unittest.expectedFailure  # KNOWN-RED.txt
     def test_a_stream_that_closes_within_an_event_is_incomplete(self):
         fleet = self.unframed(lambda run: "cut:2")
         answer = fleet.call("/streamonce/a")
@@ -237,7 +236,6 @@
 
     # Guards against the same where the stream may be resumed: its caller gets
     # the rest from another target.
-    @unittest.expectedFailure  # KNOWN-RED.txt
     def test_a_stream_that_closes_within_an_event_is_resumed(self):
         fleet = self.unframed(lambda run: (
             None if "last-event-id" in run["headers"] else "cut:2"))
@@ -246,6 +244,13 @@
         self.assertEqual(events_of(answer.body), [1, 2, 3, 4, 5], dump(answer))
         self.assertEqual(len(fleet.runs(answer.attempt)), 2)
 
+    def test_an_answer_without_events_has_no_event_to_end(self):
+        fleet = self.unframed(lambda run: "plain")
+        answer = fleet.call("/streamonce/a")
+        self.assert_served(answer)
+        self.assertEqual(answer.body, b'{"of": "' + answer.attempt.encode()
+                         + b'"}')
+
     def test_a_stream_that_is_reset_is_incomplete(self):
         fleet = self.unframed(lambda run: "break:2")
         answer = fleet.call("/streamonce/a")
