Report a reset that a write has found as a reset

A response without a length counted as complete although its connection was reset, while bytes of the request were still to be sent: the failed write takes the socket's pending error, and the read after it returns 0 like an orderly close.

The socket remembers that a write failed with another error than EPIPE, which follows an orderly close.

--- a/packages/transport/marjorambay/transport/stream_socket.h
+++ b/packages/transport/marjorambay/transport/stream_socket.h
@@ -82,6 +82,7 @@
   bool Connecting = false;
   bool Paused = false;
   bool WriteEventPending = false;
+  bool ResetSeen = false; ///< a write failed because of a reset
   EventPtr ReadEvent{};
   EventPtr WriteEvent{};
   std::string Out{};
--- a/packages/transport/src/stream_socket.cpp
+++ b/packages/transport/src/stream_socket.cpp
@@ -136,10 +136,14 @@
       continue;
     if (Written < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
       return setWriteInterest(true);
-    if (Written < 0)
+    if (Written < 0) {
       // Bytes that the peer sent before it closed are still to be read; the
-      // read that finds the end reports it.
+      // read that finds the end reports it. The failed write has cleared the
+      // socket's error, so that this read returns 0 after a reset too. EPIPE
+      // follows an orderly close.
+      ResetSeen = ResetSeen || errno != EPIPE;
       break;
+    }
     Sent += static_cast<std::size_t>(Written);
   }
   Out.clear();
@@ -156,7 +160,8 @@
   }
   if (Length < 0 && (errno == EAGAIN || errno == EINTR))
     return;
-  end(Length == 0 ? SocketCloseReason::Closed : SocketCloseReason::Reset);
+  end(Length == 0 && !ResetSeen ? SocketCloseReason::Closed
+                                : SocketCloseReason::Reset);
 }
 
 void StreamSocket::pauseReading(bool Pause) {
--- a/packages/transport/tests/keep_alive_client_test.cpp
+++ b/packages/transport/tests/keep_alive_client_test.cpp
@@ -160,6 +160,43 @@
   }
 }
 
+// Guards against a response that was reset and counts as complete: the write of
+// the remaining request takes the socket's error, after which a read returns 0.
+TEST_CASE_FIXTURE(ClientFixture,
+                  "a target that resets while it is sent a request") {
+  const auto First = start("1");
+  const auto Target = accept();
+  waitForBytes(*Target, "/1");
+  Target->send(response("1", "one"));
+  waitForEnd(*First);
+  const std::string LongBody(32 << 20, 'b');
+  KeepAliveCall Call;
+  Call.Method = "POST";
+  Call.Body = LongBody;
+  const auto Record = start("2", std::move(Call));
+  SUBCASE("has not completed a response without a length") {
+    Target->send("HTTP/1.1 200 OK\r\nX-Name: 2\r\n\r\npart");
+    runUntil([&]() { return Record->Body == "part"; });
+    Target->reset();
+    waitForEnd(*Record);
+    CHECK(*Record->Outcome == KeepAliveOutcome::ConnectionLost);
+  }
+  SUBCASE("has completed a response that arrived with its length") {
+    Target->send(response("2", "all"));
+    Target->reset();
+    waitForEnd(*Record);
+    CHECK(*Record->Outcome == KeepAliveOutcome::Complete);
+  }
+  SUBCASE("has completed a response without a length that it closed before") {
+    Target->send("HTTP/1.1 200 OK\r\nX-Name: 2\r\n\r\nall");
+    Target->shutdownWrite();
+    Target->reset();
+    waitForEnd(*Record);
+    CHECK(*Record->Outcome == KeepAliveOutcome::Complete);
+    CHECK(Record->Body == "all");
+  }
+}
+
 TEST_CASE_FIXTURE(ClientFixture, "unavailable targets") {
   SUBCASE("refuse the connection, so no byte is sent") {
     const std::uint16_t Port = Listener.port();
--- a/packages/transport/tests/raw_peer.h
+++ b/packages/transport/tests/raw_peer.h
@@ -57,6 +57,8 @@
     received();
     return Ended;
   }
+  /// Announces the end of the sent bytes.
+  void shutdownWrite() const { shutdown(Descriptor, SHUT_WR); }
   void close() {
     if (Descriptor >= 0)
       ::close(Descriptor);
