Reset an aborted response of a caller without chunks, and detect HTTP/1.0

A response to an HTTP/1.0 caller has no chunks and ends with its connection. An aborted one was closed in an orderly way, as was each one in progress when the host stops, so that half a stream looked complete. And callers counted as HTTP/1.0 only without Host and without keep-alive; others got chunks that they can't read. Found by looking for the fault of streams framed as complete on the way to the caller.

The version comes from the parser; abort() resets the connection of such a caller, and a host that stops aborts what is in progress. Test: a caller that does not support chunks; on the code before, it got chunks (first subcase, the others were not reached).

--- a/apps/marjorambayd/forward_lifecycle.cpp
+++ b/apps/marjorambayd/forward_lifecycle.cpp
@@ -93,6 +93,7 @@
 void stop(ForwardHost &H) {
   LogLine("stopped").with("in_progress",
                           static_cast<std::int64_t>(H.Calls.size()));
+  H.Callers.abortAll();
   H.Loop.stop();
 }
 
--- a/packages/transport/marjorambay/transport/caller_server.h
+++ b/packages/transport/marjorambay/transport/caller_server.h
@@ -62,14 +62,18 @@
 
   void answer(ExchangeId Id, int Status, const HttpHeaders &Headers,
               std::string_view Body);
-  /// Starts a response of unknown length, sent in chunks.
+  /// Starts a response of unknown length, sent in chunks, or up to the end of
+  /// the connection if the caller does not support them.
   void beginResponse(ExchangeId Id, int Status, const HttpHeaders &Headers);
   /// Sends one chunk. Returns the number of bytes that are not yet written to
   /// the socket.
   std::size_t sendChunk(ExchangeId Id, std::string_view Bytes);
   void endResponse(ExchangeId Id);
-  /// Closes the connection without completing the response.
+  /// Closes the connection without completing the response, so that the caller
+  /// can tell.
   void abort(ExchangeId Id);
+  /// Aborts all exchanges.
+  void abortAll();
 
   std::size_t connections() const { return Connections.size(); }
   std::size_t exchanges() const { return Exchanges.size(); }
@@ -95,6 +99,7 @@
   void rejectRequest(Connection &Conn, ErrorKind Reason);
   void handleClose(Connection &Conn);
   void finishExchange(Connection &Conn);
+  void abort(Connection &Conn);
   void lingerThenClose(Connection &Conn);
   void retire(Connection &Conn);
   void closeTimedOut();
--- a/packages/transport/marjorambay/transport/http1.h
+++ b/packages/transport/marjorambay/transport/http1.h
@@ -38,6 +38,7 @@
   HttpHeaders Headers{};
   bool KeepAlive = false; ///< the connection may serve another message
   BodyFraming Framing = BodyFraming::Length;
+  bool Http10 = false; ///< the sender speaks HTTP/1.0, so without chunks
 
   /// Value of the first header named \p Name, ignoring case; empty if absent.
   std::string_view header(std::string_view Name) const;
--- a/packages/transport/marjorambay/transport/stream_socket.h
+++ b/packages/transport/marjorambay/transport/stream_socket.h
@@ -64,6 +64,8 @@
   /// Shuts down the sending direction; reading continues.
   void shutdownWrite();
   void close();
+  /// Closes with a reset; bytes that have not arrived are discarded.
+  void reset();
 
   bool open() const { return Descriptor >= 0; }
   bool connected() const { return Descriptor >= 0 && !Connecting; }
--- a/packages/transport/src/caller_server.cpp
+++ b/packages/transport/src/caller_server.cpp
@@ -200,7 +200,7 @@
   Conn.State = ConnectionState::Answering;
   Conn.Exchange = static_cast<ExchangeId>(++LastExchange);
   Conn.KeepAlive = Head.KeepAlive;
-  Conn.Http10 = !Head.KeepAlive && Head.header("host").empty();
+  Conn.Http10 = Head.Http10;
   Conn.HeadRequest = Head.Method == "HEAD";
   Exchanges.emplace(Conn.Exchange, Conn.Id);
   CallerRequest Request{Conn.Exchange, Head, Conn.Body};
@@ -293,7 +293,22 @@
 
 void CallerServer::abort(ExchangeId Id) {
   if (Connection *Conn = find(Id))
-    retire(*Conn);
+    abort(*Conn);
+}
+
+void CallerServer::abortAll() {
+  std::vector<Connection *> InExchange;
+  for (const auto &[Exchange, Id] : Exchanges)
+    InExchange.push_back(&Connections.at(Id));
+  for (Connection *Conn : InExchange)
+    abort(*Conn);
+}
+
+void CallerServer::abort(Connection &Conn) {
+  // An orderly close would end a response without chunks as complete.
+  if (Conn.Http10)
+    Conn.Socket.reset();
+  retire(Conn);
 }
 
 void CallerServer::finishExchange(Connection &Conn) {
--- a/packages/transport/src/http1.cpp
+++ b/packages/transport/src/http1.cpp
@@ -192,6 +192,8 @@
         http_method_str(static_cast<http_method>(Parser->method));
   Self.Head.Status = Parser->status_code;
   Self.Head.Framing = Self.framing();
+  Self.Head.Http10 = Parser->http_major < 1 ||
+                     (Parser->http_major == 1 && Parser->http_minor == 0);
   Self.Head.KeepAlive = http_should_keep_alive(Parser) != 0 &&
                         Self.Head.Framing != BodyFraming::UntilClose;
   if (Self.OnHead)
--- a/packages/transport/src/stream_socket.cpp
+++ b/packages/transport/src/stream_socket.cpp
@@ -197,6 +197,13 @@
   Descriptor = -1;
 }
 
+void StreamSocket::reset() {
+  const linger Discard{1, 0};
+  if (open())
+    setsockopt(Descriptor, SOL_SOCKET, SO_LINGER, &Discard, sizeof Discard);
+  close();
+}
+
 Result<int> listenAt(const SocketAddress &Address) {
   const int Descriptor =
       socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
--- a/packages/transport/tests/caller_server_test.cpp
+++ b/packages/transport/tests/caller_server_test.cpp
@@ -112,6 +112,41 @@
   }
 }
 
+TEST_CASE_FIXTURE(ServerFixture, "a caller that does not support chunks") {
+  RawConnection Caller(RawConnection::connectTo(Port));
+  const auto ReceiveEvent = [&](std::string_view Header) {
+    Caller.send("GET /a HTTP/1.0\r\n" + std::string(Header) + "\r\n\r\n");
+    waitForRequests(1);
+    Server.beginResponse(Arrived[0], 200, {});
+    Server.sendChunk(Arrived[0], "event");
+    runUntil([&]() { return Caller.received().ends_with("event"); });
+  };
+  SUBCASE("receives a stream that ends with its connection") {
+    SUBCASE("with a Host header") { ReceiveEvent("Host: h"); }
+    SUBCASE("if it would reuse the connection") {
+      ReceiveEvent("Connection: keep-alive");
+    }
+    Server.endResponse(Arrived[0]);
+    runUntil([&]() { return Caller.ended(); });
+    CHECK(Caller.received().ends_with("\r\n\r\nevent"));
+    CHECK_FALSE(Caller.wasReset());
+  }
+  // Guards against an aborted stream that looks complete, because nothing but
+  // the end of the connection marks its end.
+  SUBCASE("sees the connection reset if its stream is aborted") {
+    ReceiveEvent("Host: h");
+    Server.abort(Arrived[0]);
+    runUntil([&]() { return Caller.ended() || Caller.wasReset(); });
+    CHECK(Caller.wasReset());
+  }
+  SUBCASE("sees the connection reset if the server ends before its stream") {
+    ReceiveEvent("Host: h");
+    Server.abortAll();
+    runUntil([&]() { return Caller.ended() || Caller.wasReset(); });
+    CHECK(Caller.wasReset());
+  }
+}
+
 TEST_CASE_FIXTURE(ServerFixture,
                   "requests with ambiguous framing are rejected") {
   RawConnection Caller(RawConnection::connectTo(Port));
--- a/packages/transport/tests/raw_peer.h
+++ b/packages/transport/tests/raw_peer.h
@@ -6,6 +6,7 @@
 
 #include <arpa/inet.h>
 #include <array>
+#include <cerrno>
 #include <cstdint>
 #include <fcntl.h>
 #include <netinet/in.h>
@@ -48,6 +49,8 @@
       const ssize_t Length = recv(Descriptor, Buffer.data(), Buffer.size(), 0);
       if (Length == 0)
         Ended = true;
+      if (Length < 0 && errno == ECONNRESET)
+        Reset = true;
       if (Length <= 0)
         return Received;
       Received.append(Buffer.data(), static_cast<std::size_t>(Length));
@@ -57,6 +60,10 @@
     received();
     return Ended;
   }
+  bool wasReset() {
+    received();
+    return Reset;
+  }
   /// Announces the end of the sent bytes.
   void shutdownWrite() const { shutdown(Descriptor, SHUT_WR); }
   void close() {
@@ -76,6 +83,7 @@
   int Descriptor;
   std::string Received{};
   bool Ended = false;
+  bool Reset = false;
 };
 
 /// Listens on a free port and accepts connections in order.
