Fail a call whose response exceeds the buffer instead of cutting it

An answer of over 8 MB reached its caller with status 200 and a length of what had been buffered: handleBytes() dropped each piece that did not fit, even one in the middle. Such a call now fails with 502; it is not retried, as another target would send as much.

Test: 9 MB to a safe and an unsafe route; before, 8,388,608 bytes with 200.

--- a/apps/marjorambayd/forward_dispatch.cpp
+++ b/apps/marjorambayd/forward_dispatch.cpp
@@ -150,13 +150,27 @@
   Call.CallerStalled = Unread > MaxUnreadBytes;
 }
 
+/// Fails a call whose response exceeds the buffer. It is not retried, because
+/// another target would send as much.
+void failOversized(ForwardHost &H, ForwardCall &Call) {
+  endDispatch(H, Call, DispatchOutcome::Cancelled, true);
+  LogLine("attempt_failed")
+      .with("request", Call.Name)
+      .with("target", Call.TargetName)
+      .with("cause", "response too long")
+      .with("attempt", Call.Attempts)
+      .with("bytes", Call.BufferedBody.size());
+  failCall(H, Call, ErrorKind::TargetFailed);
+}
+
 void handleBytes(ForwardHost &H, CallId Id, std::string_view Bytes) {
   ForwardCall *Call = findCall(H, H.CallsByDispatch.at(Id));
   Call->LastBytesAt = H.Loop.now();
   if (Call->ReceivingEvents)
     return relayBytes(H, *Call, Call->Events.feed(Bytes));
-  if (Call->BufferedBody.size() + Bytes.size() <= MaxBufferedBytes)
-    Call->BufferedBody.append(Bytes);
+  if (Call->BufferedBody.size() + Bytes.size() > MaxBufferedBytes)
+    return failOversized(H, *Call);
+  Call->BufferedBody.append(Bytes);
 }
 
 /// Handles a response which reports that the request was not executed.
--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -329,7 +329,8 @@
     `trouble` is asked for each request and returns one of: None, "full",
     "error", "reset_before", "reset_after", "silent", "twice", "break:N" (the
     stream is reset in the middle of the event after N), "cut:N" (there it is
-    closed in an orderly way), "plain" (a document instead of events).
+    closed in an orderly way), "plain" (a document instead of events),
+    "status:N" (an answer with status N), "long:N" (an answer of N bytes).
     """
 
     def __init__(self, runner, store, service, name, version="v1", slots=4):
@@ -403,6 +404,11 @@
             document = b'{"of": "%s"}' % run["id"].encode()
             return await self._say(writer, headers, 200, document,
                                    {"Content-Type": "application/json"})
+        how, _, figure = trouble.partition(":")
+        if how == "status":
+            return await self._say(writer, headers, int(figure), b"", {})
+        if how == "long":
+            return await self._say(writer, headers, 200, b"x" * int(figure), {})
         if target.startswith("/stream"):
             return await self._stream(writer, run, trouble)
         run["done"] = True
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -251,6 +251,19 @@
         self.assertEqual(answer.body, b'{"of": "' + answer.attempt.encode()
                          + b'"}')
 
+    # Guards against an answer that is passed on as complete without the bytes
+    # that the host did not buffer.
+    def test_an_answer_that_is_too_long_is_not_cut_short(self):
+        fleet = self.fleet(hosts=1)
+        for worker in fleet.of("desk"):
+            worker.trouble = lambda run: f"long:{9 << 20}"
+        for path in ("/safe/a", "/once/a"):
+            answer = fleet.call(path)
+            self.assertEqual(answer.status, 502, len(answer.body))
+            self.assertEqual(len(fleet.runs(answer.attempt)), 1)
+            wait_until(lambda: fleet.hosts[0].lines(
+                "attempt_failed", request=answer.attempt), "the log line", 2)
+
     def test_a_stream_that_is_reset_is_incomplete(self):
         fleet = self.unframed(lambda run: "break:2")
         answer = fleet.call("/streamonce/a")
