End a stream that another target did not resume as incomplete

A stream that a target broke off was continued at another one, which answered with 404: the whole of that answer, head included, was written into the caller's chunked response. Only statuses from 500 on counted as not resumed. Any answer that is not a stream of events now does; the call goes on to another target or closes the caller's connection without a last chunk.

Test: statuses 404, 204 and 302 on the second target; before, two heads in what the caller received.

--- a/apps/marjorambayd/forward_dispatch.cpp
+++ b/apps/marjorambayd/forward_dispatch.cpp
@@ -106,6 +106,9 @@
 /// Whether a response on a route of streams consists of events; one without a
 /// content type does.
 bool isEventStream(const HttpHead &Head) {
+  constexpr int NoContent = 204;
+  if (Head.Status / 100 != 2 || Head.Status == NoContent)
+    return false;
   constexpr std::string_view EventStream = "text/event-stream";
   const std::string_view Type = Head.header("content-type");
   return Type.empty() ||
@@ -124,8 +127,7 @@
   if (NotRun)
     return; // handled when the response is complete
   Call->MayHaveRun = true;
-  Call->ReceivingEvents = isStream(Call->Route->Kind) &&
-                          Head.Status / 100 == 2 && isEventStream(Head);
+  Call->ReceivingEvents = isStream(Call->Route->Kind) && isEventStream(Head);
   if (Call->Relaying && !Call->ReceivingEvents) // could not be resumed
     return;
   if (!Call->ResponseStarted) {
@@ -197,7 +199,7 @@
   endDispatch(H, Call,
               Failed ? DispatchOutcome::Failed : DispatchOutcome::Complete,
               false);
-  if (Call.Relaying && Failed) // the stream could not be resumed
+  if (Call.Relaying) // the stream could not be resumed
     return retryOrFail(H, Call, false, ErrorKind::AnswerCut, Cause);
   if (MayRetry && mayRetry(H, Call, false)) {
     Call.BufferedBody.clear();
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -251,6 +251,28 @@
         self.assertEqual(answer.body, b'{"of": "' + answer.attempt.encode()
                          + b'"}')
 
+    # Guards against a second response head within a stream: the target that was
+    # to resume it answered with another status.
+    def test_a_stream_that_is_not_resumed_is_incomplete(self):
+        fleet = self.fleet(hosts=1)
+        for status in (404, 204, 302):
+            for worker in fleet.of("pool"):
+                worker.trouble = lambda run: (
+                    f"status:{status}" if "last-event-id" in run["headers"]
+                    else "break:2")
+            received = self.raw_answer(fleet, f"not-resumed-{status}")
+            self.assertEqual(received.count(b"HTTP/1.1 "), 1, received)
+            self.assertFalse(received.endswith(b"\r\n0\r\n\r\n"), received)
+
+    def raw_answer(self, fleet, attempt):
+        """All bytes that a caller of a stream gets."""
+        with socket.create_connection(
+                ("127.0.0.1", fleet.hosts[0].caller), timeout=10) as caller:
+            caller.sendall(f"GET /stream/a HTTP/1.1\r\nHost: {HOST}\r\n"
+                           f"X-Api-Key: {KEY}\r\nConnection: close\r\n"
+                           f"X-Marjorambay-Attempt-Id: {attempt}\r\n\r\n".encode())
+            return b"".join(iter(lambda: caller.recv(65536), b""))
+
     # Guards against an answer that is passed on as complete without the bytes
     # that the host did not buffer.
     def test_an_answer_that_is_too_long_is_not_cut_short(self):
