Take over an account's level from the hosts when a hub starts

An account got more than its rate, burst and tolerance while hosts restarted in turn: a hub that starts had half of the burst in each bucket, whatever had been used, and hosts follow the hub that answered last. Hosts now report the level that they reckon with; a new bucket takes the lowest of the first reports.

--- a/apps/marjorambayd/forward_fleet.cpp
+++ b/apps/marjorambayd/forward_fleet.cpp
@@ -223,7 +223,8 @@
   Message.ConfigVersion = H.Table ? H.Table->version() : 0;
   Message.Draining = H.Draining;
   Message.Uptime = H.Loop.now() - H.StartedAt;
-  Message.AccountUsages = H.Meter.collectUsage();
+  if (H.Table)
+    Message.AccountUsages = H.Meter.collectUsage(*H.Table, H.Loop.now());
   H.Ledger.setReachableFraction(reachableFraction(H));
   const std::vector<HostId> Hubs = selectHubs(H);
   updateObjectSource(H, Hubs);
--- a/apps/marjorambayd/peer_codec.cpp
+++ b/apps/marjorambayd/peer_codec.cpp
@@ -287,6 +287,8 @@
     peer::AccountUse *Entry = Body->add_uses();
     Entry->set_account(number(Use.Account));
     Entry->set_used(Use.Used);
+    if (Use.Level)
+      Entry->set_level(*Use.Level);
   }
 }
 void encodeMessage(const FleetDigest &Digest, peer::Message *Out) {
@@ -408,8 +410,12 @@
   Message.ConfigVersion = In.config_version();
   Message.Draining = In.draining();
   Message.Uptime = Duration(In.uptime_us());
-  for (const peer::AccountUse &Entry : In.uses())
-    Message.AccountUsages.push_back({AccountId{Entry.account()}, Entry.used()});
+  for (const peer::AccountUse &Entry : In.uses()) {
+    AccountUsage Use{AccountId{Entry.account()}, Entry.used()};
+    if (Entry.has_level())
+      Use.Level = Entry.level();
+    Message.AccountUsages.push_back(Use);
+  }
   return Message;
 }
 
--- a/packages/coordination/marjorambay/coordination/account_ledger.h
+++ b/packages/coordination/marjorambay/coordination/account_ledger.h
@@ -27,6 +27,9 @@
 struct AccountUsage {
   AccountId Account{};
   double Used = 0; ///< running total, in tokens or requests
+  /// What the host reckons to be left in the fleet's bucket; empty if it has
+  /// no recent level of a hub.
+  std::optional<double> Level{};
 };
 
 /// Level of an account's token bucket, as a hub sends it to one host.
@@ -44,7 +47,8 @@
   /// Averaging window of AccountLevel::OthersRate.
   Duration RateWindow = seconds(1);
   /// Time since its start within which a host reports for the first time, also
-  /// when all hosts start at once.
+  /// when all hosts start at once. For as long, a new bucket takes over the
+  /// levels that hosts know from other hubs.
   Duration FirstReportTime = seconds(2);
 };
 
@@ -54,8 +58,10 @@
 
   /// Merges the running totals that a host reports. The first report of a host
   /// that is new to this hub sets its baseline, unless the host has just
-  /// started: its entire usage is then charged. \p Uptime is the time since the
-  /// host started; 0 if unknown.
+  /// started: its entire usage is then charged. A new bucket starts at the
+  /// lowest level that these first reports have, so that a hub which restarts
+  /// does not grant a burst again. \p Uptime is the time since the host
+  /// started; 0 if unknown.
   void recordUsage(HostId From, IncarnationId Incarnation, Duration Uptime,
                    const std::vector<AccountUsage> &Uses,
                    const ForwardTable &Limits, TimePoint Now);
@@ -76,6 +82,7 @@
   struct Bucket {
     double Level = 0;
     TimePoint At{};
+    TimePoint CreatedAt{};
     std::unordered_map<HostId, Reported> Hosts{};
   };
   Bucket &bucketOf(const ForwardAccount &Account, TimePoint Now);
@@ -113,7 +120,8 @@
   void refund(AccountId Account, double Cost);
 
   /// Returns all running totals and marks them as reported.
-  std::vector<AccountUsage> collectUsage();
+  std::vector<AccountUsage> collectUsage(const ForwardTable &Limits,
+                                         TimePoint Now);
   /// Returns whether an account has used so much of its burst since the last
   /// report that it should be reported ahead of the next heartbeat.
   bool reportDue(const ForwardTable &Limits, std::size_t Hosts) const;
@@ -131,6 +139,9 @@
   };
   double available(Meter &Entry, const ForwardAccount &Account,
                    std::size_t Hosts, TimePoint Now) const;
+  std::optional<double> fleetLevel(const Meter &Entry,
+                                   const ForwardAccount &Account,
+                                   TimePoint Now) const;
 
   AccountMeterSettings Settings;
   std::unordered_map<AccountId, Meter> Meters{};
--- a/packages/coordination/src/account_ledger.cpp
+++ b/packages/coordination/src/account_ledger.cpp
@@ -14,6 +14,7 @@
   if (New) {
     Entry.Level = Settings.InitialFraction * Account.Burst;
     Entry.At = Now;
+    Entry.CreatedAt = Now;
   }
   const double Refill =
       ReachableFraction * Account.RatePerSecond * toSeconds(Now - Entry.At);
@@ -55,6 +56,9 @@
       Last.Rate += Fraction * (Delta / Elapsed - Last.Rate);
     }
     Entry.Level -= Delta;
+    const bool NewBucket = Now - Entry.CreatedAt <= Settings.FirstReportTime;
+    if (!Known && NewBucket && Use.Level)
+      Entry.Level = std::min(Entry.Level, *Use.Level);
     Last.Incarnation = Incarnation;
     Last.Used = std::max(Use.Used, Restarted ? 0 : Last.Used);
     Last.At = Now;
@@ -103,10 +107,15 @@
                Entry.LocalLevel + Account.RatePerSecond * Fraction *
                                       toSeconds(Now - Entry.LocalAt));
   Entry.LocalAt = Now;
-  const bool HubReachable = Entry.LevelAt != TimePoint{} &&
-                            Now - Entry.LevelAt <= Settings.LevelMaxAge;
-  if (!HubReachable)
-    return Entry.LocalLevel;
+  return fleetLevel(Entry, Account, Now).value_or(Entry.LocalLevel);
+}
+
+std::optional<double> AccountMeter::fleetLevel(const Meter &Entry,
+                                               const ForwardAccount &Account,
+                                               TimePoint Now) const {
+  if (Entry.LevelAt == TimePoint{} ||
+      Now - Entry.LevelAt > Settings.LevelMaxAge)
+    return std::nullopt;
   const double Since = toSeconds(Now - Entry.LevelAt);
   const double Refilled = std::min(
       Account.Burst,
@@ -139,11 +148,16 @@
   Found->second.LocalLevel += Cost;
 }
 
-std::vector<AccountUsage> AccountMeter::collectUsage() {
+std::vector<AccountUsage> AccountMeter::collectUsage(const ForwardTable &Limits,
+                                                     TimePoint Now) {
   std::vector<AccountUsage> All;
-  for (auto &[Account, Entry] : Meters) {
+  for (auto &[Id, Entry] : Meters) {
     Entry.Reported = Entry.Used;
-    All.push_back({Account, Entry.Used});
+    const ForwardAccount *Account = Limits.account(Id);
+    AccountUsage Use{Id, Entry.Used};
+    if (Account != nullptr)
+      Use.Level = fleetLevel(Entry, *Account, Now);
+    All.push_back(Use);
   }
   return All;
 }
--- a/packages/coordination/tests/account_ledger_test.cpp
+++ b/packages/coordination/tests/account_ledger_test.cpp
@@ -37,10 +37,12 @@
   ForwardTable Limits = limits();
   TimePoint StartedAt = at(seconds(0));
   std::vector<AccountMeter> Meters;
-  std::array<AccountLedger, 2> Hubs;
+  std::array<AccountLedger, 3> Hubs;
   std::deque<std::pair<TimePoint, double>> Admitted{};
   /// Partitioned: hosts 0 to 3 reach hub 0 only, the others hub 1 only.
   bool Partitioned = false;
+  std::size_t HubsInUse = 1; ///< unless partitioned
+  std::size_t Heartbeats = 0;
   double RequestCost = 0; ///< of one request; 0: shares of the demand
   double Unsent = 0;      ///< demand that is not a whole request yet
   std::size_t NextHost = 0;
@@ -57,14 +59,18 @@
   }
 
   void sendHeartbeats(TimePoint Now) {
-    for (std::size_t Hub = 0; Hub < Hubs.size(); ++Hub) {
+    const std::size_t Answering = Partitioned ? 2 : HubsInUse;
+    ++Heartbeats; // each hub in turn answers last
+    for (std::size_t Place = 0; Place < Answering; ++Place) {
+      const std::size_t Hub = (Place + Heartbeats) % Answering;
       Hubs[Hub].setReachableFraction(Partitioned ? 0.5 : 1.0);
       for (std::size_t Host = 0; Host < Hosts; ++Host) {
         const bool Reaches = !Partitioned || (Host < Hosts / 2) == (Hub == 0);
-        if (!Reaches || (!Partitioned && Hub == 1))
+        if (!Reaches)
           continue;
         Hubs[Hub].recordUsage(host(Host), IncarnationId{1}, Now - StartedAt,
-                              Meters[Host].collectUsage(), Limits, Now);
+                              Meters[Host].collectUsage(Limits, Now), Limits,
+                              Now);
         for (const AccountLevel &Level :
              Hubs[Hub].levels(host(Host), Limits, Now))
           Meters[Host].updateLevel(Level, Now);
@@ -184,6 +190,24 @@
   }
 }
 
+// Guards against usage over an account's limit: each hub that restarted granted
+// half of the burst again.
+TEST_CASE("hubs that restart in turn while an account is over its rate") {
+  Fleet All;
+  All.HubsInUse = 3;
+  All.request(8 * Rate, at(seconds(0)), at(seconds(10)), true);
+  for (int Second = 10; Second < 22; ++Second) {
+    All.Hubs[Second % 3] = AccountLedger();
+    All.request(8 * Rate, at(seconds(Second)), at(seconds(Second + 1)), true);
+  }
+  SUBCASE("do not admit the account's burst anew") {
+    CHECK(All.maxInWindow() < AllowedInWindow * 1.1);
+  }
+  SUBCASE("go on at the account's rate") {
+    CHECK(All.sum() > 0.95 * 22 * Rate);
+  }
+}
+
 TEST_CASE("a host that reports to a hub for the first time (hub failover)") {
   const ForwardTable Limits = limits();
   AccountLedger Hub;
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -733,6 +733,38 @@
         for answer in limited:
             self.assertGreater(float(answer.headers["Retry-After"]), 0)
 
+    # Guards against usage over an account's limit: each hub that restarted
+    # granted half of the burst again.
+    def test_hosts_that_restart_in_turn_do_not_grant_the_burst_again(self):
+        rate, burst, window = 20, 60, 8
+        fleet = self.fleet(hosts=4, first=config(3, tenants=[
+            {"name": "one", "api_keys": [KEY], "rate_per_s": rate,
+             "burst_size": burst}]))
+        over = threading.Event()
+
+        def ask(place):
+            while not over.is_set():
+                fleet.call("/safe/a", host=place, timeout=2)
+                time.sleep(0.01)
+
+        with concurrent.futures.ThreadPoolExecutor(8) as pool:
+            work = [pool.submit(ask, place) for place in (0, 1, 2, 3) * 2]
+            time.sleep(3)  # the burst is used up
+            for turn in range(12):
+                host = fleet.hosts[turn % 4]
+                host.kill()
+                host.start()
+                wait_until(host.ready, f"{host.name} ready")
+                time.sleep(0.4)
+            over.set()
+            for each in work:
+                each.result()
+        times = sorted(run["at"] for run in fleet.runs())
+        most = max(sum(start <= at < start + window for at in times)
+                   for start in times)
+        self.assertLessEqual(most, (rate * window + burst) * 1.1)
+        self.assertGreaterEqual(len(times), 0.7 * rate * (times[-1] - times[0]))
+
     def test_repeats_stay_within_their_budget(self):
         fleet = self.fleet(hosts=1, bounds={"retry_min_extra": 10})
         for worker in fleet.of("desk"):
