Leave a target alone that says in an answer that it is leaving

A target that leaves may say so in all its answers before the platform lists it as leaving, or without that. Only the list counted, so that it got requests for as long as its entry stood. A header of that meaning, on a response of any status that belongs to a request, now marks the target's incarnation as leaving in the directory of the host that got it: an older list, a lapsed entry or the reuse of its address change nothing of that, and the arbiter of the pool is told. All ways to a target ask the directory, so queued reservations, grants under way, the local share and repeats follow. Requests in progress go on.

Tests: target_directory_test (failed to compile before, there was no such notice); TargetNoticeTest on real processes: on the daemon before, all workers that leave went on serving.

--- a/apps/marjorambayd/forward_dispatch.cpp
+++ b/apps/marjorambayd/forward_dispatch.cpp
@@ -140,6 +140,13 @@
   Call->Relaying = Call->Relaying || Call->ReceivingEvents;
 }
 
+/// Applies what a target says of itself in the head of a response, of any
+/// status. Only responses that belong to a request arrive here.
+void applyTargetNotices(ForwardHost &H, CallId Id, const HttpHead &Head) {
+  if (!Head.header(H.HeaderNames.Leaving).empty())
+    markTargetLeaving(H, *findCall(H, H.CallsByDispatch.at(Id)));
+}
+
 void relayBytes(ForwardHost &H, ForwardCall &Call, std::string_view Bytes) {
   if (Bytes.empty())
     return;
@@ -302,6 +309,7 @@
   Request.Timeouts.ProbeInterval = seconds(1);
   Request.OnHead = [&H](CallId Id, const HttpHead &Head) {
     handleHeaders(H, Id, Head);
+    applyTargetNotices(H, Id, Head);
   };
   Request.OnBody = [&H](CallId Id, std::string_view Bytes) {
     handleBytes(H, Id, Bytes);
@@ -312,6 +320,7 @@
   Call.Stage = CallStage::Dispatched;
   Call.DispatchedTo = Target.Id;
   Call.TargetName = Target.Name;
+  Call.TargetIncarnation = Target.Incarnation;
   Call.Version = Target.Version;
   Call.TriedTargets.push_back(Target.Id);
   Call.DispatchedAt = Now;
--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -50,7 +50,8 @@
   std::string Account{};      ///< name of the client account; sent to targets
   std::string ExpectTarget{}; ///< name of the target; sent to it, others
                               ///< respond with 421
-  std::string NotRun{}; ///< sent by targets that did not execute the request
+  std::string NotRun{};  ///< sent by targets that did not execute the request
+  std::string Leaving{}; ///< sent by targets that are leaving
   std::string LastEventId{};
   std::string TokenCounts{};    ///< token counts: "PROMPT,MAX_OUTPUT"
   std::string LengthHint{};     ///< expected output tokens
@@ -117,6 +118,7 @@
   CallId Call{};
   TargetId DispatchedTo{};
   std::string TargetName{};
+  IncarnationId TargetIncarnation{};
   VersionId Version{};
   std::uint32_t Attempts = 0; ///< dispatches that may have reached a target
   std::vector<TargetId> TriedTargets{};
@@ -328,6 +330,8 @@
 void applyConfig(ForwardHost &H, ForwardConfig Config);
 /// Applies a change of the target directory.
 void applyTargets(ForwardHost &H);
+/// Sends a target no more requests, because it has said that it is leaving.
+void markTargetLeaving(ForwardHost &H, const ForwardCall &Call);
 /// Applies the rollouts stored on the platform; \p Specs has all of them.
 void applyRollouts(ForwardHost &H, const std::vector<RolloutSpec> &Specs);
 /// Applies the platform's list of hosts; \p Listed has all of them.
@@ -370,6 +374,9 @@
 void cancelReservation(ForwardHost &H, ForwardCall &Call);
 void releaseSlot(ForwardHost &H, ForwardCall &Call, const Usage &Used);
 void reportTargetRefusal(ForwardHost &H, PoolId Pool, TargetId Target);
+/// Tells the pool's arbiter that a target is leaving.
+void reportTargetLeaving(ForwardHost &H, PoolId Pool, TargetId Target,
+                         IncarnationId Incarnation);
 void stepPrimaryArbiter(ForwardHost &H, PoolId Pool, const ArbiterEvent &Event);
 void handleArbiterAction(ForwardHost &H, PoolId Pool,
                          const ArbiterAction &Action);
--- a/apps/marjorambayd/forward_lifecycle.cpp
+++ b/apps/marjorambayd/forward_lifecycle.cpp
@@ -227,6 +227,20 @@
   }
 }
 
+void markTargetLeaving(ForwardHost &H, const ForwardCall &Call) {
+  if (!H.Directory.markLeaving(Call.TargetName, Call.TargetIncarnation))
+    return;
+  LogLine("target_said_leaving")
+      .with("target", Call.TargetName)
+      .with("request", Call.Name)
+      .with("status", Call.Status);
+  const PoolId Pool = Call.Pool;
+  const TargetId Target = Call.DispatchedTo;
+  const IncarnationId Incarnation = Call.TargetIncarnation;
+  applyTargets(H);
+  reportTargetLeaving(H, Pool, Target, Incarnation);
+}
+
 void applyTargets(ForwardHost &H) {
   std::set<PoolId> Pools;
   for (const auto &[Id, Target] : H.Targets)
--- a/apps/marjorambayd/forward_pools.cpp
+++ b/apps/marjorambayd/forward_pools.cpp
@@ -314,10 +314,12 @@
     sendToArbiter(H, Informed, Call.Pool, Event);
 }
 
-void reportTargetRefusal(ForwardHost &H, PoolId Pool, TargetId Target) {
+namespace {
+
+/// Tells the arbiters of an engine pool what this host has learned of a target.
+void informArbiters(ForwardHost &H, PoolId Pool, const ArbiterEvent &Event) {
   if (!isEngine(H, Pool))
     return;
-  const TargetRefused Event{Target};
   if (H.Pools[Pool].LocalShareArbiter)
     stepLocalShare(H, Pool, Event);
   const HostId Informed = H.Pools[Pool].SlotsReportedTo;
@@ -327,6 +329,17 @@
     sendToArbiter(H, Informed, Pool, Event);
 }
 
+} // namespace
+
+void reportTargetRefusal(ForwardHost &H, PoolId Pool, TargetId Target) {
+  informArbiters(H, Pool, TargetRefused{Target});
+}
+
+void reportTargetLeaving(ForwardHost &H, PoolId Pool, TargetId Target,
+                         IncarnationId Incarnation) {
+  informArbiters(H, Pool, TargetLeaving{Target, Incarnation});
+}
+
 namespace {
 
 /// Logs if the end of a request made the arbiter eject its target.
@@ -402,7 +415,10 @@
     Usage Unused;
     Unused.Outcome = DispatchOutcome::NotRun;
     releaseSlot(H, *Call, Unused);
-    reportTargetRefusal(H, Pool, Grant->Target);
+    if (Target == nullptr)
+      reportTargetRefusal(H, Pool, Grant->Target);
+    else
+      reportTargetLeaving(H, Pool, Target->Id, Target->Incarnation);
     if (H.Loop.now() < Call->Deadline)
       return requestSlot(H, *Call);
     return failCall(H, *Call, ErrorKind::NoTarget, NoTargetRetryAfter);
--- a/packages/coordination/marjorambay/coordination/target_directory.h
+++ b/packages/coordination/marjorambay/coordination/target_directory.h
@@ -3,6 +3,10 @@
 /// A removed entry means that its target is leaving, except shortly after a
 /// platform outage: entries expire during the outage and are written again
 /// after it, so that a missing entry is ignored until SettleTime has passed.
+///
+/// A target may also say itself that it is leaving. That holds for its
+/// incarnation whatever the platform lists, now or later, because a list may be
+/// older.
 #ifndef MARJORAMBAY_COORDINATION_TARGET_DIRECTORY_H
 #define MARJORAMBAY_COORDINATION_TARGET_DIRECTORY_H
 
@@ -49,6 +53,10 @@
   void put(const ListedTarget &Target);
   /// Removes one entry, or marks it as missing while entries settle.
   void remove(const std::string &Name, TimePoint Now);
+  /// Marks a target as leaving because it said so itself, and whatever is
+  /// listed of this incarnation or an earlier one from now on. Returns whether
+  /// that is new.
+  bool markLeaving(const std::string &Name, IncarnationId Incarnation);
   /// The platform responds again after an outage. Entries that go missing from
   /// now on are kept until SettleTime has passed.
   void platformReturned(TimePoint Now) {
@@ -72,6 +80,8 @@
 private:
   TargetDirectorySettings Settings;
   std::map<std::string, ListedTarget> Targets{};
+  /// The last incarnation of each target that has said that it is leaving.
+  std::map<std::string, IncarnationId> SaidLeaving{};
   /// Missing entries, and the time until which they are kept.
   std::map<std::string, TimePoint> MissingUntil{};
   TimePoint SettledAt{};
--- a/packages/coordination/src/target_directory.cpp
+++ b/packages/coordination/src/target_directory.cpp
@@ -7,12 +7,13 @@
 
 void TargetDirectory::put(const ListedTarget &Target) {
   MissingUntil.erase(Target.Name);
-  const auto [It, Inserted] = Targets.try_emplace(Target.Name, Target);
-  if (!Inserted && It->second == Target)
-    return;
   ListedTarget Next = Target;
+  const auto Said = SaidLeaving.find(Target.Name);
+  Next.Leaving = Next.Leaving || (Said != SaidLeaving.end() &&
+                                  Target.Incarnation <= Said->second);
+  const auto [It, Inserted] = Targets.try_emplace(Target.Name, Next);
   // An incarnation that is leaving does not return.
-  Next.Leaving = Next.Leaving || (!Inserted && It->second.Leaving &&
+  Next.Leaving = Next.Leaving || (It->second.Leaving &&
                                   It->second.Incarnation == Target.Incarnation);
   if (!Inserted && Next == It->second)
     return;
@@ -20,6 +21,20 @@
   ++Changes;
 }
 
+bool TargetDirectory::markLeaving(const std::string &Name,
+                                  IncarnationId Incarnation) {
+  const auto [Said, First] = SaidLeaving.emplace(Name, Incarnation);
+  if (!First && Incarnation <= Said->second)
+    return false;
+  Said->second = Incarnation;
+  const auto Found = Targets.find(Name);
+  if (Found != Targets.end() && Found->second.Incarnation <= Incarnation) {
+    Found->second.Leaving = true;
+    ++Changes;
+  }
+  return true;
+}
+
 void TargetDirectory::remove(const std::string &Name, TimePoint Now) {
   if (Targets.count(Name) == 0)
     return;
--- a/packages/coordination/tests/target_directory_test.cpp
+++ b/packages/coordination/tests/target_directory_test.cpp
@@ -37,6 +37,41 @@
       CHECK_FALSE(Directory.targets().at("a").Leaving);
     }
   }
+  // Guards against requests to a target that has said that it is leaving: the
+  // platform's list was the only source.
+  SUBCASE("a target that says itself that it is leaving") {
+    CHECK(Directory.markLeaving("a", IncarnationId{1}));
+    CHECK_FALSE(Directory.markLeaving("a", IncarnationId{1}));
+
+    SUBCASE("is leaving, and no other one is") {
+      CHECK(Directory.targets().at("a").Leaving);
+      CHECK_FALSE(Directory.targets().at("b").Leaving);
+    }
+    SUBCASE("does not return with an older list") {
+      Directory.replaceAll({target("a"), target("b")}, at(seconds(1)));
+      CHECK(Directory.targets().at("a").Leaving);
+    }
+    SUBCASE("does not return if its entry lapsed meanwhile") {
+      Directory.remove("a", at(seconds(1)));
+      Directory.put(target("a"));
+      CHECK(Directory.targets().at("a").Leaving);
+    }
+    SUBCASE("returns in its next incarnation") {
+      Directory.put(target("a", 2));
+      CHECK_FALSE(Directory.targets().at("a").Leaving);
+    }
+    SUBCASE("does not take its address from the next target there") {
+      ListedTarget Next = target("c");
+      Next.Address = Directory.targets().at("a").Address;
+      Directory.put(Next);
+      CHECK_FALSE(Directory.targets().at("c").Leaving);
+    }
+  }
+  SUBCASE("a target that says so before it is listed is leaving") {
+    Directory.markLeaving("late", IncarnationId{3});
+    Directory.put(target("late", 3));
+    CHECK(Directory.targets().at("late").Leaving);
+  }
   SUBCASE("shortly after a platform outage") {
     Directory.platformReturned(at(seconds(10)));
     Directory.replaceAll({target("b")}, at(seconds(10)));
--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -337,11 +337,13 @@
         self.store, self.service, self.name = store, service, name
         self.version, self.slots = version, slots
         self.runs = []  # dictionaries, oldest first
+        self.seen = []  # ids of requests that arrived, run or not
         self.trouble = lambda run: None
         self.seconds = 0.005  # a request takes
         self.events = 5  # of a stream
         self.gap = 0.01  # between two events, seconds
         self.until_close = False  # answers end with their connection
+        self.notices = {}  # headers of all answers
         super().__init__(runner)
         self.register("ready")
 
@@ -381,6 +383,7 @@
             "at": time.monotonic(),
             "done": False,
         }
+        self.seen.append(run["id"])
         trouble = self.trouble(run) or ""
         if trouble == "full":
             return await self._say(
@@ -423,7 +426,8 @@
             f"HTTP/1.1 {status} X",
             f"X-Marjorambay-Attempt-Id: {headers.get('x-marjorambay-attempt-id', '')}",
             f"X-Marjorambay-Server-Signature: sign-{self.name}",
-        ] + [f"{name}: {value}" for name, value in more.items()]
+        ] + [f"{name}: {value}" for name, value in
+             {**self.notices, **more}.items()]
         if not self.until_close:
             lines.append(f"Content-Length: {len(body)}")
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
@@ -432,6 +436,8 @@
 
     async def _stream(self, writer, run, trouble):
         framing = "" if self.until_close else "Transfer-Encoding: chunked\r\n"
+        framing += "".join(f"{name}: {value}\r\n"
+                           for name, value in self.notices.items())
         writer.write(
             (
                 "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -292,6 +292,73 @@
         self.assertIn("IncompleteRead", answer.failure, dump(answer))
 
 
+class TargetNoticeTest(ForwardingTest):
+    """What workers say of themselves in their answers."""
+
+    def later_runs(self, fleet, paths, seconds=1.0):
+        """Runs at pool-0 and desk-0 of requests that are sent from now on."""
+        before = {name: len(fleet.workers[name].seen)
+                  for name in ("pool-0", "desk-0")}
+        for path in paths:
+            with concurrent.futures.ThreadPoolExecutor(4) as pool:
+                work = [pool.submit(pace, seconds / len(paths),
+                                    lambda: fleet.call(path))
+                        for _ in range(4)]
+            for answer in (each for one in work for each in one.result()):
+                self.assert_served(answer)
+        return {name: fleet.workers[name].seen[count:]
+                for name, count in before.items()}
+
+    # Guards against requests to a worker that has said that it is leaving,
+    # while the store still lists it as ready.
+    def test_a_worker_that_says_that_it_leaves_gets_nothing_more(self):
+        fleet = self.fleet(hosts=2, workers=2)
+        paths = ("/safe/a", "/once/a", "/stream/a", "/streamonce/a")
+        for name in ("pool-0", "desk-0"):
+            fleet.workers[name].notices = {"Server-Leaving": "1"}
+
+        def noticed():
+            with concurrent.futures.ThreadPoolExecutor(16) as pool:
+                for place, path in itertools.product((0, 1), paths * 2):
+                    pool.submit(fleet.call, path, host=place)
+            # Slots of the pool are granted by one host for both.
+            return any(host.lines("target_said_leaving", target="pool-0")
+                       for host in fleet.hosts) and all(
+                host.lines("target_said_leaving", target="desk-0")
+                for host in fleet.hosts)
+
+        wait_until(noticed, "both notices", 8)
+        self.assertEqual(self.later_runs(fleet, paths),
+                         {"pool-0": [], "desk-0": []})
+        # The entry is written once more, as ready.
+        for name in ("pool-0", "desk-0"):
+            worker = fleet.workers[name]
+            worker.leave()
+            worker.register("ready")
+        self.assertEqual(self.later_runs(fleet, paths),
+                         {"pool-0": [], "desk-0": []})
+        # Another worker gets the address, and is served.
+        for name in ("pool-0", "desk-0"):
+            worker = fleet.workers[name]
+            worker.leave()
+            worker.name = worker.name + "-next"
+            worker.notices = {}
+            worker.register("ready")
+        seen = self.later_runs(fleet, paths, 2)
+        self.assertTrue(seen["pool-0"] and seen["desk-0"])
+
+    def test_callers_are_told_when_all_workers_leave(self):
+        fleet = self.fleet(hosts=1)
+        for worker in fleet.workers.values():
+            worker.notices = {"Server-Leaving": "1"}
+        for path in ("/once/a", "/streamonce/a"):
+            answers = pace(0.5, lambda: fleet.call(path))
+            self.assert_served(answers[0])
+            self.assertEqual(answers[-1].status, 503, dump(answers[-1]))
+            self.assertGreater(float(answers[-1].headers["Retry-After"]), 0)
+            self.assertEqual(fleet.runs(answers[-1].attempt), [])
+
+
 class FleetChangeTest(ForwardingTest):
     """Workers, configuration and hosts come and go."""
 
