Hold off from a target that rejects a request and says for how long

A target that is full may add to its 503 for how long it wants nothing from this host; the next request went there at once, or after a back-off of all hosts. Now it is closed to this host from the head of such an answer on, by its own id: reservations name the closed targets, the arbiter gives their slots to other origins and sets reservations aside that may use none of the free ones, a grant under way is returned, and where a whole pool is closed callers are refused at once with the time at which it opens. Hosts return spread out, with one request at a time until one is answered. Values that are no number are logged and ignored; the longest time is the setting [target] max_hold_off_ms.

--- a/apps/marjorambayd/forward_dispatch.cpp
+++ b/apps/marjorambayd/forward_dispatch.cpp
@@ -1,6 +1,8 @@
 /// Dispatch of a request to a target, and relay of the response.
 #include "forward_host.h"
 
+#include "marjorambay/protocol/retry_after.h"
+
 #include <algorithm>
 
 namespace marjorambay {
@@ -140,11 +142,40 @@
   Call->Relaying = Call->Relaying || Call->ReceivingEvents;
 }
 
+/// Closes a target to this host if it rejects a request and says for how long
+/// it wants no more.
+void recordHoldOff(ForwardHost &H, ForwardCall &Call, const HttpHead &Head) {
+  constexpr int Unavailable = 503;
+  const TimePoint Now = H.Loop.now();
+  const std::string_view Text = Head.header("retry-after");
+  if (Head.Status != Unavailable || Text.empty())
+    return H.HoldOffs.recordAnswer(Call.DispatchedTo, Now);
+  const auto Asked = parseRetryAfter(Text);
+  if (!Asked) {
+    LogLine("retry_after_ignored", LogLevel::Warning)
+        .with("target", Call.TargetName)
+        .with("value", Text.substr(0, 40));
+    return;
+  }
+  Call.TargetHoldsOff = true;
+  const TimePoint OpensAt =
+      H.HoldOffs.record(Call.DispatchedTo, *Asked, drawFraction(H.Random), Now);
+  LogLine("target_holds_off")
+      .with("target", Call.TargetName)
+      .with("request", Call.Name)
+      .with("asked_ms",
+            std::chrono::duration_cast<milliseconds>(*Asked).count())
+      .with("opens_in_ms",
+            std::chrono::duration_cast<milliseconds>(OpensAt - Now).count());
+}
+
 /// Applies what a target says of itself in the head of a response, of any
 /// status. Only responses that belong to a request arrive here.
 void applyTargetNotices(ForwardHost &H, CallId Id, const HttpHead &Head) {
+  ForwardCall &Call = *findCall(H, H.CallsByDispatch.at(Id));
+  recordHoldOff(H, Call, Head);
   if (!Head.header(H.HeaderNames.Leaving).empty())
-    markTargetLeaving(H, *findCall(H, H.CallsByDispatch.at(Id)));
+    markTargetLeaving(H, Call);
 }
 
 void relayBytes(ForwardHost &H, ForwardCall &Call, std::string_view Bytes) {
@@ -185,7 +216,8 @@
 /// Handles a response which reports that the request was not executed.
 void handleNotRun(ForwardHost &H, ForwardCall &Call) {
   const bool Misdirected = Call.Status == 421;
-  reportTargetRefusal(H, Call.Pool, Call.DispatchedTo);
+  if (!Call.TargetHoldsOff) // otherwise other hosts may still use it
+    reportTargetRefusal(H, Call.Pool, Call.DispatchedTo);
   endDispatch(H, Call, DispatchOutcome::NotRun, false);
   retryOrFail(H, Call, true, ErrorKind::Overloaded,
               Misdirected ? "another target uses the address"
@@ -328,6 +360,7 @@
   Call.Status = 0;
   Call.ReceivingEvents = false;
   Call.TargetDeclined = false;
+  Call.TargetHoldsOff = false;
   ++Call.Attempts;
   ++H.LocalTargets[Target.Id].InFlight;
   Call.Call = H.Client.start(std::move(Request));
--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -20,6 +20,7 @@
 #include "marjorambay/coordination/retry_budget.h"
 #include "marjorambay/coordination/target_directory.h"
 #include "marjorambay/coordination/target_health.h"
+#include "marjorambay/coordination/target_hold_offs.h"
 #include "marjorambay/protocol/sse_splitter.h"
 #include "marjorambay/state.h"
 #include "marjorambay/state/forwarding_config.h"
@@ -128,6 +129,8 @@
   bool MayHaveRun = false; ///< some target may have started to execute it
   /// The current target reports that it did not execute the request.
   bool TargetDeclined = false;
+  /// The current target asks this host to hold off.
+  bool TargetHoldsOff = false;
   // Response to the caller.
   int Status = 0;
   BodyFraming Framing = BodyFraming::Length; ///< of the target's response
@@ -278,6 +281,7 @@
   std::map<PoolId, PoolState> Pools{};
   std::unordered_map<TargetId, LocalTarget> LocalTargets{};
   std::unordered_map<TargetId, TargetHealth> Health{};
+  TargetHoldOffs HoldOffs;
 
   // The fleet.
   std::map<HostId, ForwardPeer> Fleet{}; ///< all other hosts
@@ -374,6 +378,8 @@
 void cancelReservation(ForwardHost &H, ForwardCall &Call);
 void releaseSlot(ForwardHost &H, ForwardCall &Call, const Usage &Used);
 void reportTargetRefusal(ForwardHost &H, PoolId Pool, TargetId Target);
+/// Whether this host may send a request to \p Target at present.
+bool isOpen(const ForwardHost &H, const ListedTarget &Target);
 /// Tells the pool's arbiter that a target is leaving.
 void reportTargetLeaving(ForwardHost &H, PoolId Pool, TargetId Target,
                          IncarnationId Incarnation);
--- a/apps/marjorambayd/forward_lifecycle.cpp
+++ b/apps/marjorambayd/forward_lifecycle.cpp
@@ -132,7 +132,8 @@
       Random(number(Self.Id) ^ number(Incarnation)),
       Callers(Loop, Timers, limitsOf(Settings)),
       Probes(Loop, Timers, HttpServerLimits{}),
-      Operators(Loop, Timers, HttpServerLimits{}), ObjectServer(Loop, Timers) {}
+      Operators(Loop, Timers, HttpServerLimits{}), ObjectServer(Loop, Timers),
+      HoldOffs(TargetHoldOffSettings{.MaxHoldOff = Settings.MaxHoldOff}) {}
 
 ForwardHost::~ForwardHost() = default;
 
--- a/apps/marjorambayd/forward_pools.cpp
+++ b/apps/marjorambayd/forward_pools.cpp
@@ -124,6 +124,10 @@
   Request.Remaining = Call.Deadline - Now;
   Request.FirstTokenObjective = std::max<Duration>(
       Duration(1), Call.Arrived + Call.Route->LatencyObjective - Now);
+  if (!H.HoldOffs.empty())
+    for (const auto &[Id, Target] : H.Targets)
+      if (Target.Pool == Call.Pool && !isOpen(H, Target))
+        Request.ClosedTargets.push_back(Id);
   return Request;
 }
 
@@ -167,6 +171,22 @@
   stepLocalShare(H, Call.Pool, SlotRequested{reservationOf(H, Call)});
 }
 
+/// Returns the time until a target of \p Pool opens to this host; nullopt if
+/// one is open or the pool has none.
+std::optional<Duration> timeToOpen(const ForwardHost &H, PoolId Pool) {
+  const TimePoint Now = H.Loop.now();
+  std::optional<Duration> Earliest;
+  for (const auto &[Id, Target] : H.Targets) {
+    if (Target.Pool != Pool || Target.Leaving)
+      continue;
+    const Duration Left = H.HoldOffs.opensAt(Id, Now) - Now;
+    if (Left <= Duration(0))
+      return std::nullopt;
+    Earliest = std::min(Earliest.value_or(Left), Left);
+  }
+  return Earliest;
+}
+
 // ---- Plain pools ------------------------------------------------------------
 
 /// Whether enough targets are healthy for the others to be ejected.
@@ -189,7 +209,7 @@
   const ListedTarget *Best = nullptr;
   double LowestCost = std::numeric_limits<double>::infinity();
   for (const auto &[Id, Target] : H.Targets) {
-    if (Target.Pool != Call.Pool || Target.Leaving)
+    if (Target.Pool != Call.Pool || Target.Leaving || !isOpen(H, Target))
       continue;
     const bool VersionMatches = number(Version) == 0
                                     ? runsServingVersion(H, Target)
@@ -227,12 +247,20 @@
   if (Target == nullptr)
     Target = selectPlainTarget(H, Call, VersionId{}, false);
   if (Target == nullptr)
-    return failCall(H, Call, ErrorKind::NoTarget, NoTargetRetryAfter);
+    return failCall(H, Call, ErrorKind::NoTarget,
+                    timeToOpen(H, Call.Pool).value_or(NoTargetRetryAfter));
   dispatch(H, Call, *Target);
 }
 
 } // namespace
 
+bool isOpen(const ForwardHost &H, const ListedTarget &Target) {
+  const auto Local = H.LocalTargets.find(Target.Id);
+  const std::uint32_t InFlight =
+      Local == H.LocalTargets.end() ? 0 : Local->second.InFlight;
+  return H.HoldOffs.open(Target.Id, InFlight, H.Loop.now());
+}
+
 RequestKey reservationKey(const ForwardHost &H, RequestId Slot) {
   return {H.Self.Id, H.Incarnation, Slot};
 }
@@ -246,6 +274,8 @@
   Call.Stage = CallStage::Waiting;
   if (!isEngine(H, Call.Pool))
     return dispatchPlain(H, Call);
+  if (const auto Wait = timeToOpen(H, Call.Pool))
+    return failCall(H, Call, ErrorKind::Overloaded, *Wait);
   H.CallsByReservation.erase(Call.ReservationId);
   Call.ReservationId = static_cast<RequestId>(++H.LastRequest);
   H.CallsByReservation.emplace(Call.ReservationId, Call.Id);
@@ -423,6 +453,12 @@
       return requestSlot(H, *Call);
     return failCall(H, *Call, ErrorKind::NoTarget, NoTargetRetryAfter);
   }
+  if (!isOpen(H, *Target)) { // it asked to hold off after the reservation
+    Usage Unused;
+    Unused.Outcome = DispatchOutcome::NotRun;
+    releaseSlot(H, *Call, Unused);
+    return requestSlot(H, *Call);
+  }
   dispatch(H, *Call, *Target);
 }
 
--- a/apps/marjorambayd/peer_codec.cpp
+++ b/apps/marjorambayd/peer_codec.cpp
@@ -45,6 +45,8 @@
   Out->set_route(number(Request.Route));
   Out->set_max_output_tokens(Request.Cost.MaxOutput);
   Out->set_first_within_us(Request.FirstTokenObjective.count());
+  for (const TargetId Target : Request.ClosedTargets)
+    Out->add_closed_targets(number(Target));
 }
 
 Reservation decode(const peer::Reservation &In) {
@@ -61,6 +63,8 @@
   Request.Remaining = Duration(In.remaining_us());
   Request.Route = RouteId{In.route()};
   Request.FirstTokenObjective = Duration(In.first_within_us());
+  for (const std::uint64_t Target : In.closed_targets())
+    Request.ClosedTargets.push_back(TargetId{Target});
   return Request;
 }
 
--- a/apps/marjorambayd/target_dispatch.cpp
+++ b/apps/marjorambayd/target_dispatch.cpp
@@ -5,11 +5,10 @@
 #include "rollouts.h"
 
 #include "marjorambay/protocol/completion.h"
+#include "marjorambay/protocol/retry_after.h"
 
 #include <event2/buffer.h>
 
-#include <charconv>
-
 namespace marjorambay {
 
 namespace {
@@ -45,14 +44,6 @@
     removeCall(D, Id, "ended_without_caller");
 }
 
-Duration parseRetryAfter(std::string_view Header) {
-  std::uint32_t Seconds = 0;
-  const char *End = Header.data() + Header.size();
-  const auto [Parsed, Failure] = std::from_chars(Header.data(), End, Seconds);
-  return Failure == std::errc() && Parsed == End ? seconds(Seconds)
-                                                 : Duration(0);
-}
-
 bool isDecline(const HttpResponseView &View) {
   constexpr int Unavailable = 503;
   constexpr int TooManyRequests = 429;
@@ -72,8 +63,9 @@
   if (!Call)
     return;
   if (isDecline(View)) {
-    const TargetDeclined Event{Id, parseRetryAfter(View.header("Retry-After")),
-                               View.header("Leaving") == "true", Attempt};
+    const TargetDeclined Event{
+        Id, parseRetryAfter(View.header("Retry-After")).value_or(Duration(0)),
+        View.header("Leaving") == "true", Attempt};
     D.Client.cancel(*Call->Call);
     postEnd(D, Id, Event);
     return;
--- a/packages/coordination/marjorambay/coordination/arbiter.h
+++ b/packages/coordination/marjorambay/coordination/arbiter.h
@@ -144,8 +144,11 @@
   void refuseLate(TimePoint Now);
   void refuseUnservable(TimePoint Now);
   void grantAvailable(TimePoint Now);
-  /// Grants or sheds one reservation; returns whether another may be granted.
-  bool grantNext(TierRank Tier, TimePoint Now);
+  /// Grants or sheds one reservation, or sets it aside if its origin may use
+  /// none of the targets with a free slot. Returns whether another may be
+  /// granted.
+  bool grantNext(TierRank Tier, std::vector<QueuedReservation> &SetAside,
+                 TimePoint Now);
   void grant(const QueuedReservation &Entry, const TargetChoice &Choice,
              TimePoint Now);
   bool pausedByShed(TierRank Tier, TimePoint Now) const;
--- a/packages/coordination/marjorambay/coordination/requests.h
+++ b/packages/coordination/marjorambay/coordination/requests.h
@@ -9,6 +9,7 @@
 #include <array>
 #include <cstdint>
 #include <string_view>
+#include <vector>
 
 namespace marjorambay {
 
@@ -37,6 +38,8 @@
   Duration Remaining{}; ///< time to the deadline when the reservation was sent
   /// Time until the first token is due; 0 if there is no objective.
   Duration FirstTokenObjective{};
+  /// Targets that the origin may not use at present.
+  std::vector<TargetId> ClosedTargets{};
 };
 
 /// A slot that an origin uses, as reported to an arbiter that takes over.
--- a/packages/coordination/src/arbiter.cpp
+++ b/packages/coordination/src/arbiter.cpp
@@ -301,15 +301,22 @@
 }
 
 void Arbiter::grantAvailable(TimePoint Now) {
+  std::vector<QueuedReservation> SetAside;
   while (SlotMayBeFree) {
     const std::optional<TierRank> Tier = tierToServe(Now);
     if (!Tier || (Settings.TierFloor <= 0 && pausedByShed(*Tier, Now)))
-      return;
-    SlotMayBeFree = grantNext(*Tier, Now);
+      break;
+    SlotMayBeFree = grantNext(*Tier, SetAside, Now);
   }
+  for (const QueuedReservation &Entry : SetAside)
+    Queue.push(Entry);
+  // The next reservation may use a slot that those set aside may not.
+  SlotMayBeFree = SlotMayBeFree || !SetAside.empty();
 }
 
-bool Arbiter::grantNext(TierRank Tier, TimePoint Now) {
+bool Arbiter::grantNext(TierRank Tier, std::vector<QueuedReservation> &SetAside,
+                        TimePoint Now) {
+  const QueuedReservation *ClosedOut = nullptr;
   for (const QueuedReservation *Head : Queue.heads(Tier, MaxHeadsTried)) {
     const TargetChoice Choice =
         Targets.choose(*Head, Shares, takingOver(Now), Now);
@@ -324,8 +331,13 @@
       shed(Head->Request.Key, Now);
       return true;
     }
+    if (!Head->Request.ClosedTargets.empty())
+      ClosedOut = Head;
   }
-  return false;
+  if (ClosedOut == nullptr)
+    return false;
+  SetAside.push_back(*Queue.cancel(ClosedOut->Request.Key));
+  return true;
 }
 
 void Arbiter::grant(const QueuedReservation &Entry, const TargetChoice &Choice,
--- a/packages/coordination/src/target_table.cpp
+++ b/packages/coordination/src/target_table.cpp
@@ -15,6 +15,12 @@
 constexpr double LatePenalty = 1e3; // seconds; penalty for a late first token
 constexpr double DueBonus = 1e6;    // seconds; outweighs any finish time
 
+/// Returns whether the origin of \p Request may not use \p Target.
+bool isClosed(TargetId Target, const Reservation &Request) {
+  const std::vector<TargetId> &Closed = Request.ClosedTargets;
+  return std::find(Closed.begin(), Closed.end(), Target) != Closed.end();
+}
+
 } // namespace
 
 const TargetTable::TargetState *TargetTable::find(TargetId Target) const {
@@ -214,6 +220,8 @@
     if (!Shares.allows(State.Info.Version))
       continue;
     Best.AnyRoom = true;
+    if (isClosed(State.Info.Id, Entry.Request))
+      continue;
     if (number(Required) != 0 && State.Info.Version != Required)
       continue;
     if (finishSeconds(State, Entry.SafeCost, Now) > SecondsLeft)
@@ -242,7 +250,7 @@
   const double SecondsLeft = toSeconds(Entry.Deadline - Now);
   const VersionId Required = Entry.Request.Version;
   return std::any_of(Entries.begin(), Entries.end(), [&](const auto &State) {
-    if (!available(State, Shares))
+    if (!available(State, Shares) || isClosed(State.Info.Id, Entry.Request))
       return false;
     if (number(Required) != 0 && State.Info.Version != Required)
       return false;
--- a/packages/coordination/tests/arbiter_test.cpp
+++ b/packages/coordination/tests/arbiter_test.cpp
@@ -275,6 +275,20 @@
     CHECK(requestSlots(Policy, 1, 1, Start).empty());
     CHECK(granted(Policy.step(ArbiterTicked{}, at(seconds(1)))) == Ids{1});
   }
+  SUBCASE("grants one that is closed to an origin to other origins only") {
+    Policy.step(TargetsChanged{{worker("w1", 4), worker("w2", 1)}}, Start);
+    Reservation Closed = reservation(1);
+    Closed.ClosedTargets = {target("w1")};
+    CHECK(granted(Policy.step(SlotRequested{Closed}, Start)) == Ids{1});
+    CHECK(Policy.targets().inFlight(target("w2")) == 1);
+    // The next one of that origin waits, and holds up nobody.
+    Closed.Key = key(2);
+    CHECK(granted(Policy.step(SlotRequested{Closed}, Start)).empty());
+    CHECK(granted(Policy.step(SlotRequested{reservation(3)}, Start)) == Ids{3});
+    CHECK(Policy.targets().inFlight(target("w1")) == 1);
+    CHECK(granted(Policy.step(SlotReleased{key(1), {}}, Start)) == Ids{2});
+    CHECK(Policy.targets().inFlight(target("w2")) == 1);
+  }
   SUBCASE("a leaving one that restarted serves again") {
     TargetInfo Info = worker("w1", 8);
     Info.Incarnation = static_cast<IncarnationId>(1);
--- a/packages/state/marjorambay/state/settings.h
+++ b/packages/state/marjorambay/state/settings.h
@@ -52,6 +52,7 @@
   // [target]
   Duration ConnectTimeout = seconds(1);
   Duration LoadPollInterval = seconds(1); ///< between load report reads
+  Duration MaxHoldOff = minutes(5); ///< that a target may ask this host for
   // [forward]
   std::string ReadyAddress = "127.0.0.1:8083"; ///< for readiness probes
   // The retry budget of a pool is a fraction of its requests plus a constant,
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,7 +1,8 @@
 #!/usr/bin/env python3
 """A randomized fault soak of forwarded routes, on real processes.
 
-soak.py [--seed N] [--seconds S] [--hosts N] [--restores] [--keep FOLDER]
+soak.py [--seed N] [--seconds S] [--hosts N] [--restores] [--notices]
+        [--keep FOLDER]
 
 Callers keep their connections open and send requests of every kind, while
 workers, the store, connections and processes fail in overlapping series. What
@@ -34,6 +35,7 @@
 LOADING_S = 0.2  # from exec to main(), on a busy machine
 KINDS = ("/safe/", "/once/", "/stream/", "/streamonce/")
 RESTORE_WEIGHT = 3  # against 12 of the other faults
+NOTICE_WEIGHT = 2  # of each fault of that kind, against the same 12
 NOT_RUN = (408, 421, 429, 503)
 
 
@@ -88,8 +90,8 @@
 
 
 class Soak:
-    def __init__(self, seed, hosts, restores):
-        self.seed, self.restores = seed, restores
+    def __init__(self, seed, hosts, restores, notices):
+        self.seed, self.restores, self.notices = seed, restores, notices
         self.random = random.Random(seed)
         self.over = threading.Event()
         self.lock = threading.Lock()
@@ -156,8 +158,9 @@
     def trouble(self, run):
         kind = self.random.random()
         if kind < 0.02:
-            return self.random.choice(("reset_before", "reset_after", "error",
-                                       "silent", "full", "twice", "break:2"))
+            return self.random.choice(
+                ("reset_before", "reset_after", "error", "silent", "full",
+                 "twice", "break:2") + ("cut:2", "hold:0.4") * self.notices)
         return None
 
     def fault(self):
@@ -166,7 +169,9 @@
             self.kill, self.kill, self.freeze, self.stop, self.reload,
             self.worker_proxy, self.worker_proxy, self.store_mode,
             self.store_cut, self.forget, self.lose_writes, self.configure)
-            + (self.restore,) * RESTORE_WEIGHT * self.restores)
+            + (self.restore,) * RESTORE_WEIGHT * self.restores
+            + (self.worker_unframed, self.worker_leaves) * NOTICE_WEIGHT
+            * self.notices)
         self.faults.append(choice.__name__)
         return choice()
 
@@ -214,6 +219,27 @@
             proxy.mode = mode
         return lambda: setattr(proxy, "mode", "pass")
 
+    def worker_unframed(self):
+        """Answers of a worker end with their connection for a while."""
+        worker = self.random.choice(list(self.fleet.workers.values()))
+        worker.until_close = True
+        return lambda: setattr(worker, "until_close", False)
+
+    def worker_leaves(self):
+        """A worker says that it leaves, and then starts again."""
+        place, worker = self.random.choice(
+            list(enumerate(self.fleet.workers.values())))
+        worker.notices = {"Server-Leaving": "1"}
+
+        def start_again():
+            worker.notices = {}
+            worker.born += 1
+            entry = worker.entry("ready")
+            entry["address"] = self.proxies[place].address
+            self.fleet.store.put("servers", worker.name, entry)
+
+        return start_again
+
     def store_mode(self):
         store = self.fleet.store
         store.mode = self.random.choice(("silent", "busy", "reset"))
@@ -323,13 +349,13 @@
                 f"{len(self.faults)} faults, {len(self.broken)} broken")
 
 
-def play(seed, seconds, hosts, restores, keep):
-    soak = Soak(seed, hosts, restores)
+def play(seed, given):
+    soak = Soak(seed, given.hosts, given.restores, given.notices)
     try:
-        soak.run(seconds)
+        soak.run(given.seconds)
     finally:
-        if keep and soak.broken:
-            shutil.copytree(soak.fleet.folder, f"{keep}/seed-{seed}",
+        if given.keep and soak.broken:
+            shutil.copytree(soak.fleet.folder, f"{given.keep}/seed-{seed}",
                             dirs_exist_ok=True)
         for proxy in soak.proxies:
             proxy.close()
@@ -349,6 +375,9 @@
     parser.add_argument("--hosts", type=int, default=4)
     parser.add_argument("--restores", action="store_true",
                         help="the store also comes back from older copies")
+    parser.add_argument("--notices", action="store_true",
+                        help="workers also hold off, leave and answer without "
+                        "a length")
     parser.add_argument("--keep", help="folder for the logs of failed seeds")
     given = parser.parse_args()
     seeds = list(given.seed)
@@ -356,7 +385,7 @@
         seeds += [int(line.split()[0]) for line in
                   given.seeds.read_text().splitlines()
                   if line and not line.startswith("#")]
-    results = [play(seed, given.seconds, given.hosts, given.restores, given.keep)
+    results = [play(seed, given)
                for seed in seeds or [random.randrange(10**6)]]
     sys.exit(0 if all(results) else 1)
 
--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -330,20 +330,22 @@
     "error", "reset_before", "reset_after", "silent", "twice", "break:N" (the
     stream is reset in the middle of the event after N), "cut:N" (there it is
     closed in an orderly way), "plain" (a document instead of events),
-    "status:N" (an answer with status N), "long:N" (an answer of N bytes).
+    "status:N" (an answer with status N), "long:N" (an answer of N bytes),
+    "hold:S" (rejected, and nothing wanted for S seconds).
     """
 
     def __init__(self, runner, store, service, name, version="v1", slots=4):
         self.store, self.service, self.name = store, service, name
         self.version, self.slots = version, slots
         self.runs = []  # dictionaries, oldest first
-        self.seen = []  # ids of requests that arrived, run or not
+        self.seen = []  # (id, time) of requests that arrived, run or not
         self.trouble = lambda run: None
         self.seconds = 0.005  # a request takes
         self.events = 5  # of a stream
         self.gap = 0.01  # between two events, seconds
         self.until_close = False  # answers end with their connection
         self.notices = {}  # headers of all answers
+        self.born = 1  # Unix millisecond of its start
         super().__init__(runner)
         self.register("ready")
 
@@ -360,7 +362,7 @@
             "state": state,
             "warmup_left_ms": 0,
             "seq": 1,
-            "born": 1,
+            "born": self.born,
         }
 
     def leave(self):
@@ -383,12 +385,16 @@
             "at": time.monotonic(),
             "done": False,
         }
-        self.seen.append(run["id"])
+        self.seen.append((run["id"], run["at"]))
         trouble = self.trouble(run) or ""
         if trouble == "full":
             return await self._say(
                 writer, headers, 503, b"", {"X-Marjorambay-Not-Executed": "1"}
             )
+        if trouble.startswith("hold:"):
+            return await self._say(
+                writer, headers, 503, b"",
+                {"X-Marjorambay-Not-Executed": "1", "Retry-After": trouble[5:]})
         self.runs.append(run)
         if trouble == "reset_before":
             reset(writer)
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -347,6 +347,63 @@
         seen = self.later_runs(fleet, paths, 2)
         self.assertTrue(seen["pool-0"] and seen["desk-0"])
 
+    # Guards against requests to a worker within the time for which it has said
+    # that it wants none.
+    def test_a_worker_that_asks_to_hold_off_gets_nothing_for_that_time(self):
+        fleet = self.fleet(hosts=1, workers=2)
+        paths = ("/safe/a", "/once/a", "/stream/a", "/streamonce/a")
+        asking = [fleet.workers[name] for name in ("pool-0", "desk-0")]
+        asked = {}
+
+        def reject_once(worker):
+            def trouble(run):
+                if worker.name in asked:
+                    return None
+                asked[worker.name] = run["at"]
+                return "hold:1.5"
+            return trouble
+
+        for worker in asking:
+            worker.trouble = reject_once(worker)
+        with concurrent.futures.ThreadPoolExecutor(16) as pool:
+            work = [pool.submit(pace, 4, lambda at=path: fleet.call(at))
+                    for path in paths * 4]
+            for one in work:
+                for answer in one.result():
+                    # One rejected request has no attempt left.
+                    self.assertIn(answer.status, (200, 503), dump(answer))
+        for worker in asking:
+            at = asked[worker.name]
+            within = [when for _, when in worker.seen if at + 0.1 < when < at + 1.5]
+            self.assertEqual(within, [])
+            self.assertTrue([when for _, when in worker.seen if when > at + 1.5])
+            self.assertTrue(fleet.hosts[0].lines("target_holds_off",
+                                                 target=worker.name))
+
+    def test_callers_are_told_when_all_workers_hold_off(self):
+        fleet = self.fleet(hosts=1)
+        for worker in fleet.workers.values():
+            worker.trouble = lambda run: "hold:3"
+        for path in ("/once/a", "/streamonce/a"):
+            answers = pace(0.5, lambda: fleet.call(path))
+            self.assertEqual({each.status for each in answers}, {503})
+            back = float(answers[-1].headers["Retry-After"])
+            self.assertTrue(1.5 < back <= 4, back)
+        self.assertEqual(fleet.runs(), [])
+        # One request for each worker, and none after it.
+        self.assertEqual([len(each.seen) for each in fleet.workers.values()],
+                         [1, 1, 1, 1])
+
+    def test_a_retry_after_that_is_no_number_is_logged_and_ignored(self):
+        fleet = self.fleet(hosts=1, workers=1)
+        for text in ("soon", "-1"):
+            fleet.workers["desk-0"].trouble = lambda run: f"hold:{text}"
+            self.assertEqual(fleet.call("/once/a").status, 503)
+            fleet.workers["desk-0"].trouble = lambda run: None
+            self.assert_served(fleet.call("/once/a"))
+        wait_until(lambda: len(fleet.hosts[0].lines("retry_after_ignored")) == 2,
+                   "the log lines", 2)
+
     def test_callers_are_told_when_all_workers_leave(self):
         fleet = self.fleet(hosts=1)
         for worker in fleet.workers.values():
