--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -323,6 +323,11 @@
         return 200, self._write(kind, name, given["spec"], found["status"])
 
 
+def piece(event, framed):
+    """An event as a chunk, or as it is where the answer has no chunks."""
+    return b"%x\r\n%s\r\n" % (len(event), event) if framed else event
+
+
 class Worker(Server):
     """Runs requests, and keeps what it saw in `runs`.
 
@@ -423,7 +428,7 @@
         run["done"] = True
         answer = b"answer to " + run["id"].encode()
         kept = await self._say(writer, headers, 200, answer, {})
-        if trouble == "twice":
+        if trouble == "twice" and kept:  # else it would be part of the first
             await self._say(writer, headers, 200, answer, {})
         return kept
 
@@ -434,14 +439,16 @@
             f"X-Marjorambay-Server-Signature: sign-{self.name}",
         ] + [f"{name}: {value}" for name, value in
              {**self.notices, **more}.items()]
-        if not self.until_close:
+        framed = not self.until_close
+        if framed:
             lines.append(f"Content-Length: {len(body)}")
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
         await writer.drain()
-        return not self.until_close
+        return framed
 
     async def _stream(self, writer, run, trouble):
-        framing = "" if self.until_close else "Transfer-Encoding: chunked\r\n"
+        framed = not self.until_close  # as it is when the answer begins
+        framing = "Transfer-Encoding: chunked\r\n" if framed else ""
         framing += "".join(f"{name}: {value}\r\n"
                            for name, value in self.notices.items())
         writer.write(
@@ -457,20 +464,16 @@
         for number in range(first, self.events + 1):
             event = f"id: {number}\ndata: of {run['id']}\n\n".encode()
             if how in ("break", "cut") and number > int(last_whole):
-                writer.write(self._piece(event)[:-len(event) // 2])
+                writer.write(piece(event, framed)[:-len(event) // 2])
                 await writer.drain()
                 await asyncio.sleep(0.02)
                 if how == "break":
                     reset(writer)
                 return False
-            writer.write(self._piece(event))
+            writer.write(piece(event, framed))
             await writer.drain()
             await asyncio.sleep(self.gap)
-        writer.write(b"" if self.until_close else b"0\r\n\r\n")
+        writer.write(b"0\r\n\r\n" if framed else b"")
         await writer.drain()
         run["done"] = True
-        return not self.until_close
-
-    def _piece(self, event):
-        return event if self.until_close else b"%x\r\n%s\r\n" % (len(event),
-                                                                 event)
+        return framed
