--- a/apps/marjorambayd/forward_pools.cpp
+++ b/apps/marjorambayd/forward_pools.cpp
@@ -174,6 +174,8 @@
 /// Returns the time until a target of \p Pool opens to this host; nullopt if
 /// one is open or the pool has none.
 std::optional<Duration> timeToOpen(const ForwardHost &H, PoolId Pool) {
+  if (H.HoldOffs.empty())
+    return std::nullopt;
   const TimePoint Now = H.Loop.now();
   std::optional<Duration> Earliest;
   for (const auto &[Id, Target] : H.Targets) {
