Log how long a target was silent when its attempt failed

The record of the ended answers can't tell a target that was given up because of its silence from one whose connection broke. attempt_failed has silent_ms now.

--- a/apps/marjorambayd/forward_dispatch.cpp
+++ b/apps/marjorambayd/forward_dispatch.cpp
@@ -94,7 +94,10 @@
       .with("not_run", NotRun ? "yes" : "no")
       .with("events", Call.Events.events())
       .with("framing", nameOf(Call.Framing))
-      .with("partial_bytes", Call.Events.partial().size());
+      .with("partial_bytes", Call.Events.partial().size())
+      .with("silent_ms", std::chrono::duration_cast<milliseconds>(
+                             H.Loop.now() - Call.LastBytesAt)
+                             .count());
   if (mayRetry(H, Call, NotRun)) {
     if (Call.Relaying)
       Call.Events.resume();
