Group the fields of a dispatch, and those of a reservation

A call can then have more than one of each. No change of behaviour but one: a reservation starts without the mark that an earlier one of the same call had been sent again.

--- a/apps/marjorambayd/forward_dispatch.cpp
+++ b/apps/marjorambayd/forward_dispatch.cpp
@@ -4,6 +4,7 @@
 #include "marjorambay/protocol/retry_after.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace marjorambay {
 
@@ -32,11 +33,11 @@
   Used.OutputTokens =
       std::max(1U, (Call.Events.events() - Call.EventsBefore) * TokensPerEvent);
   const TimePoint Now = H.Loop.now();
-  Used.Total = Now - Call.DispatchedAt;
+  Used.Total = Now - Call.Current.DispatchedAt;
   Used.TimeToFirstToken =
-      Call.LastBytesAt == TimePoint{} || !Call.ResponseStarted
+      Call.Current.LastBytesAt == TimePoint{} || !Call.ResponseStarted
           ? Used.Total
-          : Call.FirstEventAt - Call.DispatchedAt;
+          : Call.FirstEventAt - Call.Current.DispatchedAt;
   return Used;
 }
 
@@ -47,10 +48,10 @@
   if (Call.Stage != CallStage::Dispatched)
     return;
   if (Cancel)
-    H.Client.cancel(Call.Call);
-  H.CallsByDispatch.erase(Call.Call);
+    H.Client.cancel(Call.Current.HttpCall);
+  H.CallsByDispatch.erase(Call.Current.HttpCall);
   const Usage Used = usageOf(H, Call, Outcome);
-  LocalTarget &Local = H.LocalTargets[Call.DispatchedTo];
+  LocalTarget &Local = H.LocalTargets[Call.Current.Target];
   Local.InFlight -= std::min(Local.InFlight, 1U);
   if (Outcome == DispatchOutcome::Complete) {
     constexpr double Gain = 0.1;
@@ -63,13 +64,13 @@
   if (Outcome == DispatchOutcome::Complete ||
       Outcome == DispatchOutcome::Failed) {
     const bool Failed = Outcome == DispatchOutcome::Failed;
-    H.Pools[Call.Pool].Health.recordAnswer(H.Health[Call.DispatchedTo], !Failed,
-                                           H.Loop.now());
+    H.Pools[Call.Pool].Health.recordAnswer(H.Health[Call.Current.Target],
+                                           !Failed, H.Loop.now());
     observeVersion(H, Call, Used, Failed);
   }
-  releaseSlot(H, Call, Used);
   Call.Stage = CallStage::Waiting;
-  Call.Call = CallId{};
+  Call.Current.HttpCall = CallId{};
+  releaseSlot(H, Call.Pool, std::exchange(Call.Current.Slot, {}), Used);
 }
 
 bool mayRetry(ForwardHost &H, const ForwardCall &Call, bool NotRun) {
@@ -88,15 +89,15 @@
                  std::string_view Cause) {
   LogLine("attempt_failed")
       .with("request", Call.Name)
-      .with("target", Call.TargetName)
+      .with("target", Call.Current.TargetName)
       .with("cause", Cause)
       .with("attempt", Call.Attempts)
       .with("not_run", NotRun ? "yes" : "no")
       .with("events", Call.Events.events())
-      .with("framing", nameOf(Call.Framing))
+      .with("framing", nameOf(Call.Current.Framing))
       .with("partial_bytes", Call.Events.partial().size())
       .with("silent_ms", std::chrono::duration_cast<milliseconds>(
-                             H.Loop.now() - Call.LastBytesAt)
+                             H.Loop.now() - Call.Current.LastBytesAt)
                              .count());
   if (mayRetry(H, Call, NotRun)) {
     if (Call.Relaying)
@@ -123,17 +124,18 @@
 void handleHeaders(ForwardHost &H, CallId Id, const HttpHead &Head) {
   ForwardCall *Call = findCall(H, H.CallsByDispatch.at(Id));
   const TimePoint Now = H.Loop.now();
-  Call->LastBytesAt = Now;
-  Call->Status = Head.Status;
-  Call->Framing = Head.Framing;
+  Call->Current.LastBytesAt = Now;
+  Call->Current.Status = Head.Status;
+  Call->Current.Framing = Head.Framing;
   const bool NotRun =
       !Head.header(H.HeaderNames.NotRun).empty() || Head.Status == 421;
-  Call->TargetDeclined = NotRun;
+  Call->Current.Declined = NotRun;
   if (NotRun)
     return; // handled when the response is complete
   Call->MayHaveRun = true;
-  Call->ReceivingEvents = isStream(Call->Route->Kind) && isEventStream(Head);
-  if (Call->Relaying && !Call->ReceivingEvents) // could not be resumed
+  Call->Current.ReceivingEvents =
+      isStream(Call->Route->Kind) && isEventStream(Head);
+  if (Call->Relaying && !Call->Current.ReceivingEvents) // could not be resumed
     return;
   if (!Call->ResponseStarted) {
     Call->ResponseHeaders.clear();
@@ -142,7 +144,7 @@
           !equalsIgnoringCase(Header.Name, "content-length"))
         Call->ResponseHeaders.push_back(Header);
   }
-  Call->Relaying = Call->Relaying || Call->ReceivingEvents;
+  Call->Relaying = Call->Relaying || Call->Current.ReceivingEvents;
 }
 
 /// Closes a target to this host if it rejects a request and says for how long
@@ -152,19 +154,19 @@
   const TimePoint Now = H.Loop.now();
   const std::string_view Text = Head.header("retry-after");
   if (Head.Status != Unavailable || Text.empty())
-    return H.HoldOffs.recordAnswer(Call.DispatchedTo, Now);
+    return H.HoldOffs.recordAnswer(Call.Current.Target, Now);
   const auto Asked = parseRetryAfter(Text);
   if (!Asked) {
     LogLine("retry_after_ignored", LogLevel::Warning)
-        .with("target", Call.TargetName)
+        .with("target", Call.Current.TargetName)
         .with("value", Text.substr(0, 40));
     return;
   }
-  Call.TargetHoldsOff = true;
-  const TimePoint OpensAt =
-      H.HoldOffs.record(Call.DispatchedTo, *Asked, drawFraction(H.Random), Now);
+  Call.Current.HoldsOff = true;
+  const TimePoint OpensAt = H.HoldOffs.record(Call.Current.Target, *Asked,
+                                              drawFraction(H.Random), Now);
   LogLine("target_holds_off")
-      .with("target", Call.TargetName)
+      .with("target", Call.Current.TargetName)
       .with("request", Call.Name)
       .with("asked_ms",
             std::chrono::duration_cast<milliseconds>(*Asked).count())
@@ -187,7 +189,8 @@
   if (!Call.ResponseStarted) {
     Call.ResponseStarted = true;
     Call.FirstEventAt = H.Loop.now();
-    H.Callers.beginResponse(Call.Exchange, Call.Status, Call.ResponseHeaders);
+    H.Callers.beginResponse(Call.Exchange, Call.Current.Status,
+                            Call.ResponseHeaders);
   }
   const std::size_t Unread = H.Callers.sendChunk(Call.Exchange, Bytes);
   Call.CallerStalled = Unread > MaxUnreadBytes;
@@ -199,7 +202,7 @@
   endDispatch(H, Call, DispatchOutcome::Cancelled, true);
   LogLine("attempt_failed")
       .with("request", Call.Name)
-      .with("target", Call.TargetName)
+      .with("target", Call.Current.TargetName)
       .with("cause", "response too long")
       .with("attempt", Call.Attempts)
       .with("bytes", Call.BufferedBody.size());
@@ -208,8 +211,8 @@
 
 void handleBytes(ForwardHost &H, CallId Id, std::string_view Bytes) {
   ForwardCall *Call = findCall(H, H.CallsByDispatch.at(Id));
-  Call->LastBytesAt = H.Loop.now();
-  if (Call->ReceivingEvents)
+  Call->Current.LastBytesAt = H.Loop.now();
+  if (Call->Current.ReceivingEvents)
     return relayBytes(H, *Call, Call->Events.feed(Bytes));
   if (Call->BufferedBody.size() + Bytes.size() > MaxBufferedBytes)
     return failOversized(H, *Call);
@@ -218,9 +221,9 @@
 
 /// Handles a response which reports that the request was not executed.
 void handleNotRun(ForwardHost &H, ForwardCall &Call) {
-  const bool Misdirected = Call.Status == 421;
-  if (!Call.TargetHoldsOff) // otherwise other hosts may still use it
-    reportTargetRefusal(H, Call.Pool, Call.DispatchedTo);
+  const bool Misdirected = Call.Current.Status == 421;
+  if (!Call.Current.HoldsOff) // otherwise other hosts may still use it
+    reportTargetRefusal(H, Call.Pool, Call.Current.Target);
   endDispatch(H, Call, DispatchOutcome::NotRun, false);
   retryOrFail(H, Call, true, ErrorKind::Overloaded,
               Misdirected ? "another target uses the address"
@@ -235,9 +238,9 @@
 }
 
 void handleBufferedResponse(ForwardHost &H, ForwardCall &Call) {
-  const bool Failed = Call.Status >= 500;
+  const bool Failed = Call.Current.Status >= 500;
   const bool MayRetry = Failed && isRetryable(Call.Route->Kind);
-  const std::string Cause = "status " + std::to_string(Call.Status);
+  const std::string Cause = "status " + std::to_string(Call.Current.Status);
   endDispatch(H, Call,
               Failed ? DispatchOutcome::Failed : DispatchOutcome::Complete,
               false);
@@ -247,16 +250,17 @@
     Call.BufferedBody.clear();
     LogLine("attempt_failed")
         .with("request", Call.Name)
-        .with("target", Call.TargetName)
+        .with("target", Call.Current.TargetName)
         .with("cause", Cause)
         .with("attempt", Call.Attempts);
     return requestSlot(H, Call);
   }
-  if (promisesNotExecuted(Call.Status) && !isRetryable(Call.Route->Kind))
+  if (promisesNotExecuted(Call.Current.Status) &&
+      !isRetryable(Call.Route->Kind))
     return failCall(H, Call, ErrorKind::TargetFailed);
   if (Call.FirstEventAt == TimePoint{})
     Call.FirstEventAt = H.Loop.now();
-  H.Callers.answer(Call.Exchange, Call.Status, Call.ResponseHeaders,
+  H.Callers.answer(Call.Exchange, Call.Current.Status, Call.ResponseHeaders,
                    Call.BufferedBody);
   H.Stats.add(Failed ? TierCounter::Failed : TierCounter::Goodput, Call.Tier);
   endCall(H, Call, Failed ? "target_status" : ServedOutcome);
@@ -270,7 +274,8 @@
   }
   endDispatch(H, Call, DispatchOutcome::Complete, false);
   if (!Call.ResponseStarted)
-    H.Callers.beginResponse(Call.Exchange, Call.Status, Call.ResponseHeaders);
+    H.Callers.beginResponse(Call.Exchange, Call.Current.Status,
+                            Call.ResponseHeaders);
   H.Callers.endResponse(Call.Exchange);
   H.Stats.add(TierCounter::Goodput, Call.Tier);
   endCall(H, Call, ServedOutcome);
@@ -280,8 +285,8 @@
                       KeepAliveOutcome Outcome) {
   if (neverSent(Outcome)) {
     Call.Attempts -= std::min(Call.Attempts, 1U);
-    H.Health[Call.DispatchedTo].recordRefusal(H.Loop.now());
-    reportTargetRefusal(H, Call.Pool, Call.DispatchedTo);
+    H.Health[Call.Current.Target].recordRefusal(H.Loop.now());
+    reportTargetRefusal(H, Call.Pool, Call.Current.Target);
     endDispatch(H, Call, DispatchOutcome::NotRun, false);
     return retryOrFail(H, Call, true, ErrorKind::NoTarget, nameOf(Outcome));
   }
@@ -297,9 +302,9 @@
   ForwardCall *Call = findCall(H, H.CallsByDispatch.at(Id));
   if (Outcome != KeepAliveOutcome::Complete)
     return handleFailedCall(H, *Call, Outcome);
-  if (Call->TargetDeclined)
+  if (Call->Current.Declined)
     return handleNotRun(H, *Call);
-  if (Call->ReceivingEvents)
+  if (Call->Current.ReceivingEvents)
     return finishStream(H, *Call);
   handleBufferedResponse(H, *Call);
 }
@@ -324,7 +329,8 @@
 
 } // namespace
 
-void dispatch(ForwardHost &H, ForwardCall &Call, const ListedTarget &Target) {
+void dispatch(ForwardHost &H, ForwardCall &Call, const ListedTarget &Target,
+              const SlotReservation &Slot) {
   const TimePoint Now = H.Loop.now();
   const bool NonIdempotent = !isRetryable(Call.Route->Kind);
   KeepAliveCall Request;
@@ -353,21 +359,19 @@
     handleEnd(H, Id, Outcome);
   };
   Call.Stage = CallStage::Dispatched;
-  Call.DispatchedTo = Target.Id;
-  Call.TargetName = Target.Name;
-  Call.TargetIncarnation = Target.Incarnation;
-  Call.Version = Target.Version;
   Call.TriedTargets.push_back(Target.Id);
-  Call.DispatchedAt = Now;
-  Call.LastBytesAt = Now;
-  Call.Status = 0;
-  Call.ReceivingEvents = false;
-  Call.TargetDeclined = false;
-  Call.TargetHoldsOff = false;
+  Call.Current = TargetAttempt{};
+  Call.Current.Slot = Slot;
+  Call.Current.Target = Target.Id;
+  Call.Current.TargetName = Target.Name;
+  Call.Current.TargetIncarnation = Target.Incarnation;
+  Call.Current.Version = Target.Version;
+  Call.Current.DispatchedAt = Now;
+  Call.Current.LastBytesAt = Now;
   ++Call.Attempts;
   ++H.LocalTargets[Target.Id].InFlight;
-  Call.Call = H.Client.start(std::move(Request));
-  H.CallsByDispatch.emplace(Call.Call, Call.Id);
+  Call.Current.HttpCall = H.Client.start(std::move(Request));
+  H.CallsByDispatch.emplace(Call.Current.HttpCall, Call.Id);
 }
 
 void cancelDispatch(ForwardHost &H, ForwardCall &Call,
--- a/apps/marjorambayd/forward_fleet.cpp
+++ b/apps/marjorambayd/forward_fleet.cpp
@@ -172,9 +172,9 @@
   const auto Slot = H.CallsByReservation.find(Queued.Key.Id);
   ForwardCall *Call =
       Slot == H.CallsByReservation.end() ? nullptr : findCall(H, Slot->second);
-  if (Call != nullptr && Call->ArbiterHost == From.Id &&
+  if (Call != nullptr && Call->Pending.ArbiterHost == From.Id &&
       Queued.Key.OriginIncarnation == H.Incarnation)
-    Call->Acknowledged = true;
+    Call->Pending.Acknowledged = true;
 }
 
 void receive(ForwardHost &H, const PeerSender &,
--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -80,6 +80,35 @@
   Dispatched, ///< was sent to a target
 };
 
+/// A reservation of a slot of an engine pool.
+struct SlotReservation {
+  RequestId Id{};       ///< 0 if there is none
+  HostId ArbiterHost{}; ///< host of the arbiter that was asked; 0 if the slot
+                        ///< comes from this host's local share
+  TimePoint SentAt{};
+  bool Acknowledged = false;
+  bool Retried = false;
+};
+
+/// A dispatch of a call to a target.
+struct TargetAttempt {
+  CallId HttpCall{};      ///< 0 if it has ended
+  SlotReservation Slot{}; ///< held until it ends
+  TargetId Target{};
+  std::string TargetName{};
+  IncarnationId TargetIncarnation{};
+  VersionId Version{};
+  TimePoint DispatchedAt{};
+  TimePoint LastBytesAt{};
+  // Head of the target's response.
+  int Status = 0;
+  BodyFraming Framing = BodyFraming::Length;
+  bool ReceivingEvents = false; ///< the target responds with events
+  bool Declined = false; ///< the target did not execute the request, by its own
+                         ///< report
+  bool HoldsOff = false; ///< the target asks this host to hold off
+};
+
 /// A caller's request while it is in progress.
 struct ForwardCall {
   RequestId Id{};
@@ -107,35 +136,15 @@
   TimePoint Arrived{};
   TimePoint Deadline{}; ///< the earlier one of the caller's deadline and the
                         ///< route's timeout
-  // Reservation of a slot.
   CallStage Stage = CallStage::Waiting;
-  RequestId ReservationId{}; ///< id of the reservation; 0 if there is none
-  HostId ArbiterHost{}; ///< host of the arbiter that was asked; 0 if the slot
-                        ///< comes from this host's local share
-  TimePoint ReservationSentAt{};
-  bool Acknowledged = false;
-  bool ReservationRetried = false;
-  // Dispatch to a target.
-  CallId Call{};
-  TargetId DispatchedTo{};
-  std::string TargetName{};
-  IncarnationId TargetIncarnation{};
-  VersionId Version{};
+  SlotReservation Pending{};  ///< waits for a grant
+  TargetAttempt Current{};    ///< the latest dispatch
   std::uint32_t Attempts = 0; ///< dispatches that may have reached a target
   std::vector<TargetId> TriedTargets{};
-  TimePoint DispatchedAt{};
   TimePoint FirstEventAt{};
-  TimePoint LastBytesAt{};
   bool MayHaveRun = false; ///< some target may have started to execute it
-  /// The current target reports that it did not execute the request.
-  bool TargetDeclined = false;
-  /// The current target asks this host to hold off.
-  bool TargetHoldsOff = false;
   // Response to the caller.
-  int Status = 0;
-  BodyFraming Framing = BodyFraming::Length; ///< of the target's response
-  bool Relaying = false;        ///< the response is relayed event by event
-  bool ReceivingEvents = false; ///< the current target responds with events
+  bool Relaying = false; ///< the response is relayed event by event
   bool ResponseStarted =
       false;                  ///< the response headers were sent to the caller
   bool CallerStalled = false; ///< the caller's unread bytes exceed the limit
@@ -365,7 +374,10 @@
 void checkTimeouts(ForwardHost &H);
 
 // forward_dispatch.cpp
-void dispatch(ForwardHost &H, ForwardCall &Call, const ListedTarget &Target);
+/// Sends the call to \p Target. \p Slot: granted for it; without an id in plain
+/// pools.
+void dispatch(ForwardHost &H, ForwardCall &Call, const ListedTarget &Target,
+              const SlotReservation &Slot);
 /// Cancels the call's dispatch, if there is one, and releases its slot.
 void cancelDispatch(ForwardHost &H, ForwardCall &Call, DispatchOutcome How);
 /// Handles a target that has sent nothing within its timeout.
@@ -375,8 +387,11 @@
 void requestSlot(ForwardHost &H, ForwardCall &Call);
 /// Retries a reservation that its arbiter has not answered.
 void retryReservation(ForwardHost &H, ForwardCall &Call);
+/// Cancels the call's reservation, if it waits for one.
 void cancelReservation(ForwardHost &H, ForwardCall &Call);
-void releaseSlot(ForwardHost &H, ForwardCall &Call, const Usage &Used);
+/// Returns a slot of \p Pool that was granted to this host.
+void releaseSlot(ForwardHost &H, PoolId Pool, const SlotReservation &Held,
+                 const Usage &Used);
 void reportTargetRefusal(ForwardHost &H, PoolId Pool, TargetId Target);
 /// Whether this host may send a request to \p Target at present.
 bool isOpen(const ForwardHost &H, const ListedTarget &Target);
--- a/apps/marjorambayd/forward_lifecycle.cpp
+++ b/apps/marjorambayd/forward_lifecycle.cpp
@@ -229,15 +229,16 @@
 }
 
 void markTargetLeaving(ForwardHost &H, const ForwardCall &Call) {
-  if (!H.Directory.markLeaving(Call.TargetName, Call.TargetIncarnation))
+  if (!H.Directory.markLeaving(Call.Current.TargetName,
+                               Call.Current.TargetIncarnation))
     return;
   LogLine("target_said_leaving")
-      .with("target", Call.TargetName)
+      .with("target", Call.Current.TargetName)
       .with("request", Call.Name)
-      .with("status", Call.Status);
+      .with("status", Call.Current.Status);
   const PoolId Pool = Call.Pool;
-  const TargetId Target = Call.DispatchedTo;
-  const IncarnationId Incarnation = Call.TargetIncarnation;
+  const TargetId Target = Call.Current.Target;
+  const IncarnationId Incarnation = Call.Current.TargetIncarnation;
   applyTargets(H);
   reportTargetLeaving(H, Pool, Target, Incarnation);
 }
--- a/apps/marjorambayd/forward_pools.cpp
+++ b/apps/marjorambayd/forward_pools.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace marjorambay {
 
@@ -106,13 +107,14 @@
   return *LocalShare;
 }
 
-Reservation reservationOf(const ForwardHost &H, const ForwardCall &Call) {
+Reservation reservationOf(const ForwardHost &H, const ForwardCall &Call,
+                          RequestId Id) {
   const ForwardPool *Pool = Call.Table->pool(Call.Pool);
   const std::uint32_t TokensPerEvent =
       Pool == nullptr ? 1 : Pool->TokensPerEvent;
   const TimePoint Now = H.Loop.now();
   Reservation Request;
-  Request.Key = reservationKey(H, Call.ReservationId);
+  Request.Key = reservationKey(H, Id);
   Request.Account = Call.Account;
   Request.Tier = Call.Tier;
   Request.Route = Call.Route->Id;
@@ -147,7 +149,8 @@
   Report.OriginIncarnation = H.Incarnation;
   for (const auto &[Id, Call] : H.Calls)
     if (Call.Pool == Pool && Call.Stage == CallStage::Dispatched)
-      Report.Grants.push_back({reservationOf(H, Call), Call.DispatchedTo});
+      Report.Grants.push_back(
+          {reservationOf(H, Call, Call.Current.Slot.Id), Call.Current.Target});
   LogLine("arbiter_changed")
       .with("pool", static_cast<std::int64_t>(number(Pool)))
       .with("slots", static_cast<std::int64_t>(Report.Grants.size()));
@@ -167,8 +170,9 @@
 
 void requestLocalShare(ForwardHost &H, ForwardCall &Call) {
   LogLine("own_share_used").with("request", Call.Name);
-  Call.ArbiterHost = HostId{};
-  stepLocalShare(H, Call.Pool, SlotRequested{reservationOf(H, Call)});
+  Call.Pending.ArbiterHost = HostId{};
+  stepLocalShare(H, Call.Pool,
+                 SlotRequested{reservationOf(H, Call, Call.Pending.Id)});
 }
 
 /// Returns the time until a target of \p Pool opens to this host; nullopt if
@@ -251,7 +255,21 @@
   if (Target == nullptr)
     return failCall(H, Call, ErrorKind::NoTarget,
                     timeToOpen(H, Call.Pool).value_or(NoTargetRetryAfter));
-  dispatch(H, Call, *Target);
+  dispatch(H, Call, *Target, SlotReservation{});
+}
+
+/// Gives the call a new reservation, which is yet to be sent.
+void openReservation(ForwardHost &H, ForwardCall &Call) {
+  Call.Pending = SlotReservation{};
+  Call.Pending.Id = static_cast<RequestId>(++H.LastRequest);
+  Call.Pending.SentAt = H.Loop.now();
+  H.CallsByReservation.emplace(Call.Pending.Id, Call.Id);
+}
+
+/// Returns the call's reservation, which no longer waits for an answer.
+SlotReservation takePending(ForwardHost &H, ForwardCall &Call) {
+  H.CallsByReservation.erase(Call.Pending.Id);
+  return std::exchange(Call.Pending, SlotReservation{});
 }
 
 } // namespace
@@ -273,77 +291,71 @@
 }
 
 void requestSlot(ForwardHost &H, ForwardCall &Call) {
-  Call.Stage = CallStage::Waiting;
   if (!isEngine(H, Call.Pool))
     return dispatchPlain(H, Call);
   if (const auto Wait = timeToOpen(H, Call.Pool))
     return failCall(H, Call, ErrorKind::Overloaded, *Wait);
-  H.CallsByReservation.erase(Call.ReservationId);
-  Call.ReservationId = static_cast<RequestId>(++H.LastRequest);
-  H.CallsByReservation.emplace(Call.ReservationId, Call.Id);
-  Call.ReservationSentAt = H.Loop.now();
-  Call.Acknowledged = false;
+  openReservation(H, Call);
   const auto Hub = arbiterOf(H, Call.Pool);
   if (!Hub)
     return requestLocalShare(H, Call);
-  Call.ArbiterHost = *Hub;
+  Call.Pending.ArbiterHost = *Hub;
   reportSlots(H, Call.Pool, *Hub);
   if (*Hub == H.Self.Id) {
-    Call.Acknowledged = true;
-    return stepPrimaryArbiter(H, Call.Pool,
-                              SlotRequested{reservationOf(H, Call)});
+    Call.Pending.Acknowledged = true;
+    return stepPrimaryArbiter(
+        H, Call.Pool, SlotRequested{reservationOf(H, Call, Call.Pending.Id)});
   }
-  sendToArbiter(H, *Hub, Call.Pool, SlotRequested{reservationOf(H, Call)});
+  sendToArbiter(H, *Hub, Call.Pool,
+                SlotRequested{reservationOf(H, Call, Call.Pending.Id)});
 }
 
 void retryReservation(ForwardHost &H, ForwardCall &Call) {
   const auto Hub = arbiterOf(H, Call.Pool);
-  const bool Same = Hub && *Hub == Call.ArbiterHost;
-  const bool Silent = !Call.Acknowledged && Call.ReservationRetried;
+  const bool Same = Hub && *Hub == Call.Pending.ArbiterHost;
+  const bool Silent = !Call.Pending.Acknowledged && Call.Pending.Retried;
   if (!Same || Silent) {
     cancelReservation(H, Call);
-    Call.ReservationRetried = false;
     if (Hub && !Same)
       return requestSlot(H, Call);
+    openReservation(H, Call);
     return requestLocalShare(H, Call);
   }
-  Call.ReservationRetried = true;
-  Call.ReservationSentAt = H.Loop.now();
+  Call.Pending.Retried = true;
+  Call.Pending.SentAt = H.Loop.now();
   if (*Hub == H.Self.Id)
-    return stepPrimaryArbiter(H, Call.Pool,
-                              SlotRequested{reservationOf(H, Call)});
-  Call.Acknowledged = false;
-  sendToArbiter(H, *Hub, Call.Pool, SlotRequested{reservationOf(H, Call)});
+    return stepPrimaryArbiter(
+        H, Call.Pool, SlotRequested{reservationOf(H, Call, Call.Pending.Id)});
+  Call.Pending.Acknowledged = false;
+  sendToArbiter(H, *Hub, Call.Pool,
+                SlotRequested{reservationOf(H, Call, Call.Pending.Id)});
 }
 
 void cancelReservation(ForwardHost &H, ForwardCall &Call) {
-  if (Call.Stage != CallStage::Waiting || number(Call.ReservationId) == 0)
+  const SlotReservation Cancelled = takePending(H, Call);
+  if (number(Cancelled.Id) == 0)
     return;
-  const SlotRequestCancelled Event{reservationKey(H, Call.ReservationId)};
-  H.CallsByReservation.erase(Call.ReservationId);
-  if (number(Call.ArbiterHost) == 0)
+  const SlotRequestCancelled Event{reservationKey(H, Cancelled.Id)};
+  if (number(Cancelled.ArbiterHost) == 0)
     stepLocalShare(H, Call.Pool, Event);
-  else if (Call.ArbiterHost == H.Self.Id)
+  else if (Cancelled.ArbiterHost == H.Self.Id)
     stepPrimaryArbiter(H, Call.Pool, Event);
   else
-    sendToArbiter(H, Call.ArbiterHost, Call.Pool, Event);
-  Call.ReservationId = static_cast<RequestId>(++H.LastRequest);
-  H.CallsByReservation.emplace(Call.ReservationId, Call.Id);
+    sendToArbiter(H, Cancelled.ArbiterHost, Call.Pool, Event);
 }
 
-void releaseSlot(ForwardHost &H, ForwardCall &Call, const Usage &Used) {
-  if (number(Call.ReservationId) == 0)
+void releaseSlot(ForwardHost &H, PoolId Pool, const SlotReservation &Held,
+                 const Usage &Used) {
+  if (number(Held.Id) == 0)
     return;
-  const SlotReleased Event{reservationKey(H, Call.ReservationId), Used};
-  H.CallsByReservation.erase(Call.ReservationId);
-  Call.ReservationId = RequestId{};
-  if (number(Call.ArbiterHost) == 0)
-    stepLocalShare(H, Call.Pool, Event);
-  const HostId Informed = H.Pools[Call.Pool].SlotsReportedTo;
+  const SlotReleased Event{reservationKey(H, Held.Id), Used};
+  if (number(Held.ArbiterHost) == 0)
+    stepLocalShare(H, Pool, Event);
+  const HostId Informed = H.Pools[Pool].SlotsReportedTo;
   if (Informed == H.Self.Id)
-    stepPrimaryArbiter(H, Call.Pool, Event);
+    stepPrimaryArbiter(H, Pool, Event);
   else if (number(Informed) != 0)
-    sendToArbiter(H, Informed, Call.Pool, Event);
+    sendToArbiter(H, Informed, Pool, Event);
 }
 
 namespace {
@@ -426,12 +438,10 @@
                               Slot != H.CallsByReservation.end()
                           ? findCall(H, Slot->second)
                           : nullptr;
-  const bool Waiting = Call != nullptr && Call->Stage == CallStage::Waiting;
-  if (!Waiting)
+  if (Call == nullptr)
     return; // the reservation has ended; confirmSlots() frees its slot
   if (const auto *Refusal = std::get_if<RefuseSlot>(&Action)) {
-    Call->ReservationId = RequestId{};
-    H.CallsByReservation.erase(Key.Id);
+    takePending(H, *Call);
     return failCall(H, *Call,
                     Refusal->Kind == ErrorKind::DeadlinePassed
                         ? ErrorKind::Overloaded
@@ -441,12 +451,13 @@
   const auto *Grant = std::get_if<GrantSlot>(&Action);
   if (Grant == nullptr)
     return;
+  const SlotReservation Granted = takePending(H, *Call);
   const ListedTarget *Target = targetOf(H, Grant->Target);
   if (Target == nullptr || Target->Leaving) {
     // The arbiter has not received the target's leaving notice yet.
     Usage Unused;
     Unused.Outcome = DispatchOutcome::NotRun;
-    releaseSlot(H, *Call, Unused);
+    releaseSlot(H, Call->Pool, Granted, Unused);
     if (Target == nullptr)
       reportTargetRefusal(H, Pool, Grant->Target);
     else
@@ -458,10 +469,10 @@
   if (!isOpen(H, *Target)) { // it asked to hold off after the reservation
     Usage Unused;
     Unused.Outcome = DispatchOutcome::NotRun;
-    releaseSlot(H, *Call, Unused);
+    releaseSlot(H, Call->Pool, Granted, Unused);
     return requestSlot(H, *Call);
   }
-  dispatch(H, *Call, *Target);
+  dispatch(H, *Call, *Target, Granted);
 }
 
 void publishTargets(ForwardHost &H, PoolId Pool) {
@@ -517,8 +528,10 @@
       continue;
     SlotsConfirmed Confirmed{H.Self.Id, H.Incarnation};
     for (const auto &[Id, Call] : H.Calls)
-      if (Call.Pool == Pool && number(Call.ReservationId) != 0)
-        Confirmed.ActiveRequests.insert(Call.ReservationId);
+      if (Call.Pool == Pool)
+        for (const RequestId Active : {Call.Pending.Id, Call.Current.Slot.Id})
+          if (number(Active) != 0)
+            Confirmed.ActiveRequests.insert(Active);
     if (State.SlotsReportedTo == H.Self.Id)
       stepPrimaryArbiter(H, Pool, Confirmed);
     else
--- a/apps/marjorambayd/forward_requests.cpp
+++ b/apps/marjorambayd/forward_requests.cpp
@@ -130,7 +130,7 @@
 }
 
 RequestLabels labelsOf(const ForwardCall &Call) {
-  return {Call.Tier, Call.Account, Call.Version,
+  return {Call.Tier, Call.Account, Call.Current.Version,
           Call.Route == nullptr ? RouteId{} : Call.Route->Id};
 }
 
@@ -264,13 +264,13 @@
 }
 
 void checkWaiting(ForwardHost &H, ForwardCall &Call, TimePoint Now) {
-  const Duration Elapsed = Now - Call.ReservationSentAt;
-  if (number(Call.ArbiterHost) == 0)
+  const Duration Elapsed = Now - Call.Pending.SentAt;
+  if (number(Call.Pending.ArbiterHost) == 0)
     return;
-  if (!Call.Acknowledged && Elapsed > ArbiterTimeout)
+  if (!Call.Pending.Acknowledged && Elapsed > ArbiterTimeout)
     return retryReservation(H, Call);
-  if (Elapsed > (Call.Acknowledged ? AcknowledgedRetryInterval
-                                   : ReservationRetryInterval))
+  if (Elapsed > (Call.Pending.Acknowledged ? AcknowledgedRetryInterval
+                                           : ReservationRetryInterval))
     retryReservation(H, Call);
 }
 
@@ -280,7 +280,7 @@
     return failCall(H, Call, ErrorKind::CallerGone);
   }
   if (isRetryable(Call.Route->Kind) &&
-      Now - Call.LastBytesAt > targetTimeout(Call))
+      Now - Call.Current.LastBytesAt > targetTimeout(Call))
     handleTargetTimeout(H, Call);
 }
 
@@ -332,18 +332,18 @@
   LogLine Line("request_ended");
   Line.with("request", Call.Name)
       .with("outcome", Outcome)
-      .with("status", Call.Status)
+      .with("status", Call.Current.Status)
       .with("route", Call.Route->Name)
       .with("account", Call.AccountName)
       .with("tier", number(Call.Tier))
-      .with("target", Call.TargetName)
+      .with("target", Call.Current.TargetName)
       .with("attempts", Call.Attempts)
       .with("config", static_cast<std::int64_t>(Call.Table->version()))
-      .with("wait_ms", MsSince(Call.DispatchedAt))
+      .with("wait_ms", MsSince(Call.Current.DispatchedAt))
       .with("first_ms", MsSince(Call.FirstEventAt))
       .with("total_ms", MsSince(Now))
       .with("events", Call.EventsBefore + Call.Events.events())
-      .with("framing", nameOf(Call.Framing))
+      .with("framing", nameOf(Call.Current.Framing))
       .with("partial_bytes", Call.Events.partial().size())
       .with("prompt", Call.PromptTokens)
       .with("quota_charge", static_cast<std::int64_t>(Call.QuotaCharge))
@@ -361,15 +361,15 @@
   const RequestLabels Labels = labelsOf(Call);
   H.Stats.addOutcome(Labels, Outcome);
   H.Stats.observe(LatencyMetric::Total, Labels, Now - Call.Arrived);
-  if (Call.DispatchedAt != TimePoint{})
+  if (Call.Current.DispatchedAt != TimePoint{})
     H.Stats.observe(LatencyMetric::QueueWait, Labels,
-                    Call.DispatchedAt - Call.Arrived);
+                    Call.Current.DispatchedAt - Call.Arrived);
   if (Call.FirstEventAt != TimePoint{})
     H.Stats.observe(LatencyMetric::FirstToken, Labels,
                     Call.FirstEventAt - Call.Arrived);
   H.CallsByExchange.erase(Call.Exchange);
-  H.CallsByDispatch.erase(Call.Call);
-  H.CallsByReservation.erase(Call.ReservationId);
+  H.CallsByDispatch.erase(Call.Current.HttpCall);
+  H.CallsByReservation.erase(Call.Pending.Id);
   H.Calls.erase(Call.Id);
 }
 
--- a/apps/marjorambayd/forward_versions.cpp
+++ b/apps/marjorambayd/forward_versions.cpp
@@ -186,7 +186,7 @@
                     bool Failed) {
   PoolVersions &Versions = H.Pools[Call.Pool].Versions;
   AnswerObserved Observed;
-  Observed.Version = Call.Version;
+  Observed.Version = Call.Current.Version;
   Observed.Stratum.Route = Call.Route->Id;
   Observed.Failed = Failed;
   Observed.FirstTokenSeconds = toSeconds(Used.TimeToFirstToken);
