--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -342,6 +342,30 @@
             (run,) = fleet.runs(answer.attempt)
             self.assertEqual(run["body"], body)
 
+    # Guards against a stream that ends because a configuration removes its pool
+    # before another target resumes it.
+    def test_a_stream_goes_on_after_a_configuration_removes_its_pool(self):
+        fleet = self.fleet(hosts=1)
+        for worker in fleet.of("pool"):
+            worker.events, worker.gap = 30, 0.05
+            worker.trouble = lambda run: (
+                None if "last-event-id" in run["headers"] else "break:20")
+        with concurrent.futures.ThreadPoolExecutor(4) as pool:
+            work = [pool.submit(fleet.call, "/stream/a") for _ in range(4)]
+            wait_until(lambda: len(fleet.runs()) == 4, "the streams", 2)
+            first = config(3)
+            fleet.configure(
+                6, routes=[each for each in first["routes"]
+                           if each["service"] != "pool"],
+                services=[each for each in first["services"]
+                          if each["name"] != "pool"])
+            wait_until(lambda: fleet.in_force(6), "version 6", 2)
+            for one in work:
+                self.assert_served(one.result())
+                self.assertEqual(events_of(one.result().body),
+                                 list(range(1, 31)))
+        self.assertEqual(len(fleet.runs()), 8)
+
 
 class TargetNoticeTest(ForwardingTest):
     """What workers say of themselves in their answers."""
