End a replacement that has failed when the silent target fails too

A caller got status 500 without the signature of any target: the silent target broke, and the call went on with a replacement of which the head, a failure, had been passed over. The call takes only a replacement that has not responded; otherwise it is retried or failed.

--- a/apps/marjorambayd/forward_dispatch.cpp
+++ b/apps/marjorambayd/forward_dispatch.cpp
@@ -160,8 +160,11 @@
 void retryOrFail(ForwardHost &H, ForwardCall &Call, bool NotRun, ErrorKind Kind,
                  std::string_view Cause) {
   logFailedAttempt(H, Call, Call.Current, NotRun, Cause);
-  if (Call.Replacement)
+  const bool Failing = Call.Replacement && Call.Replacement->Status != 0;
+  if (Call.Replacement && !Failing)
     return adoptReplacement(Call);
+  if (Failing) // it has responded, but not with an answer
+    endReplacement(H, Call, DispatchOutcome::Failed, true);
   if (mayRetry(H, Call, NotRun)) {
     if (Call.Relaying)
       Call.Events.resume();
--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -92,6 +92,13 @@
             self.writers.discard(writer)
             writer.close()
 
+    def cut_connections(self):
+        async def cut():
+            for writer in list(self.writers):
+                reset(writer)
+
+        self.runner.call(cut())
+
     def close(self):
         """Stops listening and cuts every connection."""
 
@@ -158,13 +165,6 @@
 
         self.runner.call(put_back())
 
-    def cut_connections(self):
-        async def cut():
-            for writer in list(self.writers):
-                reset(writer)
-
-        self.runner.call(cut())
-
     def status(self, kind, name):
         found = self.kinds.get(kind, {}).get(name)
         return None if found is None else found["status"]
@@ -337,7 +337,9 @@
     closed in an orderly way), "plain" (a document instead of events),
     "status:N" (an answer with status N), "long:N" (an answer of N bytes),
     "hold:S" (rejected, and nothing wanted for S seconds), "pause:N:S" (silent
-    for S seconds after event N of a stream, or before any other answer).
+    for S seconds after event N of a stream, or before any other answer),
+    "late_full:S" (rejected after S seconds), "slow_error:S" (status 500, and its
+    body S seconds later).
     """
 
     def __init__(self, runner, store, service, name, version="v1", slots=4):
@@ -405,6 +407,11 @@
             return await self._say(
                 writer, headers, 503, b"", {"X-Marjorambay-Not-Executed": "1"}
             )
+        if trouble.startswith("late_full:"):
+            await asyncio.sleep(float(trouble[10:]))
+            return await self._say(
+                writer, headers, 503, b"", {"X-Marjorambay-Not-Executed": "1"}
+            )
         if trouble.startswith("hold:"):
             return await self._say(
                 writer, headers, 503, b"",
@@ -432,6 +439,11 @@
             await asyncio.sleep(float(figure.partition(":")[2]))
         if how == "status":
             return await self._say(writer, headers, int(figure), b"", {})
+        if how == "slow_error":
+            await self._say(writer, headers, 500, b"", {"Content-Length": "6"})
+            await asyncio.sleep(float(figure))
+            writer.write(b"broken")
+            return False
         if how == "long":
             return await self._say(writer, headers, 200, b"x" * int(figure), {})
         if target.startswith("/stream"):
@@ -451,7 +463,7 @@
         ] + [f"{name}: {value}" for name, value in
              {**self.notices, **more}.items()]
         framed = not self.until_close
-        if framed:
+        if framed and "Content-Length" not in more:
             lines.append(f"Content-Length: {len(body)}")
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
         await writer.drain()
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -327,6 +327,28 @@
         for answer in self.calls(fleet, "/safe/a", quiet):
             self.assert_served(answer)
 
+    # Guards against a failure without its body, or with the head of another
+    # target, after both the silent target and its replacement have failed.
+    def test_a_replacement_that_fails_does_not_answer(self):
+        fleet = self.fleet(hosts=1)
+        quiet, other = fleet.of("desk")
+        quiet.trouble = lambda run: "pause:0:30"
+        other.trouble = lambda run: (
+            "slow_error:2" if fleet.runs(run["id"]) else None)
+        with concurrent.futures.ThreadPoolExecutor(6) as pool:
+            work = [pool.submit(fleet.call, "/safe/a") for _ in range(6)]
+            wait_until(lambda: any(len(fleet.runs(run["id"])) > 1
+                                   for run in quiet.runs), "a replacement", 2)
+            time.sleep(0.08)  # its head is there, and its body is not
+            quiet.cut_connections()
+            answers = [each.result() for each in work]
+        self.assertTrue(quiet.runs)
+        for answer in answers:
+            if answer.status != 200:
+                self.assertEqual(answer.status, 502, dump(answer))
+                self.assertNotIn("X-Marjorambay-Server-Signature",
+                                 answer.headers)
+
     # Guards against a connection that is ended because its sound target has
     # acknowledged no bytes for a second; what may run once then fails.
     def test_a_target_that_reads_nothing_for_a_while_gets_the_whole_request(self):
