Go on with a request that a replacement rejects late

A rejection of a request that can't be refused any more does not count towards the attempts, and the next reservation excludes the targets that were silent on it, which the arbiter would otherwise choose again.

--- a/apps/marjorambayd/forward_dispatch.cpp
+++ b/apps/marjorambayd/forward_dispatch.cpp
@@ -124,6 +124,7 @@
                              H.Loop.now() - Call.Current.LastBytesAt)
                              .count());
   Call.MayHaveRun = true;
+  Call.SilentTargets.push_back(Call.Current.Target);
   endDispatch(H, Call, DispatchOutcome::Failed, true);
   adoptReplacement(Call);
 }
@@ -321,6 +322,10 @@
   if (!Call.Current.HoldsOff) // otherwise other hosts may still use it
     reportTargetRefusal(H, Call.Pool, Call.Current.Target);
   endDispatch(H, Call, DispatchOutcome::NotRun, false);
+  // A request that an earlier target may have run can't be refused. This one has
+  // not run it, so that it does not count towards the route's attempts.
+  if (Call.MayHaveRun)
+    Call.Attempts -= std::min(Call.Attempts, 1U);
   retryOrFail(H, Call, true, ErrorKind::Overloaded,
               Misdirected ? "another target uses the address"
                           : "target rejected the request");
--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -146,6 +146,7 @@
   TimePoint ReplaceAfter{};   ///< no replacement is sought earlier
   std::uint32_t Attempts = 0; ///< dispatches that may have reached a target
   std::vector<TargetId> TriedTargets{};
+  std::vector<TargetId> SilentTargets{}; ///< replaced because of their silence
   TimePoint FirstEventAt{};
   bool MayHaveRun = false; ///< some target may have started to execute it
   // Response to the caller.
--- a/apps/marjorambayd/forward_pools.cpp
+++ b/apps/marjorambayd/forward_pools.cpp
@@ -107,6 +107,32 @@
   return *LocalShare;
 }
 
+/// Returns the targets that the call must not be granted: those that asked this
+/// host to hold off, and those that are silent on this call unless there are no
+/// others.
+std::vector<TargetId> closedTargets(const ForwardHost &H,
+                                    const ForwardCall &Call) {
+  std::vector<TargetId> Silent = Call.SilentTargets;
+  if (Call.Stage == CallStage::Dispatched)
+    Silent.push_back(Call.Current.Target);
+  std::vector<TargetId> Closed;
+  if (Silent.empty() && H.HoldOffs.empty())
+    return Closed;
+  bool AnyOther = false;
+  for (const auto &[Id, Target] : H.Targets) {
+    if (Target.Pool != Call.Pool)
+      continue;
+    if (!isOpen(H, Target))
+      Closed.push_back(Id);
+    else if (!Target.Leaving && runsServingVersion(H, Target))
+      AnyOther = AnyOther ||
+                 std::find(Silent.begin(), Silent.end(), Id) == Silent.end();
+  }
+  if (AnyOther)
+    Closed.insert(Closed.end(), Silent.begin(), Silent.end());
+  return Closed;
+}
+
 Reservation reservationOf(const ForwardHost &H, const ForwardCall &Call,
                           RequestId Id) {
   const ForwardPool *Pool = Call.Table->pool(Call.Pool);
@@ -126,12 +152,7 @@
   Request.Remaining = Call.Deadline - Now;
   Request.FirstTokenObjective = std::max<Duration>(
       Duration(1), Call.Arrived + Call.Route->LatencyObjective - Now);
-  if (Call.Stage == CallStage::Dispatched)
-    Request.ClosedTargets.push_back(Call.Current.Target); // it is silent
-  if (!H.HoldOffs.empty())
-    for (const auto &[Id, Target] : H.Targets)
-      if (Target.Pool == Call.Pool && !isOpen(H, Target))
-        Request.ClosedTargets.push_back(Id);
+  Request.ClosedTargets = closedTargets(H, Call);
   return Request;
 }
 
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -327,6 +327,26 @@
         for answer in self.calls(fleet, "/safe/a", quiet):
             self.assert_served(answer)
 
+    # Guards against an answer that is given up because the target that replaced a
+    # silent one rejects the request late.
+    def test_a_request_goes_on_after_a_late_rejection(self):
+        for service, path in (("pool", "/stream/a"), ("desk", "/safe/a")):
+            fleet = self.fleet(hosts=1, workers=3)
+            quiet, *others = fleet.of(service)
+            quiet.trouble = lambda run: "pause:2:30"
+
+            def arrivals(run):
+                return [at for worker in fleet.of(service)
+                        for at, _ in worker.seen if at == run["id"]]
+
+            for worker in others:
+                worker.trouble = lambda run: (
+                    "late_full:0.4" if len(arrivals(run)) == 2 else None)
+            for answer in self.calls(fleet, path, quiet):
+                self.assert_served(answer)
+                if service == "pool":
+                    self.assertEqual(events_of(answer.body), [1, 2, 3, 4, 5])
+
     # Guards against a failure without its body, or with the head of another
     # target, after both the silent target and its replacement have failed.
     def test_a_replacement_that_fails_does_not_answer(self):
