Release a slot before its call counts as waiting

Callers of all streams of a host lost their connections: its process ended. Releasing the slot of a dispatch that ends steps the arbiter of this host, which refused the reservation of the call's own replacement; as the call counted as waiting already, it was ended, and the code that had released the slot went on with freed memory.

--- a/apps/marjorambayd/forward_dispatch.cpp
+++ b/apps/marjorambayd/forward_dispatch.cpp
@@ -89,8 +89,10 @@
                  bool Cancel) {
   if (Call.Stage != CallStage::Dispatched)
     return;
-  Call.Stage = CallStage::Waiting;
+  // Releasing the slot steps the arbiter, which may decide on the reservation
+  // of a replacement. Until the stage changes, that does not end the call.
   endAttempt(H, Call, Call.Current, Outcome, Cancel);
+  Call.Stage = CallStage::Waiting;
 }
 
 void endReplacement(ForwardHost &H, ForwardCall &Call, DispatchOutcome Outcome,
@@ -322,8 +324,8 @@
   if (!Call.Current.HoldsOff) // otherwise other hosts may still use it
     reportTargetRefusal(H, Call.Pool, Call.Current.Target);
   endDispatch(H, Call, DispatchOutcome::NotRun, false);
-  // A request that an earlier target may have run can't be refused. This one has
-  // not run it, so that it does not count towards the route's attempts.
+  // A request that an earlier target may have run can't be refused. This one
+  // has not run it, so that it does not count towards the route's attempts.
   if (Call.MayHaveRun)
     Call.Attempts -= std::min(Call.Attempts, 1U);
   retryOrFail(H, Call, true, ErrorKind::Overloaded,
--- a/apps/marjorambayd/forward_pools.cpp
+++ b/apps/marjorambayd/forward_pools.cpp
@@ -159,7 +159,7 @@
 /// Returns the call's dispatches that are in progress.
 std::vector<const TargetAttempt *> attemptsOf(const ForwardCall &Call) {
   std::vector<const TargetAttempt *> Attempts;
-  if (Call.Stage == CallStage::Dispatched)
+  if (number(Call.Current.HttpCall) != 0)
     Attempts.push_back(&Call.Current);
   if (Call.Replacement)
     Attempts.push_back(&*Call.Replacement);
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -369,6 +369,36 @@
                 self.assertNotIn("X-Marjorambay-Server-Signature",
                                  answer.headers)
 
+    # Guards against a call that is ended while its dispatch ends: releasing the
+    # slot makes the arbiter refuse the reservation of its replacement.
+    def test_deadlines_pass_while_replacements_wait_for_a_slot(self):
+        routes = [{**each, "timeout_ms": 15000} for each in config(3)["routes"]]
+        fleet = self.fleet(hosts=1, first=config(3, routes=routes))
+        for worker in fleet.of("pool"):
+            worker.events, worker.gap = 40, 0.25
+            worker.trouble = lambda run: (
+                "pause:2:20" if int(run["headers"]
+                                    ["x-marjorambay-deadline-ms"]) < 7000
+                else None)
+        host = fleet.hosts[0]
+        with concurrent.futures.ThreadPoolExecutor(8) as pool:
+            work = []
+            for deadline_ms in (14000,) * 4 + (6000,) * 4:
+                work.append(pool.submit(fleet.call, "/stream/a", timeout=16,
+                                        deadline_ms=deadline_ms))
+                time.sleep(0.03)
+            time.sleep(2.3)
+            host.signal(signal.SIGSTOP)
+            time.sleep(4.5)
+            host.signal(signal.SIGCONT)
+            answers = [each.result() for each in work]
+        self.assertIsNone(host.process.poll())
+        for answer in answers:
+            self.assertLessEqual(len(host.lines(
+                "request_ended", request=answer.attempt)), 1)
+        for answer in answers[:4]:
+            self.assert_served(answer)
+
     # Guards against a connection that is ended because its sound target has
     # acknowledged no bytes for a second; what may run once then fails.
     def test_a_target_that_reads_nothing_for_a_while_gets_the_whole_request(self):
