Count a request as run once its replacement may have run it

Callers were told 503, not executed, of a request that a target had run: the replacement of a silent target ran it and broke off before its head, and the silent target then rejected it. Only a repeatable request can get there, but the promise and the refunded quota were false.

--- a/apps/marjorambayd/forward_dispatch.cpp
+++ b/apps/marjorambayd/forward_dispatch.cpp
@@ -418,6 +418,8 @@
     reportTargetRefusal(H, Call.Pool, Attempt.Target);
   if (NotRun)
     Call.Attempts -= std::min(Call.Attempts, 1U);
+  else
+    Call.MayHaveRun = true;
   Call.ReplaceAfter = H.Loop.now() + ReplacementInterval;
   endReplacement(H, Call,
                  NotRun ? DispatchOutcome::NotRun : DispatchOutcome::Failed,
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -369,6 +369,21 @@
                 self.assertNotIn("X-Marjorambay-Server-Signature",
                                  answer.headers)
 
+    # Guards against "not executed" for a request that a replacement has run.
+    def test_a_request_that_a_replacement_ran_is_not_called_unexecuted(self):
+        fleet = self.fleet(hosts=1)
+        quiet, other = fleet.of("desk")
+        quiet.trouble = lambda run: "late_full:1.2"
+        other.trouble = lambda run: (
+            "reset_after" if [at for at, _ in quiet.seen if at == run["id"]]
+            else None)
+        with concurrent.futures.ThreadPoolExecutor(6) as pool:
+            answers = list(pool.map(lambda _: fleet.call("/safe/a"), range(6)))
+        ran = [each for each in answers if fleet.runs(each.attempt)]
+        self.assertTrue(quiet.seen)
+        for answer in ran:
+            self.assertIn(answer.status, (200, 502), dump(answer))
+
     # Guards against a call that is ended while its dispatch ends: releasing the
     # slot makes the arbiter refuse the reservation of its replacement.
     def test_deadlines_pass_while_replacements_wait_for_a_slot(self):
