Keep the reservation of a replacement when the silent target fails

A stream was cut when its silent target broke while the reservation of a replacement waited for a slot: the reservation was cancelled and a new one made, which may be refused or granted the same target again. It now stays and serves the call itself. SilentTargetTest.test_a_replacement_that_waits_for_a_slot_outlasts_its_target failed 3 of 3 before (IncompleteRead after 52 bytes) and passes 3 of 3 now.

--- a/apps/marjorambayd/forward_dispatch.cpp
+++ b/apps/marjorambayd/forward_dispatch.cpp
@@ -173,6 +173,8 @@
       Call.Events.resume();
     Call.EventsBefore = Call.Events.events();
     Call.BufferedBody.clear();
+    if (number(Call.Pending.Id) != 0)
+      return; // the reservation of a replacement keeps its place
     return requestSlot(H, Call);
   }
   failCall(H, Call, Call.MayHaveRun ? Kind : ErrorKind::Overloaded);
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -369,6 +369,27 @@
                 self.assertNotIn("X-Marjorambay-Server-Signature",
                                  answer.headers)
 
+    # Guards against a stream whose place in the queue is given up when its silent
+    # target breaks, so that the arbiter may refuse it or choose that target again.
+    def test_a_replacement_that_waits_for_a_slot_outlasts_its_target(self):
+        fleet = self.fleet(hosts=1)
+        quiet, other = fleet.of("pool")
+        for worker in (quiet, other):
+            worker.slots = 1
+            worker.register("ready")
+        time.sleep(0.5)
+        quiet.trouble = lambda run: "pause:2:30"
+        other.events, other.gap = 11, 0.2
+        with concurrent.futures.ThreadPoolExecutor(2) as pool:
+            work = [pool.submit(fleet.call, "/stream/a") for _ in range(2)]
+            wait_until(lambda: quiet.runs and other.runs, "both streams", 2)
+            time.sleep(1.8)  # the silent one's replacement waits for a slot
+            quiet.cut_connections()
+            time.sleep(0.1)
+            other.gap = 0.01  # its slot is free soon
+            for one in work:
+                self.assert_served(one.result())
+
     # Guards against "not executed" for a request that a replacement has run.
     def test_a_request_that_a_replacement_ran_is_not_called_unexecuted(self):
         fleet = self.fleet(hosts=1)
