Dispatch replacements over new connections only

A rejection whose body is late no longer counts as a failure of its target. Found by review; the first has no test, since the stand-in can't lose a target at the network level.

--- a/apps/marjorambayd/forward_dispatch.cpp
+++ b/apps/marjorambayd/forward_dispatch.cpp
@@ -477,8 +477,10 @@
   Request.ConnectTimeout =
       Replaces ? ReplacementConnectTimeout : ConnectTimeout;
   Request.HeadTimeout = Call.Deadline - Now;
-  Request.MaxIdleTime =
-      NonIdempotent ? MaxIdleNonIdempotent : MaxIdleIdempotent;
+  // A replacement must show that its target takes connections.
+  Request.MaxIdleTime = Replaces        ? Duration(0)
+                        : NonIdempotent ? MaxIdleNonIdempotent
+                                        : MaxIdleIdempotent;
   Request.Timeouts.Unacknowledged = UnacknowledgedTimeout;
   Request.Timeouts.ProbeAfter = ProbeInterval;
   Request.Timeouts.ProbeInterval = ProbeInterval;
@@ -538,7 +540,10 @@
     return;
   if (Call.Replacement->Status == 0)
     return promoteReplacement(H, Call);
-  endReplacement(H, Call, DispatchOutcome::Failed, true);
+  endReplacement(H, Call,
+                 Call.Replacement->Declined ? DispatchOutcome::NotRun
+                                            : DispatchOutcome::Failed,
+                 true);
 }
 
 void cancelReplacement(ForwardHost &H, ForwardCall &Call) {
