--- /dev/null
+++ b/tests/soak/promises.py
@@ -0,0 +1,141 @@
+"""Callers of a soak, and the promises that it checks of what they saw."""
+
+import http.client
+import random
+import threading
+import time
+
+from fleet import wait_until
+from platform_fleet import HOST, KEY, events_of
+
+RECOVERY_S = 12
+CONFIG_S = 5  # 3 until a host is in touch again, 2 until it is in force
+KINDS = ("/safe/", "/once/", "/stream/", "/streamonce/")
+NOT_RUN = (408, 421, 429, 503)
+
+
+class Caller(threading.Thread):
+    """Sends requests over a kept connection, and judges each answer."""
+
+    def __init__(self, soak, number):
+        super().__init__(daemon=True)
+        self.soak, self.number = soak, number
+        self.random = random.Random(soak.seed * 1000 + number)
+        self.connection, self.host = None, None
+        self.sent = 0
+
+    def run(self):
+        while not self.soak.over.is_set():
+            self.one()
+            time.sleep(self.random.uniform(0, 0.03))
+
+    def one(self):
+        self.sent += 1
+        attempt = f"c{self.number}-{self.sent}"
+        path = self.random.choice(KINDS) + attempt
+        body = b"x" * self.random.choice((0, 10, 2000))
+        self.soak.note_sent(attempt, path, body)
+        status, answer, whole = self.exchange(attempt, path, body)
+        self.soak.note_answer(attempt, path, status, answer, whole)
+
+    def exchange(self, attempt, path, body):
+        if self.connection is None:
+            self.host = self.random.choice(self.soak.fleet.hosts)
+            self.connection = http.client.HTTPConnection(
+                "127.0.0.1", self.host.caller, timeout=6)
+        try:
+            self.connection.request("POST", path, body, {
+                "Host": HOST, "X-Api-Key": KEY,
+                "X-Marjorambay-Attempt-Id": attempt,
+                "X-Marjorambay-Deadline-Ms": "3000"})
+            reply = self.connection.getresponse()
+            answer = reply.read()
+            if reply.getheader("Connection") == "close":
+                self.drop()
+            return reply.status, answer, reply.getheader(
+                "X-Marjorambay-Server-Signature", "")
+        except (OSError, http.client.HTTPException):
+            self.drop()
+            return 0, b"", ""
+
+    def drop(self):
+        if self.connection is not None:
+            self.connection.close()
+        self.connection = None
+
+
+class Promises:
+    """What callers and workers of a soak saw, and what was broken of it."""
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.sent, self.answers, self.broken = {}, {}, []
+
+    def fail(self, what):
+        with self.lock:
+            self.broken.append(what)
+
+    def note_sent(self, attempt, path, body):
+        with self.lock:
+            self.sent[attempt] = (path, body)
+
+    def note_answer(self, attempt, path, status, body, signature):
+        with self.lock:
+            self.answers[attempt] = status
+        if status in (401, 404):
+            self.fail(f"{attempt} {path} was denied: {status}")
+        if status != 200:
+            return
+        if not signature:
+            self.fail(f"{attempt} {path}: a success without a signature")
+        if path.startswith("/stream"):
+            if events_of(body) != [1, 2, 3, 4, 5]:
+                self.fail(f"{attempt} {path}: events {events_of(body)}")
+            if set(body.decode().splitlines()) - {""} - {
+                    f"id: {each}" for each in range(1, 6)} != {f"data: of {attempt}"}:
+                self.fail(f"{attempt} {path}: another's events")
+        elif body != b"answer to " + attempt.encode():
+            self.fail(f"{attempt} {path}: body {body[:60]}")
+
+    def check_runs(self):
+        runs = {}
+        for run in self.fleet.runs():
+            runs.setdefault(run["id"], []).append(run)
+        for attempt, each in runs.items():
+            path, body = self.sent.get(attempt, (None, None))
+            for run in each:
+                if (run["target"], run["body"]) != (path, body):
+                    self.fail(f"{attempt}: run as {run['target']}, sent {path}")
+                if "x-api-key" in run["headers"]:
+                    self.fail(f"{attempt}: the key was passed on")
+            repeatable = path and path.startswith(("/safe/", "/stream/"))
+            if len(each) > (2 if repeatable else 1):
+                self.fail(f"{attempt} {path}: {len(each)} runs")
+            if not repeatable and self.answers.get(attempt) in NOT_RUN:
+                self.fail(f"{attempt} {path}: {self.answers[attempt]}, and ran")
+
+    def check_recovery(self):
+        for worker in self.fleet.workers.values():
+            worker.trouble = lambda run: None
+        for place, host in enumerate(self.fleet.hosts):
+            if host.process.poll() is not None:
+                self.fail(f"{host.name} ended by itself: {host.process.poll()}")
+                continue
+            for path in KINDS:
+                try:
+                    wait_until(lambda: self.probe(path, place), "recovery",
+                               RECOVERY_S)
+                except TimeoutError:
+                    self.fail(f"{host.name} does not serve {path} again")
+            try:
+                wait_until(lambda: host.lines("config_in_force",
+                                              version=self.version),
+                           "the newest configuration", CONFIG_S)
+            except TimeoutError:
+                self.fail(f"{host.name} lacks version {self.version}")
+
+    def probe(self, path, place):
+        attempt = self.fleet.next_id()
+        self.note_sent(attempt, path + "probe", b"payload")
+        return self.fleet.call(path + "probe", host=place,
+                               attempt=attempt).status == 200
