Soak: a whole request that was read ends with an answer or a refusal

A connection that ends without either is a failure, counted by what happened beside it. Not counted: a killed, frozen or disrupted host or target, a target that broke off, a deadline that was reached, a request that crossed a close.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -36,22 +36,36 @@
 
     def kill(self):
         host = self.random.choice(self.fleet.hosts)
+        killed = self.happens("kill", host.name)
         host.kill()
-        return lambda: self.revive(host)
+
+        def again():
+            self.revive(host)
+            killed()
+
+        return again
 
     def freeze(self):
         host = self.random.choice(self.fleet.hosts)
+        frozen = self.happens("freeze", host.name)
         host.signal(signal.SIGSTOP)
-        return lambda: host.signal(signal.SIGCONT)
+
+        def go_on():
+            host.signal(signal.SIGCONT)
+            frozen()
+
+        return go_on
 
     def stop(self):
         host = self.random.choice(self.fleet.hosts)
+        stopping = self.happens("stop", host.name)
         host.signal(signal.SIGTERM)
         stopped = host.process
 
         def again():
             host.signal(signal.SIGCONT)
             stopped.wait(STOP_S)
+            stopping()
             self.revive(host)
 
         return again
@@ -65,18 +79,25 @@
         host = self.random.choice(self.fleet.hosts)
         # A process that is being loaded has no say in what SIGHUP does to it.
         if time.monotonic() - host.started_at > LOADING_S:
+            self.happens("reload", host.name)()
             host.signal(signal.SIGHUP)
         return lambda: None
 
     def worker_proxy(self):
-        proxy = self.random.choice(self.proxies)
+        place, proxy = self.random.choice(list(enumerate(self.proxies)))
         mode = self.random.choice(("delay", "silent", "no_answers", "refuse",
                                    "cut"))
+        disrupted = self.happens("disruption", list(self.fleet.workers)[place])
         if mode == "cut":
             proxy.cut()
         else:
             proxy.mode = mode
-        return lambda: setattr(proxy, "mode", "pass")
+
+        def pass_on():
+            proxy.mode = "pass"
+            disrupted()
+
+        return pass_on
 
     def worker_unframed(self):
         """Answers of a worker end with their connection for a while."""
@@ -148,5 +169,6 @@
         more = [route(f"more-{each}", f"/more{each}/", "desk", "safe")
                 for each in range(self.random.randint(0, 5))]
         self.newest = config(self.version, routes=config(1)["routes"] + more)
+        self.happens("configuration")()
         self.fleet.store.put("config", "main", self.newest)
         return lambda: None
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -1,6 +1,8 @@
 """Callers of a soak, and the promises that it checks of what they saw."""
 
+import collections
 import http.client
+import math
 import random
 import threading
 import time
@@ -12,6 +14,12 @@
 CONFIG_S = 5  # 3 until a host is in touch again, 2 until it is in force
 KINDS = ("/safe/", "/once/", "/stream/", "/streamonce/")
 NOT_RUN = (408, 421, 429, 503)
+DEADLINE_S = 3
+READ_S = 0.2  # a connection that ends later has not crossed its request
+# Troubles of a worker that end its answer early.
+BREAKING = ("reset_before", "reset_after", "silent", "break", "cut")
+# Time after something planned for which requests count as beside it.
+BESIDE_S = {"stop": 0, "reload": 2, "configuration": 3, "silence": 0, "crash": 0}
 
 
 class Caller(threading.Thread):
@@ -35,8 +43,12 @@
         path = self.random.choice(KINDS) + attempt
         body = b"x" * self.random.choice((0, 10, 2000))
         self.soak.note_sent(attempt, path, body)
+        began = time.monotonic()
         status, answer, whole = self.exchange(attempt, path, body)
         self.soak.note_answer(attempt, path, status, answer, whole)
+        if status == 0:
+            self.soak.ends.append((attempt, self.host.name, began,
+                                   time.monotonic()))
 
     def exchange(self, attempt, path, body):
         if self.connection is None:
@@ -47,7 +59,7 @@
             self.connection.request("POST", path, body, {
                 "Host": HOST, "X-Api-Key": KEY,
                 "X-Marjorambay-Attempt-Id": attempt,
-                "X-Marjorambay-Deadline-Ms": "3000"})
+                "X-Marjorambay-Deadline-Ms": str(1000 * DEADLINE_S)})
             reply = self.connection.getresponse()
             answer = reply.read()
             if reply.getheader("Connection") == "close":
@@ -70,11 +82,32 @@
     def __init__(self):
         self.lock = threading.Lock()
         self.sent, self.answers, self.broken = {}, {}, []
+        self.ends = []  # without an answer: (attempt, host, sent, ended)
+        self.lost = collections.Counter()  # of these, by what was beside them
+        self.happened = []  # [what, to whom, since, until]
 
     def fail(self, what):
         with self.lock:
             self.broken.append(what)
 
+    def happens(self, what, *whom):
+        """Notes something; returns how to note its end."""
+        since = time.monotonic()
+        noted = [[what, each, since, math.inf] for each in whom or [""]]
+        self.happened += noted
+
+        def end():
+            for each in noted:
+                each[3] = min(each[3], time.monotonic())
+
+        return end
+
+    def beside(self, since, until, *whom):
+        """What happened to any of these hosts and workers in that time."""
+        return {what for what, to, start, end in self.happened
+                if to in whom and start <= until
+                and end + BESIDE_S.get(what, 0) >= since}
+
     def note_sent(self, attempt, path, body):
         with self.lock:
             self.sent[attempt] = (path, body)
@@ -114,6 +147,25 @@
             if not repeatable and self.answers.get(attempt) in NOT_RUN:
                 self.fail(f"{attempt} {path}: {self.answers[attempt]}, and ran")
 
+    def check_ends(self):
+        """A whole request that was read ends with an answer or a refusal."""
+        arrived = {attempt for worker in self.fleet.workers.values()
+                   for attempt, _ in worker.seen}
+        for attempt, host, sent, ended in self.ends:
+            runs = self.fleet.runs(attempt)
+            crossed = attempt not in arrived and ended - sent < READ_S
+            broke_off = any(run["trouble"].split(":")[0] in BREAKING
+                            for run in runs)
+            beside = self.beside(sent, ended, "", host,
+                                 *(run["worker"] for run in runs))
+            if (crossed or broke_off or ended - sent >= DEADLINE_S
+                    or beside & {"kill", "freeze", "disruption"}):
+                continue
+            among = "+".join(sorted(beside)) or "nothing"
+            self.lost[among] += 1
+            self.fail(f"{attempt} {self.sent[attempt][0]} lost at {host} after "
+                      f"{ended - sent:.2f} s, beside {among}")
+
     def check_recovery(self):
         for worker in self.fleet.workers.values():
             worker.trouble = lambda run: None
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,7 +9,8 @@
 callers and workers saw is checked against the promises: an answer is whole and
 the caller's own; an unsafe request runs once at most, and not at all if it was
 told so; nothing reaches a worker that no caller sent; known keys and routes are
-never denied; and after the last fault all hosts serve again.
+never denied; a whole request that was read ends with an answer or a refusal; and
+after the last fault all hosts serve again.
 """
 
 import argparse
@@ -71,11 +72,13 @@
         for caller in callers:
             caller.join(10)
         self.check_runs()
+        self.check_ends()
 
     def report(self):
         served = sum(status == 200 for status in self.answers.values())
         return (f"seed {self.seed}: {len(self.sent)} sent, {served} served, "
-                f"{len(self.faults)} faults, {len(self.broken)} broken")
+                f"{len(self.faults)} faults, {len(self.broken)} broken, "
+                f"{len(self.ends)} without answer, lost {dict(self.lost)}")
 
 
 def play(seed, given):
--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -394,6 +394,7 @@
             return await self._say(writer, headers, 421, b"", {})
         run = {
             "id": headers.get("x-marjorambay-attempt-id"),
+            "worker": self.name,
             "method": method,
             "target": target,
             "headers": headers,
@@ -402,7 +403,7 @@
             "done": False,
         }
         self.seen.append((run["id"], run["at"]))
-        trouble = self.trouble(run) or ""
+        trouble = run["trouble"] = self.trouble(run) or ""
         if trouble == "full":
             return await self._say(
                 writer, headers, 503, b"", {"X-Marjorambay-Not-Executed": "1"}
