--- a/packages/transport/tests/caller_server_test.cpp
+++ b/packages/transport/tests/caller_server_test.cpp
@@ -175,6 +175,37 @@
   CHECK(Caller.received().starts_with("HTTP/1.1 400 "));
 }
 
+// Guards against a response that is cut because its caller reads it slowly and
+// its connection counts as idle or as closing meanwhile.
+TEST_CASE_FIXTURE(ServerFixture, "a caller that reads its response slowly" *
+                                     doctest::should_fail()) {
+  RawConnection Caller(RawConnection::connectTo(Port));
+  Caller.limitReceiveBuffer(64 << 10);
+  const std::string Body(12 << 20, 'x'); // more than the kernel buffers
+  CallerServerLimits Limits;
+  Caller.send(SimpleRequest);
+  waitForRequests(1);
+
+  SUBCASE("receives all of it before its connection closes") {
+    Server.disableKeepAlive();
+    Server.answer(Arrived[0], 200, {}, Body);
+  }
+  SUBCASE("receives all of it although idle connections are closed") {
+    Server.answer(Arrived[0], 200, {}, Body);
+    Server.closeIdleConnections();
+  }
+  SUBCASE("receives all of it although that exceeds the idle timeout") {
+    Server.answer(Arrived[0], 200, {}, Body);
+    Limits.IdleTimeout = milliseconds(100);
+    Server.setLimits(Limits);
+  }
+  bool Reads = false;
+  const TimerConnection Pause =
+      Timers.once(milliseconds(1700), [&Reads]() { Reads = true; });
+  runUntil([&]() { return Reads && Caller.ended(); });
+  CHECK(Caller.received().ends_with(Body));
+}
+
 TEST_CASE_FIXTURE(ServerFixture, "requests beyond the limits") {
   CallerServerLimits Limits;
   Limits.MaxHeaderBytes = 1024;
