Send a response whole before its connection counts as idle or closing

Callers saw a connection end before the end of its response: a caller that reads slowly, one second after a response with "Connection: close"; one on a kept connection, when a stopping host closed its idle ones, or when the idle timeout passed, at once after a configuration that lowers it.

Cause: CallerServer took the exchange for over once the response was queued, and closed the connection by the time since then, whatever was still to be sent. Both times now begin when all is sent.

--- a/packages/transport/marjorambay/transport/caller_server.h
+++ b/packages/transport/marjorambay/transport/caller_server.h
@@ -56,6 +56,7 @@
   void setLimits(const CallerServerLimits &NewLimits) { Limits = NewLimits; }
   /// From now on, each connection closes after its next response.
   void disableKeepAlive();
+  /// Connections that still send a response close after it.
   void closeIdleConnections();
   /// Closes the listening socket; established connections stay open.
   void stopListening();
@@ -100,6 +101,7 @@
   void handleClose(Connection &Conn);
   void finishExchange(Connection &Conn);
   void abort(Connection &Conn);
+  void handleDrained(Connection &Conn);
   void lingerThenClose(Connection &Conn);
   void retire(Connection &Conn);
   void closeTimedOut();
--- a/packages/transport/src/caller_server.cpp
+++ b/packages/transport/src/caller_server.cpp
@@ -134,10 +134,7 @@
     handleBytes(Conn, Bytes);
   };
   Conn.Socket.OnEnd = [this, &Conn](SocketCloseReason) { handleClose(Conn); };
-  Conn.Socket.OnDrained = [this, &Conn]() {
-    if (Conn.State == ConnectionState::Lingering)
-      lingerThenClose(Conn);
-  };
+  Conn.Socket.OnDrained = [this, &Conn]() { handleDrained(Conn); };
   Connections.emplace(Conn.Id, std::move(Created));
   Conn.Socket.adopt(Descriptor, SocketTimeouts{});
 }
@@ -334,7 +331,15 @@
   });
 }
 
+void CallerServer::handleDrained(Connection &Conn) {
+  if (Conn.State == ConnectionState::Idle)
+    Conn.StateStart = Loop.now();
+  if (Conn.State == ConnectionState::Lingering)
+    lingerThenClose(Conn);
+}
+
 void CallerServer::lingerThenClose(Connection &Conn) {
+  Conn.StateStart = Loop.now();
   Conn.Socket.pauseReading(false);
   Conn.Socket.shutdownWrite();
 }
@@ -353,7 +358,10 @@
     if (Conn->State == ConnectionState::Idle)
       Idle.push_back(Conn.get());
   for (Connection *Conn : Idle)
-    retire(*Conn);
+    if (Conn->Socket.unsent() == 0)
+      retire(*Conn);
+    else
+      Conn->State = ConnectionState::Lingering;
 }
 
 void CallerServer::closeTimedOut() {
@@ -367,7 +375,10 @@
         : Conn->State == ConnectionState::Lingering ? LingerTime
         : InBody                                    ? Limits.BodyTimeout
                                                     : Limits.HeaderTimeout;
-    if (Conn->State != ConnectionState::Answering && Age > Limit)
+    // The kernel ends a connection whose caller has stopped reading.
+    const bool Sending =
+        Conn->State != ConnectionState::Reading && Conn->Socket.unsent() != 0;
+    if (Conn->State != ConnectionState::Answering && !Sending && Age > Limit)
       TimedOut.push_back(Conn.get());
   }
   for (Connection *Conn : TimedOut) {
--- a/packages/transport/tests/caller_server_test.cpp
+++ b/packages/transport/tests/caller_server_test.cpp
@@ -177,8 +177,7 @@
 
 // Guards against a response that is cut because its caller reads it slowly and
 // its connection counts as idle or as closing meanwhile.
-TEST_CASE_FIXTURE(ServerFixture, "a caller that reads its response slowly" *
-                                     doctest::should_fail()) {
+TEST_CASE_FIXTURE(ServerFixture, "a caller that reads its response slowly") {
   RawConnection Caller(RawConnection::connectTo(Port));
   Caller.limitReceiveBuffer(64 << 10);
   const std::string Body(12 << 20, 'x'); // more than the kernel buffers
@@ -206,6 +205,18 @@
   CHECK(Caller.received().ends_with(Body));
 }
 
+// Guards against connections that are kept for callers that never read.
+TEST_CASE_FIXTURE(ServerFixture, "a caller that never reads its response") {
+  RawConnection Caller(RawConnection::connectTo(Port));
+  Caller.limitReceiveBuffer(64 << 10);
+  Caller.send(SimpleRequest);
+  waitForRequests(1);
+  Server.disableKeepAlive();
+  Server.answer(Arrived[0], 200, {}, std::string(12 << 20, 'x'));
+  CHECK(Server.connections() == 1);
+  runUntil([&]() { return Server.connections() == 0; });
+}
+
 TEST_CASE_FIXTURE(ServerFixture, "requests beyond the limits") {
   CallerServerLimits Limits;
   Limits.MaxHeaderBytes = 1024;
