--- a/tests/system_tests.cmake
+++ b/tests/system_tests.cmake
@@ -36,5 +36,7 @@
   ${CMAKE_SOURCE_DIR}/tests/soak/soak.py --restores --seed 1 --seed 2 --seconds 8)
 add_test(NAME soak_notices COMMAND ${Python3_EXECUTABLE}
   ${CMAKE_SOURCE_DIR}/tests/soak/soak.py --notices --seed 1 --seed 2 --seconds 8)
-set_tests_properties(soak soak_restores soak_notices PROPERTIES TIMEOUT 240
+add_test(NAME soak_changes COMMAND ${Python3_EXECUTABLE}
+  ${CMAKE_SOURCE_DIR}/tests/soak/soak.py --silences --changes --seed 2 --seed 103 --seconds 5)
+set_tests_properties(soak soak_restores soak_notices soak_changes PROPERTIES TIMEOUT 240
   ENVIRONMENT "MARJORAMBAY_BIN=${CMAKE_BINARY_DIR}/bin;PYTHONDONTWRITEBYTECODE=1")
