--- a/packages/transport/tests/caller_server_test.cpp
+++ b/packages/transport/tests/caller_server_test.cpp
@@ -175,6 +175,33 @@
   CHECK(Caller.received().starts_with("HTTP/1.1 400 "));
 }
 
+// Guards against a request that was read whole and gets no answer, because the
+// one before it was answered as the last of its connection.
+TEST_CASE_FIXTURE(ServerFixture, "a request that is pipelined before shutdown" *
+                                     doctest::should_fail()) {
+  RawConnection Caller(RawConnection::connectTo(Port));
+  Caller.send(std::string(SimpleRequest) +
+              "GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+  waitForRequests(1);
+  Server.disableKeepAlive();
+  SUBCASE("is answered after a response with a length") {
+    Server.answer(Arrived[0], 200, {}, "one");
+  }
+  SUBCASE("is answered after a stream") {
+    Server.beginResponse(Arrived[0], 200, {});
+    Server.sendChunk(Arrived[0], "one");
+    Server.endResponse(Arrived[0]);
+  }
+  runUntil([&]() { return Arrived.size() == 2 || Caller.ended(); });
+  REQUIRE(Arrived.size() == 2);
+  CHECK(Targets[1] == "/b");
+  Server.answer(Arrived[1], 200, {}, "two");
+  runUntil([&]() { return Caller.ended(); });
+  CHECK(Caller.received().find("Connection: close") >
+        Caller.received().find("one"));
+  CHECK(Caller.received().ends_with("two"));
+}
+
 // Guards against a response that is cut because its caller reads it slowly and
 // its connection counts as idle or as closing meanwhile.
 TEST_CASE_FIXTURE(ServerFixture, "a caller that reads its response slowly") {
