--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -438,6 +438,8 @@
         how, _, figure = trouble.partition(":")
         if how == "pause" and not target.startswith("/stream"):
             await asyncio.sleep(float(figure.partition(":")[2]))
+        if how in ("half", "halves"):
+            return await self._halves(writer, run, how, *figure.split(":"))
         if how == "status":
             return await self._say(writer, headers, int(figure), b"", {})
         if how == "slow_error":
@@ -470,6 +472,19 @@
         await writer.drain()
         return framed
 
+    async def _halves(self, writer, run, how, status, seconds):
+        writer.write(
+            f"HTTP/1.1 {status} X\r\nX-Marjorambay-Attempt-Id: {run['id']}\r\n"
+            f"X-Marjorambay-Server-Signature: sign-{self.name}\r\n"
+            "Content-Length: 10\r\n\r\nfirst".encode())
+        await writer.drain()
+        await asyncio.sleep(float(seconds))
+        if how == "half":
+            reset(writer)
+            return False
+        writer.write(b"other")
+        return True
+
     async def _stream(self, writer, run, trouble):
         framed = not self.until_close  # as it is when the answer begins
         framing = "Transfer-Encoding: chunked\r\n" if framed else ""
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -476,6 +476,22 @@
         self.assertEqual(len(fleet.runs()), 8)
 
 
+    # Guards against the failure of a second target that is passed on with the
+    # headers of the first one's success, and with a part of its body.
+    def test_a_failed_replacement_is_not_mixed_with_the_first_answer(self):
+        fleet = self.fleet(hosts=1)
+        for worker in fleet.of("desk"):
+            worker.trouble = lambda run: ("halves:500:0.4" if fleet.runs(run["id"])
+                                          else "half:200:0.65")
+        answer = fleet.call("/safe/a")
+        first, second = fleet.runs(answer.attempt)
+        self.assertGreaterEqual(answer.status, 500)
+        signature = answer.headers.get("X-Marjorambay-Server-Signature")
+        if signature is not None:
+            self.assertEqual(signature, f"sign-{second['worker']}")
+            self.assertEqual((answer.status, answer.body), (500, b"firstother"))
+
+
 class TargetNoticeTest(ForwardingTest):
     """What workers say of themselves in their answers."""
 
