Test that bytes without end fail a call at once, where they do

Targets: bytes that are not HTTP, blank lines, a status line, header lines, one header, a chunk size, a chunk extension, a trailer, a body, bytes after an answer, events that a caller does not read. Callers: blank lines, a path, a header, a chunk extension, a trailer, chunks.

The stand-in sends 32 MB as fast as they are read, then slowly.

--- a/packages/transport/tests/caller_server_test.cpp
+++ b/packages/transport/tests/caller_server_test.cpp
@@ -4,6 +4,7 @@
 
 #include "marjorambay/transport/caller_server.h"
 
+#include <algorithm>
 #include <optional>
 
 namespace marjorambay {
@@ -203,5 +204,44 @@
   CHECK(Arrived.empty());
 }
 
+// Guards against a caller that keeps a host busy, or takes its memory, with a
+// request that never ends.
+TEST_CASE_FIXTURE(ServerFixture, "a caller that sends without end") {
+  RawConnection Caller(RawConnection::connectTo(Port));
+  const std::string ChunkedHead =
+      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::string Piece(16 << 10, 'x');
+  ErrorKind Expected = ErrorKind::HeadersTooLarge;
+  SUBCASE("blank lines") {
+    for (std::size_t At = 0; At < Piece.size(); At += 2)
+      Piece.replace(At, 2, "\r\n");
+  }
+  SUBCASE("a path") { Caller.send("GET /"); }
+  SUBCASE("a header") { Caller.send("GET /a HTTP/1.1\r\nX-Long: "); }
+  SUBCASE("the extension of a chunk") { Caller.send(ChunkedHead + "1;"); }
+  SUBCASE("a trailer") { Caller.send(ChunkedHead + "0\r\nX-Long: "); }
+  SUBCASE("chunks") {
+    Caller.send(ChunkedHead);
+    Piece = "4000\r\n" + Piece + "\r\n";
+    Expected = ErrorKind::TooLarge;
+  }
+  constexpr std::size_t MaxEndlessBytes = 16 << 20;
+  std::size_t Sent = 0;
+  std::string_view Remaining = Piece;
+  runUntil([&]() {
+    const ssize_t Taken = Caller.sendSome(Remaining);
+    const auto Count = static_cast<std::size_t>(std::max<ssize_t>(Taken, 0));
+    Sent += Count;
+    Remaining.remove_prefix(Count);
+    if (Remaining.empty())
+      Remaining = Piece;
+    return !Rejected.empty() || Sent > MaxEndlessBytes;
+  });
+  REQUIRE(Rejected.size() == 1);
+  CHECK(Rejected[0] == Expected);
+  CHECK(Arrived.empty());
+  runUntil([&]() { return Server.connections() == 0; });
+}
+
 } // namespace
 } // namespace marjorambay
--- a/packages/transport/tests/keep_alive_client_test.cpp
+++ b/packages/transport/tests/keep_alive_client_test.cpp
@@ -16,6 +16,9 @@
   std::optional<KeepAliveOutcome> Outcome{};
 };
 
+/// More than the limits of a call and the kernel's buffers of a connection.
+constexpr std::size_t MaxEndlessBytes = 32 << 20;
+
 struct ClientFixture : LoopFixture {
   KeepAliveClient Client{Loop};
   RawListener Listener{};
@@ -54,6 +57,25 @@
   void waitForEnd(const CallRecord &Record) {
     runUntil([&]() { return Record.Outcome.has_value(); });
   }
+  /// Sends \p Piece again and again until the call has ended. Returns whether
+  /// it ended before \p MaxBytes were sent.
+  bool endsWhileReceiving(const CallRecord &Record, RawConnection &Target,
+                          std::string_view Piece,
+                          std::size_t MaxBytes = MaxEndlessBytes) {
+    std::size_t Sent = 0;
+    std::string_view Remaining = Piece;
+    runUntil([&]() {
+      const ssize_t Taken = Target.sendSome(Remaining);
+      if (Taken < 0)
+        return Record.Outcome.has_value();
+      Sent += static_cast<std::size_t>(Taken);
+      Remaining.remove_prefix(static_cast<std::size_t>(Taken));
+      if (Remaining.empty())
+        Remaining = Piece;
+      return Record.Outcome.has_value() || Sent > MaxBytes;
+    });
+    return Record.Outcome.has_value();
+  }
   void waitForBytes(RawConnection &Target, std::string_view Text) {
     runUntil(
         [&]() { return Target.received().find(Text) != std::string::npos; });
@@ -242,5 +264,59 @@
   CHECK(Client.connections() == 0);
 }
 
+std::string repeat(std::string_view Text, std::size_t MinBytes = 32 << 10) {
+  std::string Repeated;
+  while (Repeated.size() < MinBytes)
+    Repeated += Text;
+  return Repeated;
+}
+
+const std::string ChunkedHead =
+    "HTTP/1.1 200 OK\r\nX-Name: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+// Guards against a call that lasts until its deadline, or needs memory without
+// bound, because its target never stops sending.
+TEST_CASE_FIXTURE(ClientFixture, "a target that sends without end") {
+  const auto Record = start("1");
+  const auto Target = accept();
+  waitForBytes(*Target, "/1");
+  std::string Piece;
+  SUBCASE("bytes that are not HTTP") { Piece = repeat("garbage "); }
+  SUBCASE("blank lines") { Piece = repeat("\r\n"); }
+  SUBCASE("a status line") {
+    Target->send("HTTP/1.1 200 ");
+    Piece = repeat("OK");
+  }
+  SUBCASE("header lines") {
+    Target->send("HTTP/1.1 200 OK\r\nX-Name: 1\r\n");
+    Piece = repeat("X-More: more\r\n");
+  }
+  SUBCASE("a header name") {
+    Target->send("HTTP/1.1 200 OK\r\nX-Name: 1\r\n");
+    Piece = repeat("x");
+  }
+  SUBCASE("a header value") {
+    Target->send("HTTP/1.1 200 OK\r\nX-Name: 1\r\nX-Long: ");
+    Piece = repeat("x");
+  }
+  SUBCASE("the size of a chunk") {
+    Target->send(ChunkedHead);
+    Piece = repeat("0");
+  }
+  SUBCASE("the extension of a chunk") {
+    Target->send(ChunkedHead + "1;");
+    Piece = repeat("x");
+  }
+  SUBCASE("the trailer of a chunked body") {
+    Target->send(ChunkedHead + "0\r\n");
+    Piece = repeat("X-More: more\r\n");
+  }
+  CHECK(endsWhileReceiving(*Record, *Target, Piece));
+  REQUIRE(Record->Outcome.has_value());
+  CHECK(*Record->Outcome != KeepAliveOutcome::Complete);
+  CHECK(Record->Body.empty());
+  runUntil([&]() { return Client.connections() == 0; });
+}
+
 } // namespace
 } // namespace marjorambay
--- a/packages/transport/tests/raw_peer.h
+++ b/packages/transport/tests/raw_peer.h
@@ -42,6 +42,13 @@
     REQUIRE(::send(Descriptor, Bytes.data(), Bytes.size(), MSG_NOSIGNAL) ==
             static_cast<ssize_t>(Bytes.size()));
   }
+  /// Sends as many bytes as the connection accepts now. Returns their number,
+  /// or a negative number if the connection has ended.
+  ssize_t sendSome(std::string_view Bytes) const {
+    const ssize_t Sent =
+        ::send(Descriptor, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
+    return Sent < 0 && errno == EAGAIN ? 0 : Sent;
+  }
   /// Returns all bytes received so far.
   const std::string &received() {
     std::array<char, 65536> Buffer;
--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -14,6 +14,7 @@
 import urllib.parse
 
 MOST_EVENTS = 2000  # history that a watch may go back
+ENDLESS_BYTES = 32 << 20  # of one answer, sent as fast as they are read
 
 
 class Loop:
@@ -111,7 +112,8 @@
 
 
 class Store(Server):
-    """The object store. `mode`: up, silent, busy, reset."""
+    """The object store. `mode`: up, silent, busy, reset, endless (answers whose
+    body never ends), drip (the same, a byte each 50 ms)."""
 
     def __init__(self, runner, page=500):
         self.kinds = {}
@@ -227,6 +229,12 @@
         if self.mode == "reset":
             reset(writer)
             return False
+        if self.mode in ("endless", "drip"):
+            head = f"HTTP/1.1 200 X\r\nStore-Era: {self.era}\r\n\r\n".encode()
+            fast = self.mode == "endless"
+            await send_endlessly(writer, head, b" " * (16384 if fast else 1),
+                                 0 if fast else 0.05)
+            return False
         if self.mode == "busy":
             status, answer = 503, {"error": "busy"}
         else:
@@ -328,6 +336,45 @@
     return b"%x\r\n%s\r\n" % (len(event), event) if framed else event
 
 
+def endless(what, identity):
+    """The start of an answer without end, and the bytes that are repeated."""
+    head = f"HTTP/1.1 200 OK\r\n{identity}".encode()
+    stream = head + b"Content-Type: text/event-stream\r\n"
+    late = b"HTTP/1.1 200 OK\r\nX-Marjorambay-Attempt-Id: another\r\n\r\n"
+    chunked = b"Transfer-Encoding: chunked\r\n\r\n"
+    filler = b"x" * 16384
+    chunk = b"4000\r\n" + filler + b"\r\n"
+    lines = b"X-More: more\r\n" * 1000
+    return {
+        "bytes": (b"", filler),
+        "blank": (b"", b"\r\n" * 8192),
+        "interim": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 500),
+        "late": (late, filler),
+        "line": (head + b"X-Long: ", filler),
+        "head": (head, lines),
+        "chunk": (head + chunked + b"1;", filler),
+        "trailer": (head + chunked + b"0\r\n", lines),
+        "body": (head + b"\r\n", filler),
+        "chunks": (head + chunked, chunk),
+        "length": (head + b"Content-Length: 99999999999\r\n\r\n", filler),
+        "event": (stream + chunked + b"6\r\ndata: \r\n", chunk),
+        "events": (stream + b"\r\n", b"data: more\n\n" * 1000),
+        "after": (head + b"Content-Length: 2\r\n\r\nok", filler),
+    }[what]
+
+
+async def send_endlessly(writer, start, piece, gap=0):
+    """Sends until the other side closes the connection; slowly after a while, as
+    a host without limits would otherwise take the memory of the machine."""
+    writer.write(start)
+    sent = 0
+    while not writer.is_closing():
+        writer.write(piece)
+        await writer.drain()
+        sent += len(piece)
+        await asyncio.sleep(gap if sent < ENDLESS_BYTES else 0.05)
+
+
 class Worker(Server):
     """Runs requests, and keeps what it saw in `runs`.
 
@@ -339,7 +386,8 @@
     "hold:S" (rejected, and nothing wanted for S seconds), "pause:N:S" (silent
     for S seconds after event N of a stream, or before any other answer),
     "late_full:S" (rejected after S seconds), "slow_error:S" (status 500, and its
-    body S seconds later).
+    body S seconds later), "endless:WHAT" (bytes until the connection closes, see
+    endless()).
     """
 
     def __init__(self, runner, store, service, name, version="v1", slots=4):
@@ -435,6 +483,11 @@
             return await self._say(writer, headers, 200, document,
                                    {"Content-Type": "application/json"})
         how, _, figure = trouble.partition(":")
+        if how == "endless":
+            identity = (f"X-Marjorambay-Attempt-Id: {run['id']}\r\n"
+                        f"X-Marjorambay-Server-Signature: sign-{self.name}\r\n")
+            await send_endlessly(writer, *endless(figure, identity))
+            return False
         if how == "pause" and not target.startswith("/stream"):
             await asyncio.sleep(float(figure.partition(":")[2]))
         if how == "status":
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -6,6 +6,7 @@
 
 import concurrent.futures
 import itertools
+import pathlib
 import signal
 import socket
 import subprocess
@@ -475,6 +476,125 @@
         self.assertEqual(len(fleet.runs()), 8)
 
 
+class EndlessAnswerTest(ForwardingTest):
+    """Workers and a store whose bytes do not end until the host closes."""
+
+    # Of a host: the buffered answers, at twice their size and with the largest
+    # one copied as it grows, and twice an event for each of 20 streams.
+    GROWTH_KB = (2 * 16 + 8 + 20 * 2 * 0.25) * 1024
+    IN_HEAD = ("bytes", "blank", "interim", "late", "line", "head")
+    IN_FRAMING = ("chunk", "trailer")
+    IN_BODY = ("body", "chunks")
+
+    def peak_kb(self, host):
+        status = pathlib.Path(f"/proc/{host.process.pid}/status").read_text()
+        return int(status.partition("VmHWM:")[2].split()[0])
+
+    def assert_fails(self, fleet, path, what):
+        """One call fails by more than its time, and leaves no connection."""
+        worker = fleet.workers["pool-0" if "stream" in path else "desk-0"]
+        worker.trouble = lambda run: f"endless:{what}"
+        began = time.monotonic()
+        answer = fleet.call(path)
+        self.assertLess(time.monotonic() - began, 2, what)
+        self.assertEqual(answer.status, 502, what + dump(answer))
+        self.assertEqual(len(fleet.runs(answer.attempt)), 1, what)
+        wait_until(lambda: not worker.writers, f"{what}: the end", 2)
+        wait_until(lambda: fleet.hosts[0].lines(
+            "attempt_failed", request=answer.attempt), f"{what}: the line", 2)
+        (line,) = fleet.hosts[0].lines("attempt_failed", request=answer.attempt)
+        return line.partition(" cause=")[2].partition(" attempt=")[0].strip('"')
+
+    def causes(self, path, whats):
+        fleet = self.fleet(hosts=1, workers=1)
+        return {what: self.assert_fails(fleet, path, what) for what in whats}
+
+    # Guards against a call that waits for its deadline while a host reads as
+    # fast as a target sends.
+    def test_bytes_without_end_fail_a_call_at_once(self):
+        self.causes("/once/a", ("bytes", "blank", "line", "head", "chunk",
+                                "trailer", *self.IN_BODY, "length"))
+
+    # Guards against a request that is lost with one worker in trouble.
+    def test_a_safe_request_goes_to_another_worker(self):
+        self.assert_served_elsewhere(
+            ("bytes", "blank", "line", "head", "chunk", "trailer"))
+
+    def assert_served_elsewhere(self, whats):
+        fleet = self.fleet(hosts=1)
+        for what in whats:
+            for worker in fleet.of("desk"):
+                worker.trouble = lambda run: (
+                    None if fleet.runs(run["id"]) else f"endless:{what}")
+            answer = fleet.call("/safe/a")
+            self.assertEqual(answer.status, 200, what + dump(answer))
+            self.assertEqual(answer.body, b"answer to " + answer.attempt.encode())
+            self.assertEqual(len(fleet.runs(answer.attempt)), 2, what)
+
+    # Guards against bytes after an answer that are taken for part of the next.
+    def test_bytes_after_an_answer_end_its_connection(self):
+        fleet = self.fleet(hosts=1, workers=1)
+        worker = fleet.workers["desk-0"]
+        worker.trouble = lambda run: "endless:after"
+        for _ in range(3):
+            answer = fleet.call("/once/a")
+            self.assert_served(answer)
+            self.assertEqual(answer.body, b"ok")
+            wait_until(lambda: not worker.writers, "the end", 2)
+
+    def assert_memory(self, path, what):
+        """20 endless answers at once; other callers are served meanwhile."""
+        fleet = self.fleet(hosts=1, workers=5)
+        for worker in fleet.workers.values():
+            worker.trouble = lambda run: (
+                None if "/open/" in run["target"] else f"endless:{what}")
+        host = fleet.hosts[0]
+        before = self.peak_kb(host)
+        with concurrent.futures.ThreadPoolExecutor(21) as pool:
+            others = pool.submit(pace, 2, lambda: fleet.call("/open/a"))
+            for answer in pool.map(lambda _: fleet.call(path), range(20)):
+                self.assertNotEqual(answer.status, 200, dump(answer))
+            for answer in others.result():
+                self.assert_served(answer)
+        grown = self.peak_kb(host) - before
+        print(f"{what}: {before} KB, {grown:+} KB")
+        self.assertLess(grown, self.GROWTH_KB)
+
+    # Guards against a host that keeps what a caller does not take of a stream.
+    def test_endless_events_to_callers_that_do_not_read_are_bounded(self):
+        fleet = self.fleet(hosts=1, workers=5)
+        for worker in fleet.of("pool"):
+            worker.trouble = lambda run: "endless:events"
+        host = fleet.hosts[0]
+        before = self.peak_kb(host)
+        callers = []
+        for number in range(20):
+            callers.append(socket.create_connection(("127.0.0.1", host.caller)))
+            callers[-1].sendall(
+                f"GET /streamonce/a HTTP/1.1\r\nHost: {HOST}\r\nX-Api-Key: {KEY}"
+                f"\r\nX-Marjorambay-Attempt-Id: deaf-{number}\r\n\r\n".encode())
+        wait_until(lambda: len(host.lines("request_ended")) == 20, "the ends", 5)
+        for caller in callers:
+            caller.close()
+        grown = self.peak_kb(host) - before
+        print(f"events: {before} KB, {grown:+} KB")
+        self.assertLess(grown, self.GROWTH_KB)
+
+    def assert_store_regained(self, mode):
+        fleet = self.fleet(hosts=1)
+        host = fleet.hosts[0]
+        before = self.peak_kb(host)
+        fleet.store.mode = mode
+        for answer in pace(3, lambda: fleet.call("/safe/a")):
+            self.assert_served(answer)
+        fleet.store.mode = "up"  # what has begun goes on
+        fleet.configure(8)
+        wait_until(lambda: fleet.in_force(8), "version 8", 5)
+        grown = self.peak_kb(host) - before
+        print(f"store, {mode}: {before} KB, {grown:+} KB")
+        self.assertLess(grown, self.GROWTH_KB)
+
+
 class TargetNoticeTest(ForwardingTest):
     """What workers say of themselves in their answers."""
 
--- a/tests/system_tests.cmake
+++ b/tests/system_tests.cmake
@@ -25,8 +25,9 @@
   marjorambay_system_test(failures_${Class} failures_test.py 100 ${Class})
 endforeach()
 # The adapter and forwarded routes, before a stand-in of the users' platform.
-foreach(Class RequestTest RepeatTest ResponseEndTest SilentTargetTest
-    TargetNoticeTest FleetChangeTest OutageTest RestoreTest ExplainTest LimitTest RolloutTest)
+foreach(Class RequestTest RepeatTest ResponseEndTest EndlessAnswerTest
+    SilentTargetTest TargetNoticeTest FleetChangeTest OutageTest RestoreTest ExplainTest
+    LimitTest RolloutTest)
   marjorambay_system_test(forwarding_${Class} forwarding_test.py 150 ${Class})
 endforeach()
 # Each seed that once failed, and two more; longer ones are run by hand.
