Test that bytes before an answer end with a limit; fails

Interim answers without end, answers to other calls without end, one answer to another call without end: in transport_tests the call goes on after 32 MB in 3 of 3 subcases, in the system test the call lasts all of its 3.0 s.

--- a/packages/transport/tests/keep_alive_client_test.cpp
+++ b/packages/transport/tests/keep_alive_client_test.cpp
@@ -318,5 +318,34 @@
   runUntil([&]() { return Client.connections() == 0; });
 }
 
+// Guards against a target whose interim responses, or responses to other calls,
+// keep a call from ending until its deadline.
+TEST_CASE_FIXTURE(ClientFixture,
+                  "a target that never comes to the response of the call" *
+                      doctest::should_fail()) {
+  const auto Record = start("1");
+  const auto Target = accept();
+  waitForBytes(*Target, "/1");
+  Target->send(response("1", "one"));
+  waitForEnd(*Record);
+  const auto Second = start("2");
+  waitForBytes(*Target, "/2");
+  std::string Piece;
+  SUBCASE("but sends interim responses without end") {
+    Piece = repeat("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+  SUBCASE("but sends responses to other calls without end") {
+    Piece = repeat(response("1", "one"));
+  }
+  SUBCASE("but sends the response to another call without end") {
+    Target->send("HTTP/1.1 200 OK\r\nX-Name: 1\r\n\r\n");
+    Piece = repeat("x");
+  }
+  REQUIRE(endsWhileReceiving(*Second, *Target, Piece));
+  CHECK(nameOf(*Second->Outcome) == "too_much_before_head");
+  CHECK(Second->Body.empty());
+  runUntil([&]() { return Client.connections() == 0; });
+}
+
 } // namespace
 } // namespace marjorambay
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -515,6 +515,11 @@
         self.causes("/once/a", ("bytes", "blank", "line", "head", "chunk",
                                 "trailer", *self.IN_BODY, "length"))
 
+    # Guards against the same in interim answers and answers of other requests.
+    @unittest.expectedFailure
+    def test_bytes_before_the_answer_fail_a_call_at_once(self):
+        self.causes("/once/a", ("interim", "late"))
+
     # Guards against a request that is lost with one worker in trouble.
     def test_a_safe_request_goes_to_another_worker(self):
         self.assert_served_elsewhere(
