--- a/packages/transport/tests/keep_alive_client_test.cpp
+++ b/packages/transport/tests/keep_alive_client_test.cpp
@@ -347,5 +347,29 @@
   runUntil([&]() { return Client.connections() == 0; });
 }
 
+// Guards against a log line that says of every response above a limit that its
+// bytes were not HTTP.
+TEST_CASE_FIXTURE(ClientFixture,
+                  "a response that exceeds a limit" * doctest::should_fail()) {
+  const auto Record = start("1");
+  const auto Target = accept();
+  waitForBytes(*Target, "/1");
+  SUBCASE("in its headers") {
+    Target->send("HTTP/1.1 200 OK\r\nX-Name: 1\r\nX-Long: ");
+    REQUIRE(endsWhileReceiving(*Record, *Target, repeat("x")));
+    CHECK(nameOf(*Record->Outcome) == "head_too_large");
+  }
+  SUBCASE("in the extension of a chunk") {
+    Target->send(ChunkedHead + "1;");
+    REQUIRE(endsWhileReceiving(*Record, *Target, repeat("x")));
+    CHECK(nameOf(*Record->Outcome) == "chunk_framing_too_large");
+  }
+  SUBCASE("in its trailers") {
+    Target->send(ChunkedHead + "0\r\n");
+    REQUIRE(endsWhileReceiving(*Record, *Target, repeat("X-More: more\r\n")));
+    CHECK(nameOf(*Record->Outcome) == "chunk_framing_too_large");
+  }
+}
+
 } // namespace
 } // namespace marjorambay
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -520,6 +520,19 @@
     def test_bytes_before_the_answer_fail_a_call_at_once(self):
         self.causes("/once/a", ("interim", "late"))
 
+    # Guards against a log line that does not say which limit was exceeded.
+    @unittest.expectedFailure
+    def test_the_log_says_which_limit_was_exceeded(self):
+        causes = self.causes("/once/a", (*self.IN_HEAD, *self.IN_FRAMING,
+                                         *self.IN_BODY))
+        self.assertEqual(causes, {
+            "bytes": "garbled", "blank": "head_too_large",
+            "interim": "too_much_before_head", "late": "too_much_before_head",
+            "line": "head_too_large", "head": "head_too_large",
+            "chunk": "chunk_framing_too_large",
+            "trailer": "chunk_framing_too_large",
+            "body": "response too long", "chunks": "response too long"})
+
     # Guards against a request that is lost with one worker in trouble.
     def test_a_safe_request_goes_to_another_worker(self):
         self.assert_served_elsewhere(
