--- a/packages/protocol/tests/sse_splitter_test.cpp
+++ b/packages/protocol/tests/sse_splitter_test.cpp
@@ -43,5 +43,16 @@
   }
 }
 
+// Guards against a host that runs out of memory because a target sends an event
+// without end.
+TEST_CASE("an event that never ends" * doctest::should_fail()) {
+  SseSplitter Stream;
+  CHECK(Stream.feed(event(1)) == event(1));
+  const std::string Line = "data: " + std::string(16 << 10, 'x') + "\n";
+  for (int Count = 0; Count < 1024; ++Count)
+    CHECK(Stream.feed(Line).empty());
+  CHECK(Stream.partial().size() <= 1 << 20);
+}
+
 } // namespace
 } // namespace marjorambay
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -533,6 +533,12 @@
             "trailer": "chunk_framing_too_large",
             "body": "response too long", "chunks": "response too long"})
 
+    # Guards against a host that runs out of memory over one event.
+    @unittest.expectedFailure
+    def test_an_event_without_end_fails_a_stream_at_once(self):
+        self.assertEqual(self.causes("/streamonce/a", ["event"]),
+                         {"event": "event too long"})
+
     # Guards against a request that is lost with one worker in trouble.
     def test_a_safe_request_goes_to_another_worker(self):
         self.assert_served_elsewhere(
@@ -560,6 +566,11 @@
             self.assertEqual(answer.body, b"ok")
             wait_until(lambda: not worker.writers, "the end", 2)
 
+    # Guards against the same over events.
+    @unittest.expectedFailure
+    def test_many_endless_events_stay_within_the_memory_of_a_host(self):
+        self.assert_memory("/streamonce/a", "event")
+
     def assert_memory(self, path, what):
         """20 endless answers at once; other callers are served meanwhile."""
         fleet = self.fleet(hosts=1, workers=5)
