--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -566,6 +566,11 @@
             self.assertEqual(answer.body, b"ok")
             wait_until(lambda: not worker.writers, "the end", 2)
 
+    # Guards against a host that is ended over its memory: 20 answers at once.
+    @unittest.expectedFailure
+    def test_many_endless_bodies_stay_within_the_memory_of_a_host(self):
+        self.assert_memory("/once/a", "chunks")
+
     # Guards against the same over events.
     @unittest.expectedFailure
     def test_many_endless_events_stay_within_the_memory_of_a_host(self):
