--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -544,6 +544,11 @@
         self.assert_served_elsewhere(
             ("bytes", "blank", "line", "head", "chunk", "trailer"))
 
+    # Guards against the same where only the body tells.
+    @unittest.expectedFailure
+    def test_an_endless_body_sends_a_safe_request_to_another_worker(self):
+        self.assert_served_elsewhere(self.IN_BODY)
+
     def assert_served_elsewhere(self, whats):
         fleet = self.fleet(hosts=1)
         for what in whats:
