Let a call limit its response body in time and size

Only the head of a response had a time limit; a caller of the client that buffers the body had to limit it by itself, and those for the store and for objects of other hosts don't.

--- a/packages/transport/marjorambay/transport/keep_alive_client.h
+++ b/packages/transport/marjorambay/transport/keep_alive_client.h
@@ -39,6 +39,8 @@
   TooMuchBeforeHead, ///< interim responses, or responses to other calls, exceed
                      ///< the limit
   HeadTooLarge,      ///< the response head exceeds the limit
+  BodyTimedOut,      ///< the complete response did not arrive in time
+  BodyTooLarge,      ///< the response body exceeds the limit
   ChunkFramingTooLarge, ///< a chunk's size line or the trailers exceed the
                         ///< limit
 };
@@ -46,8 +48,9 @@
 inline constexpr std::array
     NamesOf<KeepAliveOutcome> = std::to_array<std::string_view>(
         {"whole", "not_sent", "refused", "broken", "garbled", "timed_out",
-         "too_much_before_head", "head_too_large", "chunk_framing_too_large"});
-static_assert(NamesOf<KeepAliveOutcome>.size() == 9);
+         "too_much_before_head", "head_too_large", "body_timed_out",
+         "body_too_large", "chunk_framing_too_large"});
+static_assert(NamesOf<KeepAliveOutcome>.size() == 11);
 
 /// Whether no byte of the request can have reached the target.
 constexpr bool neverSent(KeepAliveOutcome Outcome) {
@@ -66,6 +69,8 @@
   std::string CorrelationId{};
   Duration ConnectTimeout = milliseconds(500);
   Duration HeadTimeout = seconds(30); ///< from start() to the response head
+  Duration BodyTimeout{};       ///< from the head to the last byte; 0: no limit
+  std::size_t MaxBodyBytes = 0; ///< 0: no limit
   /// Longest idle time of a reused connection; one that was idle for longer may
   /// be half closed. 0: always use a new connection.
   Duration MaxIdleTime = seconds(4);
@@ -86,7 +91,7 @@
   CallId start(KeepAliveCall Call);
   /// Closes the call's connection; no callback is called afterwards.
   void cancel(CallId Id);
-  /// Ends calls whose connect or head timeout has passed, and closes
+  /// Ends calls one of whose timeouts has passed, and closes
   /// connections that were idle for too long. Must be called every few dozen
   /// milliseconds.
   void expire(TimePoint Now);
@@ -101,6 +106,7 @@
   enum class ConnectionId : std::uint64_t {};
   struct Connection;
 
+  static bool isBodyTooLarge(const Connection &Conn);
   Connection *findIdle(const SocketAddress &Address, Duration MaxIdle);
   Connection &createConnection(const KeepAliveCall &Call);
   void writeRequest(Connection &Conn, const KeepAliveCall &Call);
--- a/packages/transport/src/keep_alive_client.cpp
+++ b/packages/transport/src/keep_alive_client.cpp
@@ -49,12 +49,17 @@
   bool DiscardingResponse = false;
   bool HeadReceived = false; ///< the head of the response to the call
   std::size_t BytesBeforeHead = 0;
+  std::size_t BodyBytes = 0; ///< of the response to the call
   bool CloseAfterCall = false;
   TimePoint IdleSince{};
-  TimePoint HeadDeadline{};
+  TimePoint Deadline{};  ///< of the head, then of the last byte
   TimePoint ExpiresAt{}; ///< key of the entry in Expiries
 };
 
+bool KeepAliveClient::isBodyTooLarge(const Connection &Conn) {
+  return Conn.Call.MaxBodyBytes != 0 && Conn.BodyBytes > Conn.Call.MaxBodyBytes;
+}
+
 KeepAliveClient::KeepAliveClient(EventLoop &Loop)
     : Loop(Loop), Connections(Loop) {}
 
@@ -81,8 +86,10 @@
     handleHead(Conn, Head);
   };
   Conn.Parser.OnBody = [&Conn](std::string_view Bytes) {
-    if (!Conn.DiscardingResponse && Conn.CurrentCall != CallId{} &&
-        Conn.Call.OnBody)
+    if (Conn.DiscardingResponse || Conn.CurrentCall == CallId{})
+      return;
+    Conn.BodyBytes += Bytes.size();
+    if (Conn.Call.OnBody && !isBodyTooLarge(Conn))
       Conn.Call.OnBody(Conn.CurrentCall, Bytes);
   };
   Conn.Socket.OnBytes = [this, &Conn](std::string_view Bytes) {
@@ -107,10 +114,9 @@
   else
     removeFromIdle(*Conn);
   Conn->CurrentCall = Id;
-  Conn->HeadDeadline = Now + Call.HeadTimeout;
-  Conn->ExpiresAt =
-      IsNew ? std::min(Now + Call.ConnectTimeout, Conn->HeadDeadline)
-            : Conn->HeadDeadline;
+  Conn->Deadline = Now + Call.HeadTimeout;
+  Conn->ExpiresAt = IsNew ? std::min(Now + Call.ConnectTimeout, Conn->Deadline)
+                          : Conn->Deadline;
   Expiries.emplace(Conn->ExpiresAt, Conn->Id);
   Calls.emplace(Id, Conn->Id);
   writeRequest(*Conn, Call);
@@ -147,6 +153,7 @@
   Conn.DiscardingResponse = false;
   Conn.HeadReceived = false;
   Conn.BytesBeforeHead = 0;
+  Conn.BodyBytes = 0;
   Conn.Socket.queue(Head);
   Conn.Socket.queue(Call.Body);
 }
@@ -163,6 +170,8 @@
       Conn.BytesBeforeHead += Received - Bytes.size();
     if (Conn.BytesBeforeHead > MaxBytesBeforeHead)
       return endCall(Conn, KeepAliveOutcome::TooMuchBeforeHead);
+    if (isBodyTooLarge(Conn))
+      return endCall(Conn, KeepAliveOutcome::BodyTooLarge);
     if (Outcome == ParseOutcome::Incomplete)
       return;
     if (Outcome == ParseOutcome::TooLarge)
@@ -194,6 +203,11 @@
   }
   Conn.HeadReceived = true;
   Expiries.erase({Conn.ExpiresAt, Conn.Id});
+  if (Conn.Call.BodyTimeout.count() != 0) {
+    Conn.Deadline = Loop.now() + Conn.Call.BodyTimeout;
+    Conn.ExpiresAt = Conn.Deadline;
+    Expiries.emplace(Conn.ExpiresAt, Conn.Id);
+  }
   if (Conn.Call.OnHead)
     Conn.Call.OnHead(Conn.CurrentCall, Head);
 }
@@ -259,10 +273,11 @@
       retire(Due);
     } else if (!Due.Socket.connected()) {
       endCall(Due, KeepAliveOutcome::NotSent);
-    } else if (Now >= Due.HeadDeadline) {
-      endCall(Due, KeepAliveOutcome::TimedOut);
+    } else if (Now >= Due.Deadline) {
+      endCall(Due, Due.HeadReceived ? KeepAliveOutcome::BodyTimedOut
+                                    : KeepAliveOutcome::TimedOut);
     } else { // connected meanwhile
-      Due.ExpiresAt = Due.HeadDeadline;
+      Due.ExpiresAt = Due.Deadline;
       Expiries.emplace(Due.ExpiresAt, Due.Id);
     }
   }
--- a/packages/transport/tests/keep_alive_client_test.cpp
+++ b/packages/transport/tests/keep_alive_client_test.cpp
@@ -369,5 +369,51 @@
   }
 }
 
+// Guards against a call that never ends, or needs memory without bound, because
+// its user sets a limit for the head alone.
+TEST_CASE_FIXTURE(ClientFixture, "a body that never ends") {
+  KeepAliveCall Call;
+  SUBCASE("ends its call at the limit of its size") {
+    Call.MaxBodyBytes = 100'000;
+    const auto Record = start("1", Call);
+    const auto Target = accept();
+    waitForBytes(*Target, "/1");
+    Target->send("HTTP/1.1 200 OK\r\nX-Name: 1\r\n\r\n");
+    REQUIRE(endsWhileReceiving(*Record, *Target, repeat("x")));
+    CHECK(nameOf(*Record->Outcome) == "body_too_large");
+    CHECK(Record->Body.size() <= Call.MaxBodyBytes);
+  }
+  SUBCASE("ends its call at the limit of its time, even if bytes arrive") {
+    Call.BodyTimeout = milliseconds(100);
+    const auto Record = start("1", Call);
+    const auto Target = accept();
+    waitForBytes(*Target, "/1");
+    Target->send("HTTP/1.1 200 OK\r\nX-Name: 1\r\n\r\n");
+    runUntil([&]() {
+      Target->sendSome("x");
+      return Record->Outcome.has_value();
+    });
+    CHECK(nameOf(*Record->Outcome) == "body_timed_out");
+  }
+  SUBCASE("does not if it ends at these limits, and the connection is reused") {
+    Call.MaxBodyBytes = 3;
+    Call.BodyTimeout = milliseconds(50);
+    const auto Record = start("1", Call);
+    const auto Target = accept();
+    waitForBytes(*Target, "/1");
+    Target->send(response("1", "one"));
+    waitForEnd(*Record);
+    CHECK(*Record->Outcome == KeepAliveOutcome::Complete);
+    const TimePoint Later = Loop.now() + milliseconds(100);
+    runUntil([&]() { return Loop.now() >= Later; });
+    const auto Second = start("2", Call);
+    waitForBytes(*Target, "/2");
+    Target->send(response("2", "two"));
+    waitForEnd(*Second);
+    CHECK(Second->Body == "two");
+  }
+  runUntil([&]() { return Client.calls() == 0; });
+}
+
 } // namespace
 } // namespace marjorambay
