--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -614,12 +614,10 @@
         self.assertLess(grown, self.GROWTH_KB)
 
     # Guards against a host that runs out of memory over an answer of the store.
-    @unittest.expectedFailure
     def test_an_endless_answer_of_the_store_is_bounded(self):
         self.assert_store_regained("endless")
 
     # Guards against a host that waits for the end of an answer for ever.
-    @unittest.expectedFailure
     def test_a_dripping_answer_of_the_store_is_given_up(self):
         self.assert_store_regained("drip")
 
