Limit a pull of objects from a hub in time and size

Only the head of a pull had a time limit. A hub whose answer drips or does not end kept its follower from any other pull of that kind, with all of the answer buffered. The limits are those of KeepAliveClient, tested there; no test plays a hub in such trouble.

--- a/apps/marjorambayd/forward_objects.cpp
+++ b/apps/marjorambayd/forward_objects.cpp
@@ -26,6 +26,9 @@
 constexpr Duration WatchReportTimeout = milliseconds(800);
 /// A hub that does not respond to a pull in this time is down or unreachable.
 constexpr Duration PullTimeout = milliseconds(600);
+/// From the head to the last byte of a pull.
+constexpr Duration PullBodyTimeout = seconds(2);
+constexpr std::size_t MaxPullBytes = 8 << 20;
 /// Changes that the preferred hub has not reported by then are pulled from
 /// another hub.
 constexpr Duration PreferredHubDelay = milliseconds(200);
@@ -75,6 +78,8 @@
   Request.Headers = {{"Host", "peer"}};
   Request.ConnectTimeout = PullTimeout;
   Request.HeadTimeout = PullTimeout;
+  Request.BodyTimeout = PullBodyTimeout;
+  Request.MaxBodyBytes = MaxPullBytes;
   Request.Timeouts.Unacknowledged = PullTimeout;
   Request.OnHead = [&Pull](CallId, const HttpHead &Head) {
     Pull.Status = Head.Status;
