--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """A randomized fault soak of forwarded routes, on real processes.
 
-soak.py [--seed N] [--seconds S] [--hosts N] [--restores] [--notices]
+soak.py [--seed N] [--seconds S] [--hosts N] [--restores] [--notices] [--endless]
         [--keep FOLDER]
 
 Callers keep their connections open and send requests of every kind, while
@@ -36,6 +36,8 @@
 KINDS = ("/safe/", "/once/", "/stream/", "/streamonce/")
 RESTORE_WEIGHT = 3  # against 12 of the other faults
 NOTICE_WEIGHT = 2  # of each fault of that kind, against the same 12
+ENDLESS = tuple(f"endless:{what}" for what in (
+    "bytes", "interim", "late", "head", "chunk", "body", "chunks", "event"))
 NOT_RUN = (408, 421, 429, 503)
 
 
@@ -90,8 +92,9 @@
 
 
 class Soak:
-    def __init__(self, seed, hosts, restores, notices):
+    def __init__(self, seed, hosts, restores, notices, endless):
         self.seed, self.restores, self.notices = seed, restores, notices
+        self.endless = endless
         self.random = random.Random(seed)
         self.over = threading.Event()
         self.lock = threading.Lock()
@@ -160,7 +163,8 @@
         if kind < 0.02:
             return self.random.choice(
                 ("reset_before", "reset_after", "error", "silent", "full",
-                 "twice", "break:2") + ("cut:2", "hold:0.4") * self.notices)
+                 "twice", "break:2") + ("cut:2", "hold:0.4") * self.notices
+                + ENDLESS * self.endless)
         return None
 
     def fault(self):
@@ -350,7 +354,8 @@
 
 
 def play(seed, given):
-    soak = Soak(seed, given.hosts, given.restores, given.notices)
+    soak = Soak(seed, given.hosts, given.restores, given.notices,
+                given.endless)
     try:
         soak.run(given.seconds)
     finally:
@@ -378,6 +383,8 @@
     parser.add_argument("--notices", action="store_true",
                         help="workers also hold off, leave and answer without "
                         "a length")
+    parser.add_argument("--endless", action="store_true",
+                        help="some answers do not end")
     parser.add_argument("--keep", help="folder for the logs of failed seeds")
     given = parser.parse_args()
     seeds = list(given.seed)
--- a/tests/system_tests.cmake
+++ b/tests/system_tests.cmake
@@ -37,5 +37,7 @@
   ${CMAKE_SOURCE_DIR}/tests/soak/soak.py --restores --seed 1 --seed 2 --seconds 8)
 add_test(NAME soak_notices COMMAND ${Python3_EXECUTABLE}
   ${CMAKE_SOURCE_DIR}/tests/soak/soak.py --notices --seed 1 --seed 2 --seconds 8)
-set_tests_properties(soak soak_restores soak_notices PROPERTIES TIMEOUT 240
+add_test(NAME soak_endless COMMAND ${Python3_EXECUTABLE}
+  ${CMAKE_SOURCE_DIR}/tests/soak/soak.py --endless --seed 1 --seed 2 --seconds 8)
+set_tests_properties(soak soak_restores soak_notices soak_endless PROPERTIES TIMEOUT 240
   ENVIRONMENT "MARJORAMBAY_BIN=${CMAKE_BINARY_DIR}/bin;PYTHONDONTWRITEBYTECODE=1")
