Don't copy an incomplete event with each piece

An event that arrives in many small pieces was copied as a whole with each of them, so that one dripping target kept a host busy with a quarter of a core. It is copied only when an event was taken off its front.

--- a/packages/protocol/src/sse_splitter.cpp
+++ b/packages/protocol/src/sse_splitter.cpp
@@ -75,7 +75,8 @@
     Remaining.remove_prefix(Length);
     Length = eventLength(Remaining, 0);
   }
-  Partial = std::string(Remaining);
+  if (Remaining.size() != Partial.size())
+    Partial = std::string(Remaining);
   Overlong = Partial.size() > MaxEventBytes;
   return Complete;
 }
