Test that the product's own interface limits what has no end; fails

HttpClient and HttpServer, which the product's own interface uses, against a first line, a header, a body, chunks and a trailer without end: limited.

--- a/packages/transport/tests/http_test.cpp
+++ b/packages/transport/tests/http_test.cpp
@@ -1,5 +1,6 @@
 /// Tests of HttpServer and HttpClient against each other and raw sockets.
 #include "loop_fixture.h"
+#include "raw_peer.h"
 
 #include <event2/buffer.h>
 
@@ -107,6 +108,90 @@
 
 const std::string GetRequest = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
 
+/// More than the limits of a connection and the kernel's buffers.
+constexpr std::size_t MaxEndlessBytes = 16 << 20;
+
+/// Sends \p Piece again and again. Returns whether \p Ended became true before
+/// MaxEndlessBytes were sent.
+bool endsWhileReceiving(LoopFixture &Fixture, RawConnection &Peer,
+                        const std::string &Piece,
+                        const std::function<bool()> &Ended) {
+  std::size_t Sent = 0;
+  std::string_view Remaining = Piece;
+  Fixture.runUntil([&]() {
+    const ssize_t Taken = Peer.sendSome(Remaining);
+    const auto Count = static_cast<std::size_t>(std::max<ssize_t>(Taken, 0));
+    Sent += Count;
+    Remaining.remove_prefix(Count);
+    if (Remaining.empty())
+      Remaining = Piece;
+    return Ended() || Sent > MaxEndlessBytes;
+  });
+  return Ended();
+}
+
+// Guards against a host that runs out of memory because a target never stops
+// sending.
+TEST_CASE_FIXTURE(LoopFixture, "a target whose response never ends" *
+                                   doctest::should_fail()) {
+  HttpClient Client(Loop);
+  const RawListener Listener;
+  bool Ended = false;
+  HttpCall Call;
+  Call.Address = "127.0.0.1";
+  Call.Port = Listener.port();
+  Call.Path = "/a";
+  Call.MaxBodyBytes = 1 << 20;
+  Client.fetch(std::move(Call), [&](int, const HttpResponseView &,
+                                    const std::string &, CallOutcome Outcome) {
+    Ended = true;
+    CHECK(Outcome != CallOutcome::Complete);
+  });
+  int Descriptor = -1;
+  runUntil([&]() {
+    Descriptor = Listener.accept();
+    return Descriptor >= 0;
+  });
+  RawConnection Target(Descriptor);
+  runUntil([&]() { return !Target.received().empty(); });
+  const std::string ChunkedHead =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::string Piece(16 << 10, 'x');
+  SUBCASE("in its first line") {}
+  SUBCASE("in a header") { Target.send("HTTP/1.1 200 OK\r\nX-Long: "); }
+  SUBCASE("in its body") { Target.send("HTTP/1.1 200 OK\r\n\r\n"); }
+  SUBCASE("in its chunks") {
+    Target.send(ChunkedHead);
+    Piece = "4000\r\n" + Piece + "\r\n";
+  }
+  SUBCASE("in the extension of a chunk") { Target.send(ChunkedHead + "1;"); }
+  SUBCASE("in a trailer") { Target.send(ChunkedHead + "0\r\nX-Long: "); }
+  CHECK(endsWhileReceiving(*this, Target, Piece, [&]() { return Ended; }));
+}
+
+// Guards against the same with a caller.
+TEST_CASE("a caller whose request never ends" * doctest::should_fail()) {
+  HttpServerLimits Limits;
+  Limits.MaxBodyBytes = 1 << 20;
+  Limits.RequestTimeout = seconds(3);
+  HttpFixture Fixture(Limits);
+  RawConnection Caller(RawConnection::connectTo(Fixture.Port));
+  const std::string ChunkedHead =
+      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::string Piece(64 << 10, 'x');
+  SUBCASE("in its path") { Caller.send("GET /"); }
+  SUBCASE("in a header") { Caller.send("GET /a HTTP/1.1\r\nX-Long: "); }
+  SUBCASE("in its chunks") {
+    Caller.send(ChunkedHead);
+    Piece = "10000\r\n" + Piece + "\r\n";
+  }
+  SUBCASE("in the extension of a chunk") { Caller.send(ChunkedHead + "1;"); }
+  SUBCASE("in a trailer") { Caller.send(ChunkedHead + "0\r\nX-Long: "); }
+  CHECK(endsWhileReceiving(Fixture, Caller, Piece, [&]() {
+    return Caller.ended() || Caller.wasReset();
+  }));
+}
+
 } // namespace
 
 TEST_CASE("a call reaches the server and gets its response") {
