Limit what evhttp buffers of a chunk's size line

evhttp limits headers, bodies and the size of a chunk, but waits for the end of the line before a chunk with all of it buffered, so that a target, the platform or a caller of the product's own interface could take the memory of a host.

--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -67,6 +67,7 @@
   bool headersArrived(evhttp_request *Response);
   void bytesArrived(evhttp_request *Response);
   void finished(evhttp_request *Response);
+  void limitInput(std::size_t Unparsed);
 };
 
 void HttpClient::Call::connected() {
@@ -104,6 +105,17 @@
   Owner->end(*this, MayHaveBeenSent ? Failure : CallOutcome::NotSent);
 }
 
+/// evhttp buffers a chunk until it is complete, and limits its size, but it
+/// also buffers the line before it, which it does not limit.
+void HttpClient::Call::limitInput(std::size_t Unparsed) {
+  if (Ended || Unparsed <= Request.MaxBodyBytes + Request.MaxHeaderBytes)
+    return;
+  Owner->Loop.defer([Client = Owner, Id = Id]() {
+    if (Call *Current = Client->find(Id))
+      Client->end(*Current, CallOutcome::ConnectionLost);
+  });
+}
+
 HttpClient::HttpClient(EventLoop &Loop) : Loop(Loop) {}
 
 HttpClient::~HttpClient() {
@@ -138,6 +150,12 @@
           static_cast<Call *>(Arg)->connected();
       },
       Created);
+  evbuffer_add_cb(
+      bufferevent_get_input(Bev),
+      [](evbuffer *Input, const evbuffer_cb_info *, void *Arg) {
+        static_cast<Call *>(Arg)->limitInput(evbuffer_get_length(Input));
+      },
+      Created);
   evhttp_request *Raw = evhttp_request_new(
       [](evhttp_request *Response, void *Arg) {
         static_cast<Call *>(Arg)->finished(Response);
--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -113,6 +113,11 @@
       [](event_base *Base, void *Self) {
         bufferevent *Created = bufferevent_socket_new(Base, -1, 0);
         auto *Server = static_cast<HttpServer *>(Self);
+        // evhttp buffers a line before a chunk without a limit; above this one
+        // nothing more is read, until RequestTimeout has passed.
+        bufferevent_setwatermark(Created, EV_READ, 0,
+                                 2 * Server->Limits.MaxBodyBytes +
+                                     Server->Limits.MaxHeaderBytes);
         Server->Loop.defer([Server, Created]() {
           Server->registerConnection(bufferevent_getfd(Created));
         });
--- a/packages/transport/tests/http_test.cpp
+++ b/packages/transport/tests/http_test.cpp
@@ -132,8 +132,7 @@
 
 // Guards against a host that runs out of memory because a target never stops
 // sending.
-TEST_CASE_FIXTURE(LoopFixture, "a target whose response never ends" *
-                                   doctest::should_fail()) {
+TEST_CASE_FIXTURE(LoopFixture, "a target whose response never ends") {
   HttpClient Client(Loop);
   const RawListener Listener;
   bool Ended = false;
@@ -170,7 +169,7 @@
 }
 
 // Guards against the same with a caller.
-TEST_CASE("a caller whose request never ends" * doctest::should_fail()) {
+TEST_CASE("a caller whose request never ends") {
   HttpServerLimits Limits;
   Limits.MaxBodyBytes = 1 << 20;
   Limits.RequestTimeout = seconds(3);
