--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,6 +13,8 @@
 NOTICE_WEIGHT = 2  # of each fault of that kind, against the same 12
 SILENCE_WEIGHT, CRASH_WEIGHT = 4, 1  # against the same 12
 CHANGE_WEIGHT = 4  # likewise
+ENDLESS = tuple(f"endless:{what}" for what in (
+    "bytes", "interim", "late", "head", "chunk", "body", "chunks", "event"))
 AIMED_SHARE = 0.7  # of stops, returns and silences that meet a configuration
 
 
@@ -24,7 +26,8 @@
         if kind < 0.02:
             return self.random.choice(
                 ("reset_before", "reset_after", "error", "silent", "full",
-                 "twice", "break:2") + ("cut:2", "hold:0.4") * self.notices)
+                 "twice", "break:2") + ("cut:2", "hold:0.4") * self.notices
+                + ENDLESS * self.endless)
         return None
 
     def fault(self):
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -18,7 +18,7 @@
 DEADLINE_S = 3
 READ_S = 0.2  # a connection that ends later has not crossed its request
 # Troubles of a worker that end its answer early.
-BREAKING = ("reset_before", "reset_after", "silent", "break", "cut")
+BREAKING = ("reset_before", "reset_after", "silent", "break", "cut", "endless")
 # Time after something planned for which requests count as beside it.
 BESIDE_S = {"stop": 0, "reload": 2, "configuration": 3, "silence": 0, "crash": 0}
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -2,7 +2,7 @@
 """A randomized fault soak of forwarded routes, on real processes.
 
 soak.py [--seed N] [--seconds S] [--hosts N] [--restores] [--notices]
-        [--silences] [--changes] [--keep FOLDER]
+        [--silences] [--changes] [--endless] [--keep FOLDER]
 
 Callers keep their connections open and send requests of every kind, while
 workers, the store, connections and processes fail in overlapping series. What
@@ -35,6 +35,7 @@
         Promises.__init__(self)
         self.seed, self.restores, self.notices = seed, given.restores, given.notices
         self.silences, self.changes = given.silences, given.changes
+        self.endless = given.endless
         self.kinds = KINDS + (MAY_BE_DROPPED,) * self.changes
         self.random = random.Random(seed)
         self.over = threading.Event()
@@ -123,6 +124,8 @@
     parser.add_argument("--changes", action="store_true",
                         help="configurations also change weights, times, "
                         "limits, accounts and services, in series")
+    parser.add_argument("--endless", action="store_true",
+                        help="some answers do not end")
     parser.add_argument("--keep", help="folder for the logs of failed seeds")
     given = parser.parse_args()
     seeds = list(given.seed)
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -7,6 +7,7 @@
 import concurrent.futures
 import http.client
 import itertools
+import pathlib
 import signal
 import socket
 import subprocess
@@ -475,7 +476,6 @@
                                  list(range(1, 31)))
         self.assertEqual(len(fleet.runs()), 8)
 
-
     # Guards against the failure of a second target that is passed on with the
     # headers of the first one's success, and with a part of its body.
     def test_a_failed_replacement_is_not_mixed_with_the_first_answer(self):
@@ -492,6 +492,166 @@
             self.assertEqual((answer.status, answer.body), (500, b"firstother"))
 
 
+class EndlessAnswerTest(ForwardingTest):
+    """Workers and a store whose bytes do not end until the host closes."""
+
+    # Of a host: all buffered answers, one that grows to twice its limit of 8 MB,
+    # and twice an event for each of 20 streams.
+    GROWTH_KB = (24 + 16 + 20 * 2 * 0.25) * 1024
+    IN_HEAD = ("bytes", "blank", "interim", "late", "line", "head")
+    IN_FRAMING = ("chunk", "trailer")
+    IN_BODY = ("body", "chunks")
+
+    def peak_kb(self, host):
+        status = pathlib.Path(f"/proc/{host.process.pid}/status").read_text()
+        return int(status.partition("VmHWM:")[2].split()[0])
+
+    def assert_fails(self, fleet, path, what):
+        """One call fails by more than its time, and leaves no connection."""
+        worker = fleet.workers["pool-0" if "stream" in path else "desk-0"]
+        worker.trouble = lambda run: f"endless:{what}"
+        began = time.monotonic()
+        answer = fleet.call(path)
+        self.assertLess(time.monotonic() - began, 2, what)
+        self.assertEqual(answer.status, 502, what + dump(answer))
+        self.assertEqual(len(fleet.runs(answer.attempt)), 1, what)
+        wait_until(lambda: not worker.writers, f"{what}: the end", 2)
+        wait_until(lambda: fleet.hosts[0].lines(
+            "attempt_failed", request=answer.attempt), f"{what}: the line", 2)
+        (line,) = fleet.hosts[0].lines("attempt_failed", request=answer.attempt)
+        return line.partition(" cause=")[2].partition(" attempt=")[0].strip('"')
+
+    def causes(self, path, whats):
+        fleet = self.fleet(hosts=1, workers=1)
+        return {what: self.assert_fails(fleet, path, what) for what in whats}
+
+    # Guards against a call that waits for its deadline while a host reads as
+    # fast as a target sends.
+    def test_bytes_without_end_fail_a_call_at_once(self):
+        self.causes("/once/a", ("bytes", "blank", "line", "head", "chunk",
+                                "trailer", *self.IN_BODY, "length"))
+
+    # Guards against the same in interim answers and answers of other requests.
+    def test_bytes_before_the_answer_fail_a_call_at_once(self):
+        self.causes("/once/a", ("interim", "late"))
+
+    # Guards against a log line that does not say which limit was exceeded.
+    def test_the_log_says_which_limit_was_exceeded(self):
+        causes = self.causes("/once/a", (*self.IN_HEAD, *self.IN_FRAMING,
+                                         *self.IN_BODY))
+        self.assertEqual(causes, {
+            "bytes": "garbled", "blank": "head_too_large",
+            "interim": "too_much_before_head", "late": "too_much_before_head",
+            "line": "head_too_large", "head": "head_too_large",
+            "chunk": "chunk_framing_too_large",
+            "trailer": "chunk_framing_too_large",
+            "body": "response too long", "chunks": "response too long"})
+
+    # Guards against a host that runs out of memory over one event.
+    def test_an_event_without_end_fails_a_stream_at_once(self):
+        self.assertEqual(self.causes("/streamonce/a", ["event"]),
+                         {"event": "event too long"})
+
+    # Guards against a request that is lost with one worker in trouble.
+    def test_a_safe_request_goes_to_another_worker(self):
+        self.assert_served_elsewhere(
+            ("bytes", "blank", "line", "head", "chunk", "trailer"))
+
+    # Guards against the same where only the body tells.
+    def test_an_endless_body_sends_a_safe_request_to_another_worker(self):
+        self.assert_served_elsewhere(self.IN_BODY)
+
+    def assert_served_elsewhere(self, whats):
+        fleet = self.fleet(hosts=1)
+        for what in whats:
+            for worker in fleet.of("desk"):
+                worker.trouble = lambda run: (
+                    None if fleet.runs(run["id"]) else f"endless:{what}")
+            answer = fleet.call("/safe/a")
+            self.assertEqual(answer.status, 200, what + dump(answer))
+            self.assertEqual(answer.body, b"answer to " + answer.attempt.encode())
+            self.assertEqual(len(fleet.runs(answer.attempt)), 2, what)
+
+    # Guards against bytes after an answer that are taken for part of the next.
+    def test_bytes_after_an_answer_end_its_connection(self):
+        fleet = self.fleet(hosts=1, workers=1)
+        worker = fleet.workers["desk-0"]
+        worker.trouble = lambda run: "endless:after"
+        for _ in range(3):
+            answer = fleet.call("/once/a")
+            self.assert_served(answer)
+            self.assertEqual(answer.body, b"ok")
+            wait_until(lambda: not worker.writers, "the end", 2)
+
+    # Guards against a host that is ended over its memory: 20 answers at once.
+    def test_many_endless_bodies_stay_within_the_memory_of_a_host(self):
+        self.assert_memory("/once/a", "chunks")
+
+    # Guards against the same over events.
+    def test_many_endless_events_stay_within_the_memory_of_a_host(self):
+        self.assert_memory("/streamonce/a", "event")
+
+    def assert_memory(self, path, what):
+        """20 endless answers at once; other callers are served meanwhile."""
+        fleet = self.fleet(hosts=1, workers=5)
+        for worker in fleet.workers.values():
+            worker.trouble = lambda run: (
+                None if "/open/" in run["target"] else f"endless:{what}")
+        host = fleet.hosts[0]
+        before = self.peak_kb(host)
+        with concurrent.futures.ThreadPoolExecutor(21) as pool:
+            others = pool.submit(pace, 2, lambda: fleet.call("/open/a"))
+            for answer in pool.map(lambda _: fleet.call(path), range(20)):
+                self.assertNotEqual(answer.status, 200, dump(answer))
+            for answer in others.result():
+                self.assert_served(answer)
+        grown = self.peak_kb(host) - before
+        print(f"{what}: {before} KB, {grown:+} KB")
+        self.assertLess(grown, self.GROWTH_KB)
+
+    # Guards against a host that keeps what a caller does not take of a stream.
+    def test_endless_events_to_callers_that_do_not_read_are_bounded(self):
+        fleet = self.fleet(hosts=1, workers=5)
+        for worker in fleet.of("pool"):
+            worker.trouble = lambda run: "endless:events"
+        host = fleet.hosts[0]
+        before = self.peak_kb(host)
+        callers = []
+        for number in range(20):
+            callers.append(socket.create_connection(("127.0.0.1", host.caller)))
+            callers[-1].sendall(
+                f"GET /streamonce/a HTTP/1.1\r\nHost: {HOST}\r\nX-Api-Key: {KEY}"
+                f"\r\nX-Marjorambay-Attempt-Id: deaf-{number}\r\n\r\n".encode())
+        wait_until(lambda: len(host.lines("request_ended")) == 20, "the ends", 5)
+        for caller in callers:
+            caller.close()
+        grown = self.peak_kb(host) - before
+        print(f"events: {before} KB, {grown:+} KB")
+        self.assertLess(grown, self.GROWTH_KB)
+
+    # Guards against a host that runs out of memory over an answer of the store.
+    def test_an_endless_answer_of_the_store_is_bounded(self):
+        self.assert_store_regained("endless")
+
+    # Guards against a host that waits for the end of an answer for ever.
+    def test_a_dripping_answer_of_the_store_is_given_up(self):
+        self.assert_store_regained("drip")
+
+    def assert_store_regained(self, mode):
+        fleet = self.fleet(hosts=1)
+        host = fleet.hosts[0]
+        before = self.peak_kb(host)
+        fleet.store.mode = mode
+        for answer in pace(3, lambda: fleet.call("/safe/a")):
+            self.assert_served(answer)
+        fleet.store.mode = "up"  # what has begun goes on
+        fleet.configure(8)
+        wait_until(lambda: fleet.in_force(8), "version 8", 5)
+        grown = self.peak_kb(host) - before
+        print(f"store, {mode}: {before} KB, {grown:+} KB")
+        self.assertLess(grown, self.GROWTH_KB)
+
+
 class TargetNoticeTest(ForwardingTest):
     """What workers say of themselves in their answers."""
 
--- a/tests/system_tests.cmake
+++ b/tests/system_tests.cmake
@@ -25,8 +25,9 @@
   marjorambay_system_test(failures_${Class} failures_test.py 100 ${Class})
 endforeach()
 # The adapter and forwarded routes, before a stand-in of the users' platform.
-foreach(Class RequestTest RepeatTest ResponseEndTest SilentTargetTest
-    TargetNoticeTest FleetChangeTest OutageTest RestoreTest ExplainTest LimitTest RolloutTest)
+foreach(Class RequestTest RepeatTest ResponseEndTest EndlessAnswerTest
+    SilentTargetTest TargetNoticeTest FleetChangeTest OutageTest RestoreTest ExplainTest
+    LimitTest RolloutTest)
   marjorambay_system_test(forwarding_${Class} forwarding_test.py 150 ${Class})
 endforeach()
 # Each seed that once failed, and two more; longer ones are run by hand.
@@ -38,5 +39,8 @@
   ${CMAKE_SOURCE_DIR}/tests/soak/soak.py --notices --seed 1 --seed 2 --seconds 8)
 add_test(NAME soak_changes COMMAND ${Python3_EXECUTABLE}
   ${CMAKE_SOURCE_DIR}/tests/soak/soak.py --silences --changes --seed 2 --seed 103 --seconds 5)
-set_tests_properties(soak soak_restores soak_notices soak_changes PROPERTIES TIMEOUT 240
+add_test(NAME soak_endless COMMAND ${Python3_EXECUTABLE}
+  ${CMAKE_SOURCE_DIR}/tests/soak/soak.py --endless --seed 1 --seed 2 --seconds 8)
+set_tests_properties(soak soak_restores soak_notices soak_changes soak_endless
+  PROPERTIES TIMEOUT 240
   ENVIRONMENT "MARJORAMBAY_BIN=${CMAKE_BINARY_DIR}/bin;PYTHONDONTWRITEBYTECODE=1")
