Let a long body take its time on a slow link

With the limits on bodies without end, lists of the platform and feeds of hubs had 1.2 and 2 s from head to last byte: a page of 1 MB may take longer on a link of 20 Mbit/s that other pages share, and would be asked for again and again. Each byte now extends the time at 256 KiB/s, so that only a body that drips in times out. The client's new test (300 kB in 0.3 s at a limit of 0.1 s) fails without it.

--- a/packages/transport/marjorambay/transport/keep_alive_client.h
+++ b/packages/transport/marjorambay/transport/keep_alive_client.h
@@ -69,7 +69,10 @@
   std::string CorrelationId{};
   Duration ConnectTimeout = milliseconds(500);
   Duration HeadTimeout = seconds(30); ///< from start() to the response head
-  Duration BodyTimeout{};       ///< from the head to the last byte; 0: no limit
+  /// From the head to the last byte, for a body that arrives at less than
+  /// MinBodyBytesPerSecond; each byte of it extends the time by that rate. 0:
+  /// no limit.
+  Duration BodyTimeout{};
   std::size_t MaxBodyBytes = 0; ///< 0: no limit
   /// Longest idle time of a reused connection; one that was idle for longer may
   /// be half closed. 0: always use a new connection.
@@ -83,6 +86,9 @@
 
 class KeepAliveClient {
 public:
+  /// A body that arrives faster does not time out; see KeepAliveCall.
+  static constexpr double MinBodyBytesPerSecond = 256 << 10;
+
   explicit KeepAliveClient(EventLoop &Loop);
   ~KeepAliveClient();
   KeepAliveClient(const KeepAliveClient &) = delete;
@@ -107,6 +113,7 @@
   struct Connection;
 
   static bool isBodyTooLarge(const Connection &Conn);
+  static TimePoint extendedDeadline(const Connection &Conn);
   Connection *findIdle(const SocketAddress &Address, Duration MaxIdle);
   Connection &createConnection(const KeepAliveCall &Call);
   void writeRequest(Connection &Conn, const KeepAliveCall &Call);
--- a/packages/transport/src/keep_alive_client.cpp
+++ b/packages/transport/src/keep_alive_client.cpp
@@ -60,6 +60,12 @@
   return Conn.Call.MaxBodyBytes != 0 && Conn.BodyBytes > Conn.Call.MaxBodyBytes;
 }
 
+/// A long body on a slow link takes its time, one that drips in does not.
+TimePoint KeepAliveClient::extendedDeadline(const Connection &Conn) {
+  return Conn.Deadline + fromSeconds(static_cast<double>(Conn.BodyBytes) /
+                                     MinBodyBytesPerSecond);
+}
+
 KeepAliveClient::KeepAliveClient(EventLoop &Loop)
     : Loop(Loop), Connections(Loop) {}
 
@@ -273,11 +279,11 @@
       retire(Due);
     } else if (!Due.Socket.connected()) {
       endCall(Due, KeepAliveOutcome::NotSent);
-    } else if (Now >= Due.Deadline) {
+    } else if (Now >= extendedDeadline(Due)) {
       endCall(Due, Due.HeadReceived ? KeepAliveOutcome::BodyTimedOut
                                     : KeepAliveOutcome::TimedOut);
-    } else { // connected meanwhile
-      Due.ExpiresAt = Due.Deadline;
+    } else { // connected meanwhile, or has sent part of its body
+      Due.ExpiresAt = extendedDeadline(Due);
       Expiries.emplace(Due.ExpiresAt, Due.Id);
     }
   }
--- a/packages/transport/tests/keep_alive_client_test.cpp
+++ b/packages/transport/tests/keep_alive_client_test.cpp
@@ -395,6 +395,24 @@
     });
     CHECK(nameOf(*Record->Outcome) == "body_timed_out");
   }
+  // Guards against a long body that a slow link never gets through.
+  SUBCASE("does not if its body is long and arrives fast enough") {
+    Call.BodyTimeout = milliseconds(100);
+    const std::string Piece(30'000, 'x');
+    const auto Record = start("1", Call);
+    const auto Target = accept();
+    waitForBytes(*Target, "/1");
+    Target->send("HTTP/1.1 200 OK\r\nX-Name: 1\r\n"
+                 "Content-Length: 300000\r\n\r\n");
+    for (int Count = 0; Count < 10; ++Count) {
+      Target->send(Piece);
+      const TimePoint Next = Loop.now() + milliseconds(30);
+      runUntil([&]() { return Loop.now() >= Next; });
+    }
+    waitForEnd(*Record);
+    CHECK(*Record->Outcome == KeepAliveOutcome::Complete);
+    CHECK(Record->Body.size() == 300'000);
+  }
   SUBCASE("does not if it ends at these limits, and the connection is reused") {
     Call.MaxBodyBytes = 3;
     Call.BodyTimeout = milliseconds(50);
