--- a/apps/marjorambayd/forward_requests.cpp
+++ b/apps/marjorambayd/forward_requests.cpp
@@ -347,7 +347,7 @@
       .with("wait_ms", MsSince(Call.Current.DispatchedAt))
       .with("first_ms", MsSince(Call.FirstEventAt))
       .with("total_ms", MsSince(Now))
-      .with("events", Call.EventsBefore + Call.Events.events())
+      .with("events", Call.Events.events())
       .with("framing", nameOf(Call.Current.Framing))
       .with("partial_bytes", Call.Events.partial().size())
       .with("prompt", Call.PromptTokens)
