Log the segments of a prompt when its attempt failed

Which requests were in flight when a target ended could be read from the log, not what they have in common. The last segment is a prompt's own and is left out.

--- a/apps/marjorambayd/forward_dispatch.cpp
+++ b/apps/marjorambayd/forward_dispatch.cpp
@@ -148,6 +148,13 @@
          H.Pools[Call.Pool].Retries.tryWithdraw();
 }
 
+std::string formatSegments(const std::vector<SegmentId> &Segments) {
+  std::string Text;
+  for (const SegmentId Segment : Segments)
+    Text += (Text.empty() ? "" : ",") + formatSegment(Segment);
+  return Text;
+}
+
 void logFailedAttempt(const ForwardHost &H, const ForwardCall &Call,
                       const TargetAttempt &Attempt, bool NotRun,
                       std::string_view Cause) {
@@ -162,7 +169,8 @@
       .with("partial_bytes", Call.Events.partial().size())
       .with("silent_ms", std::chrono::duration_cast<milliseconds>(
                              H.Loop.now() - Attempt.LastBytesAt)
-                             .count());
+                             .count())
+      .with("segments", formatSegments(Call.Segments));
 }
 
 /// Retries a call that a target has not completed, or fails it. \p NotRun: the
--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -133,7 +133,9 @@
   std::uint32_t MaxOutput = 0;
   std::uint32_t OutputHint = 0;
   std::uint64_t PrefixHash = 0; ///< hash of the prompt's first segment
-  double QuotaCharge = 0;       ///< quota charged to the account
+  /// Segments that the prompt may share with others: all but its last.
+  std::vector<SegmentId> Segments{};
+  double QuotaCharge = 0; ///< quota charged to the account
   TimePoint Arrived{};
   TimePoint Deadline{}; ///< the earlier one of the caller's deadline and the
                         ///< route's timeout
--- a/apps/marjorambayd/forward_requests.cpp
+++ b/apps/marjorambayd/forward_requests.cpp
@@ -27,6 +27,9 @@
 /// lost.
 constexpr Duration AcknowledgedRetryInterval = milliseconds(300);
 
+/// Segments of a prompt beyond these are not tracked.
+constexpr std::size_t MaxSharedSegments = 16;
+
 std::uint64_t parseNumber(std::string_view Text, std::uint64_t Default) {
   std::uint64_t Value = 0;
   const auto Read =
@@ -84,6 +87,34 @@
   return Path == std::string::npos ? "/" : Target.substr(Path);
 }
 
+/// Returns the id of a segment "ID:TOKENS": the number that ID is in
+/// hexadecimal, so that operators find it in their own records, or its hash.
+SegmentId parseSegment(std::string_view Text) {
+  const std::string_view Id = Text.substr(0, Text.find(':'));
+  std::uint64_t Value = 0;
+  constexpr int Hexadecimal = 16;
+  const auto Read =
+      std::from_chars(Id.data(), Id.data() + Id.size(), Value, Hexadecimal);
+  const bool IsNumber =
+      Read.ec == std::errc() && Read.ptr == Id.data() + Id.size();
+  return static_cast<SegmentId>(IsNumber ? Value : hash64(Id));
+}
+
+/// Returns all segments of a prompt but the last, which is its own.
+std::vector<SegmentId> sharedSegments(std::string_view Segments) {
+  std::vector<SegmentId> Shared;
+  for (std::size_t End = Segments.find(',');
+       End != std::string_view::npos && Shared.size() < MaxSharedSegments;
+       End = Segments.find(',')) {
+    std::string_view Segment = Segments.substr(0, End);
+    while (Segment.starts_with(' '))
+      Segment.remove_prefix(1);
+    Shared.push_back(parseSegment(Segment));
+    Segments.remove_prefix(End + 1);
+  }
+  return Shared;
+}
+
 void readTokens(const ForwardHost &H, const HttpHead &Head, ForwardCall &Call) {
   const std::string_view Tokens = Head.header(H.HeaderNames.TokenCounts);
   const std::size_t Comma = Tokens.find(',');
@@ -96,8 +127,10 @@
   Call.OutputHint = static_cast<std::uint32_t>(
       parseNumber(Head.header(H.HeaderNames.LengthHint), 0));
   const std::string_view Segments = Head.header(H.HeaderNames.PromptSegments);
-  if (!Segments.empty())
-    Call.PrefixHash = hash64(Segments.substr(0, Segments.find(',')));
+  if (Segments.empty())
+    return;
+  Call.PrefixHash = hash64(Segments.substr(0, Segments.find(',')));
+  Call.Segments = sharedSegments(Segments);
 }
 
 double quotaCost(const ForwardAccount &Account, const ForwardCall &Call) {
