Test that few targets end under one prompt segment; fails

The third, that sound segments are served while targets end by themselves, passes and is to stay so.

--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -387,7 +387,8 @@
     for S seconds after event N of a stream, or before any other answer),
     "late_full:S" (rejected after S seconds), "slow_error:S" (status 500, and its
     body S seconds later), "endless:WHAT" (bytes until the connection closes, see
-    endless()).
+    endless()), "crash" (the worker ends as it begins to answer, with all that it
+    runs, and is back after `restart_seconds`).
     """
 
     def __init__(self, runner, store, service, name, version="v1", slots=4):
@@ -403,6 +404,8 @@
         self.deaf = 0  # seconds for which nothing of a new connection is read
         self.notices = {}  # headers of all answers
         self.born = 1  # Unix millisecond of its start
+        self.crashes = []  # times
+        self.restart_seconds = 1
         super().__init__(runner)
         self.register("ready")
 
@@ -432,6 +435,19 @@
             writer.transport.resume_reading()
         await super()._serve(reader, writer)
 
+    def _crash(self):
+        self.crashes.append(time.monotonic())
+        self.server.close()
+        for writer in list(self.writers):
+            reset(writer)
+        self.restarting = asyncio.ensure_future(self._restart())
+
+    async def _restart(self):
+        await asyncio.sleep(self.restart_seconds)
+        self.server = await self._listen(self.port)
+        self.born += 1
+        await self.store._put("servers", self.name, self.entry("ready"))
+
     async def exchange(self, reader, writer):
         message = await read_message(reader)
         if message is None:
@@ -543,6 +559,7 @@
         framing = "Transfer-Encoding: chunked\r\n" if framed else ""
         framing += "".join(f"{name}: {value}\r\n"
                            for name, value in self.notices.items())
+        life = self.born
         writer.write(
             (
                 "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
@@ -551,6 +568,12 @@
                 f"{framing}\r\n"
             ).encode()
         )
+        if trouble == "crash":
+            await writer.drain()
+            await asyncio.sleep(0.03)
+            if self.born == life and self.server.is_serving():
+                self._crash()
+            return False
         how, _, last_whole = trouble.partition(":")
         last_whole, _, silence = last_whole.partition(":")
         first = int(run["headers"].get("last-event-id", "0")) + 1
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -652,6 +652,113 @@
         self.assertLess(grown, self.GROWTH_KB)
 
 
+class CrashingSegmentTest(ForwardingTest):
+    """One segment of prompts ends each worker that begins to answer it."""
+
+    CONTACT_TIMEOUT = 3  # seconds
+    ALLOWED = 3  # requests that may still reach workers after that
+    CRASHING = "0bad5e9a"
+
+    def crashing_fleet(self, **options):
+        fleet = self.fleet(workers=6, **options)
+        for worker in fleet.of("pool"):
+            worker.seconds = 0.02
+            worker.trouble = lambda run: "crash" if self.crashes(run) else None
+        return fleet
+
+    def crashes(self, run):
+        segments = run["headers"].get("x-marjorambay-prefix-hash", "")
+        return self.CRASHING in segments.rpartition(",")[0]
+
+    def load(self, fleet, seconds, segments, interval, places):
+        """Calls with prompts that share segments; no two prompts are alike."""
+        numbers, turns = itertools.count(1), itertools.cycle(places)
+
+        def call():
+            # The account and the length of the prompt are the same.
+            return fleet.call("/stream/a", host=next(turns), headers={
+                "X-Marjorambay-Prefix-Hash":
+                    f"{segments},{threading.get_ident()}{next(numbers)}:9",
+                "X-Marjorambay-Token-Count": "200,5"})
+
+        return pace(seconds, call, interval)
+
+    def load_both(self, fleet, seconds, shared, places, streams=3):
+        """Answers of callers of both kinds at once: (crashing, sound)."""
+        with concurrent.futures.ThreadPoolExecutor(2 * streams) as pool:
+            work = [[pool.submit(self.load, fleet, seconds, segments, 0.15,
+                                 places) for _ in range(streams)]
+                    for segments in shared]
+            return [[answer for one in kind for answer in one.result()]
+                    for kind in work]
+
+    def too_many(self, fleet):
+        """Runs with the segment after the contact timeout of five crashes."""
+        crashes = sorted(at for worker in fleet.of("pool")
+                         for at in worker.crashes)
+        if len(crashes) < 5:
+            return []
+        return [run for run in fleet.runs() if self.crashes(run)
+                and run["at"] > crashes[4] + self.CONTACT_TIMEOUT]
+
+    def assert_bounded(self, fleet, crashing, sound):
+        self.assertLessEqual(len(self.too_many(fleet)), self.ALLOWED)
+        for answer in crashing:
+            if answer.status == 503:  # promises that it was not run
+                self.assertEqual(fleet.runs(answer.attempt), [], dump(answer))
+        late = sound[len(sound) // 2:]
+        begun = [answer for answer in late if answer.status == 200]
+        self.assertGreater(len(begun), len(late) * 0.9)
+
+    # Guards against requests with one shared segment that end target after
+    # target, because each crash is taken for a matter of its target and the
+    # request is repeated at the next one.
+    @unittest.expectedFailure
+    def test_few_targets_end_under_one_segment(self):
+        for place in ("0bad5e9a:40,000000c2:60", "000000a1:100,0bad5e9a:40"):
+            fleet = self.crashing_fleet(hosts=3)
+            crashing, sound = self.load_both(
+                fleet, 8, (place, "000000a1:100,000000c2:60"), range(3))
+            self.assert_bounded(fleet, crashing, sound)
+
+    # Guards against an arbiter that starts from nothing: the host that decided
+    # ends, and its successor lets the same segment through again.
+    @unittest.expectedFailure
+    def test_a_decision_outlives_the_host_that_took_it(self):
+        fleet = self.crashing_fleet(hosts=3)
+        shared = ("000000a1:100,0bad5e9a:40", "000000a1:100,000000c2:60")
+        self.load_both(fleet, 3, shared, range(3))
+        decided = max(range(3), key=lambda place: len(
+            fleet.hosts[place].lines("pool_load")))
+        fleet.hosts[decided].kill()
+        others = [place for place in range(3) if place != decided]
+        before = len([run for run in fleet.runs() if self.crashes(run)])
+        crashing, sound = self.load_both(fleet, 5, shared, others)
+        self.assert_bounded(fleet, crashing, sound)
+        after = len([run for run in fleet.runs() if self.crashes(run)])
+        self.assertLessEqual(after - before, self.ALLOWED)
+
+    # Guards against a segment that is blamed for targets that end by
+    # themselves while requests with it are in progress.
+    def test_sound_segments_are_served_while_targets_end(self):
+        fleet = self.crashing_fleet(hosts=3)
+        shared = ("000000a1:100,000000c3:40", "000000a1:100,000000c2:60")
+        ends = itertools.cycle(fleet.of("pool"))
+
+        def end_one():
+            worker = next(ends)
+            fleet.runner.loop.call_soon_threadsafe(worker._crash)
+
+        with concurrent.futures.ThreadPoolExecutor(1) as pool:
+            ending = pool.submit(pace, 6, end_one, 0.6)
+            answers = sum(self.load_both(fleet, 6, shared, range(3)), [])
+            ending.result()
+        served = [answer for answer in answers if answer.status == 200]
+        self.assertGreater(len(served), len(answers) * 0.7)
+        self.assertFalse([answer for answer in answers
+                          if b"crashing_segment" in answer.body])
+
+
 class TargetNoticeTest(ForwardingTest):
     """What workers say of themselves in their answers."""
 
