Find prompt segments under which targets crash

A module without network: evidence is a chain of crashes at different targets, each under a request with the segment that had no event and was granted after the crash before. The first event of any answer ends the chain, targets that end together are one link, and crashes that a confirmed segment explains count against no other. Suspected: one request of the pool at a time, no repeat. Confirmed: refused for a time that doubles, then one request at a time.

Not used yet.

--- /dev/null
+++ b/packages/coordination/src/crash_suspects.cpp
@@ -0,0 +1,446 @@
+/// Evidence against prompt segments, and the decisions on them.
+#include "marjorambay/coordination/crash_suspects.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace marjorambay {
+
+namespace {
+
+/// Connections that are lost within this time belong to one crash.
+constexpr Duration CrashSpread = milliseconds(500);
+/// A refused connection of one host may be reported before a lost one of
+/// another host.
+constexpr Duration ReportSkew = milliseconds(250);
+/// Until then, some hosts may not have reported what they lost in a crash.
+constexpr Duration ReportSettling = milliseconds(50);
+/// Crashes that are stored for one segment.
+constexpr std::size_t MaxCrashes = 16;
+constexpr std::size_t MaxUnexplained = 256;
+constexpr std::size_t MaxServed = 4096;
+constexpr std::size_t MaxGone = 1024;
+
+} // namespace
+
+// ---- Evidence ---------------------------------------------------------------
+
+void CrashSuspects::recordGrant(const RequestKey &Key, TargetId Target,
+                                const std::vector<SegmentId> &Segments,
+                                TimePoint Now) {
+  if (Segments.empty())
+    return;
+  const bool IsTrial = std::any_of(
+      Segments.begin(), Segments.end(), [this, Now](SegmentId Segment) {
+        return standing(Segment, Now) != Standing::Clear;
+      });
+  if (IsTrial)
+    CurrentTrial = Trial{Key, Target, {}};
+  Attempts.insert_or_assign(Key, Attempt{Target, Now, Segments});
+}
+
+void CrashSuspects::recordAnswer(const RequestKey &Key, TimePoint Now) {
+  const auto Found = Attempts.find(Key);
+  if (Found != Attempts.end())
+    recordServed(Found->second.Segments, Now);
+}
+
+void CrashSuspects::recordServed(const std::vector<SegmentId> &Segments,
+                                 TimePoint Now) {
+  if (Now - ServedSince > Settings.ServedPeriod ||
+      Served[0].size() >= MaxServed) {
+    Served[1] = std::move(Served[0]);
+    Served[0].clear();
+    ServedSince = Now;
+  }
+  for (const SegmentId Segment : Segments) {
+    Served[0].insert(Segment);
+    const auto Suspect = Evidence.find(Segment);
+    const auto Held = Holds.find(Segment);
+    const bool WasHeld = Held != Holds.end() && !Held->second.Cleared;
+    const bool WasSuspected =
+        Suspect != Evidence.end() && Suspect->second.Suspected;
+    if (WasHeld)
+      Held->second.Cleared = true;
+    if (Suspect != Evidence.end())
+      Evidence.erase(Suspect);
+    if (WasHeld || WasSuspected)
+      Decisions.push_back({Segment, SegmentVerdict::Cleared, {}, {}});
+  }
+}
+
+bool CrashSuspects::servedRecently(SegmentId Segment) const {
+  return Served[0].contains(Segment) || Served[1].contains(Segment);
+}
+
+void CrashSuspects::recordEnd(const RequestKey &Key, AttemptEnd How,
+                              TimePoint Now) {
+  const auto Found = Attempts.find(Key);
+  if (Found == Attempts.end())
+    return;
+  const Attempt Ended = std::move(Found->second);
+  Attempts.erase(Found);
+  const bool IsTrial = CurrentTrial && CurrentTrial->Key == Key;
+  if (IsTrial && How == AttemptEnd::ConnectionLost)
+    CurrentTrial->LostAt = Now;
+  else if (IsTrial)
+    CurrentTrial.reset();
+  if (How == AttemptEnd::Answered || How == AttemptEnd::LostInAnswer)
+    recordServed(Ended.Segments, Now);
+  if (How != AttemptEnd::ConnectionLost && How != AttemptEnd::LostInAnswer)
+    return;
+  const bool Proven = recordCrash(Ended.Target, Now);
+  if (How == AttemptEnd::ConnectionLost)
+    for (const SegmentId Segment : Ended.Segments)
+      addCrash(Segment, {Ended.Target, Ended.GrantedAt, Now, Proven});
+  judge(Now);
+}
+
+bool CrashSuspects::recordCrash(TargetId Target, TimePoint Now) {
+  const auto Gone = GoneAt.find(Target);
+  const bool Proven = Gone != GoneAt.end() && Now - Gone->second <= ReportSkew;
+  const Crash Added{Target, Now, Now, Proven};
+  const auto Same = std::find_if(
+      Unexplained.begin(), Unexplained.end(),
+      [&Added](const Crash &Known) { return isSameCrash(Known, Added); });
+  if (Same != Unexplained.end()) {
+    Same->Proven = Same->Proven || Proven;
+    return Same->Proven;
+  }
+  if (Unexplained.size() == MaxUnexplained)
+    Unexplained.pop_front();
+  Unexplained.push_back(Added);
+  return Proven;
+}
+
+bool CrashSuspects::isSameCrash(const Crash &Left, const Crash &Right) {
+  return Left.Target == Right.Target && Left.At - Right.At <= CrashSpread &&
+         Right.At - Left.At <= CrashSpread;
+}
+
+void CrashSuspects::addCrash(SegmentId Segment, const Crash &Added) {
+  if (Evidence.size() >= Settings.MaxSegments && !Evidence.contains(Segment))
+    forgetOldest();
+  std::vector<Crash> &Crashes = Evidence[Segment].Crashes;
+  const auto Same = std::find_if(
+      Crashes.begin(), Crashes.end(),
+      [&Added](const Crash &Known) { return isSameCrash(Known, Added); });
+  if (Same != Crashes.end()) {
+    Same->GrantedAt = std::max(Same->GrantedAt, Added.GrantedAt);
+    Same->Proven = Same->Proven || Added.Proven;
+    return;
+  }
+  if (Crashes.size() == MaxCrashes)
+    Crashes.erase(Crashes.begin());
+  Crashes.push_back(Added);
+}
+
+void CrashSuspects::recordGone(TargetId Target, TimePoint Now) {
+  if (GoneAt.size() >= MaxGone)
+    std::erase_if(GoneAt, [Now](const auto &Entry) {
+      return Now - Entry.second > ReportSkew;
+    });
+  GoneAt[Target] = Now;
+  const auto Prove = [this, Target, Now](auto &Crashes) {
+    for (Crash &Known : Crashes)
+      if (Known.Target == Target && Now - Known.At <= Settings.ProofWindow)
+        Known.Proven = true;
+  };
+  Prove(Unexplained);
+  for (auto &[Segment, Suspect] : Evidence)
+    Prove(Suspect.Crashes);
+  judge(Now);
+}
+
+void CrashSuspects::tick(TimePoint Now) {
+  for (auto &[Segment, Suspect] : Evidence)
+    std::erase_if(Suspect.Crashes, [this, Now](const Crash &Known) {
+      return Now - Known.At >
+             (Known.Proven ? Settings.EvidencePeriod : Settings.ProofWindow);
+    });
+  std::erase_if(Evidence,
+                [](const auto &Entry) { return Entry.second.Crashes.empty(); });
+  std::erase_if(Unexplained, [this, Now](const Crash &Known) {
+    return Now - Known.At > Settings.EvidencePeriod;
+  });
+  std::erase_if(Holds, [this, Now](const auto &Entry) {
+    return Now - Entry.second.Until > Settings.MaxHold;
+  });
+  judge(Now);
+}
+
+void CrashSuspects::forgetOldest() {
+  const auto Oldest = std::min_element(
+      Evidence.begin(), Evidence.end(),
+      [](const auto &Left, const auto &Right) {
+        const auto LastCrash = [](const SegmentEvidence &Suspect) {
+          return Suspect.Crashes.empty() ? TimePoint{}
+                                         : Suspect.Crashes.back().At;
+        };
+        return LastCrash(Left.second) < LastCrash(Right.second);
+      });
+  if (Oldest != Evidence.end())
+    Evidence.erase(Oldest);
+}
+
+// ---- Decisions --------------------------------------------------------------
+
+std::vector<CrashSuspects::Crash>
+CrashSuspects::chainOf(const std::vector<Crash> &Crashes, bool ProvenOnly,
+                       TimePoint Now) const {
+  std::vector<Crash> Chain;
+  for (const Crash &Known : Crashes) {
+    if (Now - Known.At > Settings.EvidencePeriod)
+      continue;
+    const bool Open = !Known.Proven && Now - Known.At <= Settings.ProofWindow;
+    const bool Counts = Known.Proven || (Open && !ProvenOnly);
+    if (Counts && (Chain.empty() || Known.GrantedAt >= Chain.back().At))
+      Chain.push_back(Known);
+  }
+  return Chain;
+}
+
+bool CrashSuspects::isSuspect(SegmentId Segment, TimePoint Now) const {
+  const auto Found = Evidence.find(Segment);
+  if (Found == Evidence.end())
+    return false;
+  const std::vector<Crash> Chain = chainOf(Found->second.Crashes, false, Now);
+  const std::size_t Needed = servedRecently(Segment)
+                                 ? Settings.CrashesToSuspectServed
+                                 : Settings.CrashesToSuspect;
+  return Chain.size() >= Needed &&
+         std::any_of(Chain.begin(), Chain.end(),
+                     [](const Crash &Known) { return Known.Proven; });
+}
+
+/// Returns how long the chain against a segment must be.
+std::size_t
+CrashSuspects::crashesToConfirm(SegmentId Segment,
+                                const std::vector<Crash> &Chain) const {
+  const std::vector<Crash> &Own = Evidence.at(Segment).Crashes;
+  std::size_t Others = 0;
+  TimePoint LastOther{};
+  for (const Crash &Known : Unexplained) {
+    const bool IsOwn =
+        std::any_of(Own.begin(), Own.end(), [&Known](const Crash &Each) {
+          return isSameCrash(Each, Known);
+        });
+    // Targets that crash together are one event.
+    if (IsOwn || !Known.Proven || Chain.empty() ||
+        Known.At < Chain.front().At || Known.At - LastOther <= CrashSpread)
+      continue;
+    ++Others;
+    LastOther = Known.At;
+  }
+  if (Others >= Chain.size())
+    return Settings.CrashesToConfirmAmongOthers;
+  return servedRecently(Segment) ? Settings.CrashesToConfirmServed
+                                 : Settings.CrashesToConfirm;
+}
+
+bool CrashSuspects::isConfirmed(SegmentId Segment, TimePoint Now) const {
+  const std::vector<Crash> Chain =
+      chainOf(Evidence.at(Segment).Crashes, true, Now);
+  const auto Held = Holds.find(Segment);
+  // A segment that was held needs no more than one crash under its trial.
+  if (wasConfirmed(Segment) && !Chain.empty() &&
+      Chain.back().GrantedAt >= Held->second.Until)
+    return true;
+  return Chain.size() >= crashesToConfirm(Segment, Chain) &&
+         std::any_of(Chain.begin(), Chain.end(), [&Chain](const Crash &Known) {
+           return Known.Target != Chain.front().Target;
+         });
+}
+
+bool CrashSuspects::wasConfirmed(SegmentId Segment) const {
+  const auto Held = Holds.find(Segment);
+  return Held != Holds.end() && !Held->second.Cleared;
+}
+
+void CrashSuspects::judge(TimePoint Now) {
+  for (auto &[Segment, Suspect] : Evidence) {
+    if (Suspect.Suspected || !isSuspect(Segment, Now))
+      continue;
+    Suspect.Suspected = true;
+    SegmentDecision Decision{Segment, SegmentVerdict::Suspected, {}, {}};
+    for (const Crash &Known : chainOf(Suspect.Crashes, false, Now))
+      Decision.Crashed.push_back(Known.Target);
+    Decisions.push_back(Decision);
+  }
+  std::vector<Crash> Explained;
+  for (const SegmentId Segment : culprits(Now)) {
+    const std::vector<Crash> &Crashes = Evidence.at(Segment).Crashes;
+    Explained.insert(Explained.end(), Crashes.begin(), Crashes.end());
+    confirm(Segment, Now);
+  }
+  // Requests that were sent before a segment was confirmed crash more targets.
+  for (const auto &[Segment, Suspect] : Evidence)
+    if (wasConfirmed(Segment))
+      Explained.insert(Explained.end(), Suspect.Crashes.begin(),
+                       Suspect.Crashes.end());
+  if (!Explained.empty())
+    explain(Explained);
+}
+
+CrashSuspects::Rivalry CrashSuspects::rivalry(SegmentId Segment,
+                                              TimePoint Now) const {
+  const auto Settled = [Now](const std::vector<Crash> &Crashes) {
+    std::vector<Crash> Found;
+    for (const Crash &Known : Crashes)
+      if (Now - Known.At >= ReportSettling)
+        Found.push_back(Known);
+    return Found;
+  };
+  const std::vector<Crash> Own = Settled(Evidence.at(Segment).Crashes);
+  const std::vector<Crash> Chain =
+      Settled(chainOf(Evidence.at(Segment).Crashes, true, Now));
+  const auto Covers = [&Chain](const std::vector<Crash> &Crashes) {
+    return std::all_of(Chain.begin(), Chain.end(),
+                       [&Crashes](const Crash &Link) {
+                         return std::any_of(Crashes.begin(), Crashes.end(),
+                                            [&Link](const Crash &Known) {
+                                              return isSameCrash(Known, Link);
+                                            });
+                       });
+  };
+  Rivalry Found = Rivalry::None;
+  for (const auto &[Other, Suspect] : Evidence) {
+    if (Other == Segment)
+      continue;
+    const std::vector<Crash> Theirs = Settled(Suspect.Crashes);
+    if (Theirs.size() < Own.size() || !Covers(Theirs))
+      continue;
+    if (Theirs.size() > Own.size())
+      return Rivalry::Better;
+    Found = Rivalry::Equal;
+  }
+  return Found;
+}
+
+std::vector<SegmentId> CrashSuspects::culprits(TimePoint Now) const {
+  std::vector<SegmentId> Found;
+  for (const auto &[Segment, Suspect] : Evidence) {
+    if (!isConfirmed(Segment, Now))
+      continue;
+    const Rivalry Others =
+        wasConfirmed(Segment) ? Rivalry::None : rivalry(Segment, Now);
+    const bool Suffices = chainOf(Suspect.Crashes, true, Now).size() >=
+                          Settings.CrashesToConfirmTogether;
+    if (Others == Rivalry::None || (Others == Rivalry::Equal && Suffices))
+      Found.push_back(Segment);
+  }
+  std::sort(Found.begin(), Found.end());
+  return Found;
+}
+
+void CrashSuspects::confirm(SegmentId Segment, TimePoint Now) {
+  HoldState &Held = holdOf(Segment);
+  const std::uint32_t Doublings = std::min(Held.Confirmations, 16U);
+  const Duration Hold =
+      std::min(Settings.MaxHold, Settings.FirstHold * (1U << Doublings));
+  ++Held.Confirmations;
+  Held.Cleared = false;
+  Held.Until = Now + Hold;
+  SegmentDecision Decision{Segment, SegmentVerdict::Confirmed, {}, Hold};
+  for (const Crash &Known : chainOf(Evidence.at(Segment).Crashes, true, Now))
+    Decision.Crashed.push_back(Known.Target);
+  Decisions.push_back(Decision);
+  Evidence.erase(Segment);
+}
+
+void CrashSuspects::explain(const std::vector<Crash> &Explained) {
+  const auto IsExplained = [&Explained](const Crash &Known) {
+    return std::any_of(
+        Explained.begin(), Explained.end(),
+        [&Known](const Crash &Cause) { return isSameCrash(Cause, Known); });
+  };
+  std::erase_if(Unexplained, IsExplained);
+  for (auto &[Segment, Suspect] : Evidence)
+    if (!wasConfirmed(Segment))
+      std::erase_if(Suspect.Crashes, IsExplained);
+  std::erase_if(Evidence,
+                [](const auto &Entry) { return Entry.second.Crashes.empty(); });
+}
+
+CrashSuspects::Standing CrashSuspects::standing(SegmentId Segment,
+                                                TimePoint Now) const {
+  const auto Held = Holds.find(Segment);
+  if (Held != Holds.end() && !Held->second.Cleared)
+    return Now < Held->second.Until ? Standing::Held : Standing::Suspected;
+  return isSuspect(Segment, Now) ? Standing::Suspected : Standing::Clear;
+}
+
+bool CrashSuspects::trialUnderway(TimePoint Now) const {
+  if (!CurrentTrial)
+    return false;
+  if (CurrentTrial->LostAt == TimePoint{})
+    return Attempts.contains(CurrentTrial->Key);
+  // Whether its target has crashed may not be known yet.
+  const auto Gone = GoneAt.find(CurrentTrial->Target);
+  const bool Known =
+      Gone != GoneAt.end() && Gone->second + ReportSkew >= CurrentTrial->LostAt;
+  return !Known && Now - CurrentTrial->LostAt <= Settings.ProofWindow;
+}
+
+SegmentAdmission CrashSuspects::admit(const std::vector<SegmentId> &Segments,
+                                      bool Repeat, TimePoint Now) const {
+  using Kind = SegmentAdmission::Kind;
+  if (Evidence.empty() && Holds.empty())
+    return {};
+  bool Suspected = false;
+  Duration HeldFor{};
+  for (const SegmentId Segment : Segments) {
+    const Standing Found = standing(Segment, Now);
+    Suspected = Suspected || Found != Standing::Clear;
+    if (Found == Standing::Held)
+      HeldFor = std::max(HeldFor, Holds.at(Segment).Until - Now);
+  }
+  if (HeldFor > Duration(0))
+    return {Kind::Refuse, HeldFor};
+  if (Suspected && Repeat)
+    return {Kind::Refuse, Settings.ProofWindow};
+  if (Suspected && trialUnderway(Now))
+    return {Kind::Wait, {}};
+  return {};
+}
+
+// ---- Decisions of other hosts -----------------------------------------------
+
+bool CrashSuspects::learn(const SegmentHold &Hold, TimePoint Now) {
+  HoldState &Known = holdOf(Hold.Segment);
+  const bool Newer = Hold.Confirmations > Known.Confirmations ||
+                     (Hold.Confirmations == Known.Confirmations &&
+                      Hold.Cleared && !Known.Cleared);
+  if (!Newer)
+    return false;
+  Known.Confirmations = Hold.Confirmations;
+  Known.Cleared = Hold.Cleared;
+  Known.Until = Now + std::min(Hold.Remaining, Settings.MaxHold);
+  return true;
+}
+
+CrashSuspects::HoldState &CrashSuspects::holdOf(SegmentId Segment) {
+  const auto Found = Holds.find(Segment);
+  if (Found != Holds.end())
+    return Found->second;
+  if (Holds.size() >= Settings.MaxHolds)
+    Holds.erase(std::min_element(
+        Holds.begin(), Holds.end(), [](const auto &Left, const auto &Right) {
+          return Left.second.Until < Right.second.Until;
+        }));
+  return Holds[Segment];
+}
+
+std::vector<SegmentHold> CrashSuspects::holds(TimePoint Now) const {
+  std::vector<SegmentHold> Known;
+  for (const auto &[Segment, Held] : Holds)
+    Known.push_back({Segment, Held.Confirmations, Held.Cleared,
+                     std::max(Duration(0), Held.Until - Now)});
+  return Known;
+}
+
+std::vector<SegmentDecision> CrashSuspects::takeDecisions() {
+  return std::exchange(Decisions, {});
+}
+
+} // namespace marjorambay
