Limit requests with a crashing segment at the arbiter

The arbiter records grants, first events and ends of requests with segments, and which targets refuse connections or are no longer listed as they were. It holds back or refuses what the module decides. Requests carry no segments to it yet: the messages between hosts lack the fields.

--- a/packages/coordination/marjorambay/coordination/arbiter.h
+++ b/packages/coordination/marjorambay/coordination/arbiter.h
@@ -11,13 +11,15 @@
 ///   7. version_share.h   caps on versions under rollout
 ///   8. work_rate.h       arrival rate of work by tier
 ///   9. backlog_service.h  measured service of tiers that wait
-///  10. Arbiter           combines these
+///  10. crash_suspects.h  prompt segments under which targets crash
+///  11. Arbiter           combines these
 #ifndef MARJORAMBAY_COORDINATION_ARBITER_H
 #define MARJORAMBAY_COORDINATION_ARBITER_H
 
 #include "marjorambay/coordination/arbiter_events.h"
 #include "marjorambay/coordination/backlog_service.h"
 #include "marjorambay/coordination/cost_model.h"
+#include "marjorambay/coordination/crash_suspects.h"
 #include "marjorambay/coordination/fair_queue.h"
 #include "marjorambay/coordination/target_table.h"
 #include "marjorambay/coordination/version_share.h"
@@ -67,6 +69,7 @@
   /// tier depends on what higher tiers leave and can be estimated only roughly.
   double AdmissionMargin = 1;
   TargetTableSettings Targets{};
+  CrashSuspectSettings Suspects{};
 };
 
 /// State of an arbiter, for `inspect` and metrics.
@@ -84,7 +87,7 @@
 class Arbiter {
 public:
   explicit Arbiter(ArbiterSettings Given = {})
-      : Settings(Given), Targets(Given.Targets) {}
+      : Settings(Given), Targets(Given.Targets), Suspects(Given.Suspects) {}
 
   /// Applies \p Event. Ticks should come every 50 to 250 ms.
   ArbiterActions step(const ArbiterEvent &Event, TimePoint Now);
@@ -97,6 +100,11 @@
 
   ArbiterView view(TimePoint Now) const;
   const TargetTable &targets() const { return Targets; }
+  const CrashSuspects &suspects() const { return Suspects; }
+  /// Returns the decisions on segments since the last call.
+  std::vector<SegmentDecision> takeSegmentDecisions() {
+    return Suspects.takeDecisions();
+  }
   /// Returns the slot of a request, or nullptr if it has none.
   const Slot *slot(const RequestKey &Key) const {
     const auto Found = Slots.find(Key);
@@ -120,8 +128,11 @@
   void apply(const OriginLost &Event, TimePoint Now);
   void apply(const TakeoverStarted &Event, TimePoint Now);
   void apply(const SlotsConfirmed &Event, TimePoint Now);
+  void apply(const AnswerBegan &Event, TimePoint Now);
+  void apply(const SegmentHoldsLearned &Event, TimePoint Now);
   void apply(const ArbiterTicked &Event, TimePoint Now);
 
+  static AttemptEnd attemptEnd(const Usage &Used);
   double workOf(const TokenCost &Cost) const;
   TimePoint latestStart(const QueuedReservation &Entry, bool Busy) const;
   std::optional<TimePoint> latestForFirstToken(const QueuedReservation &Entry,
@@ -130,6 +141,7 @@
   bool cannotMeetDeadline(const QueuedReservation &Entry, TimePoint Now) const;
   std::optional<RefuseSlot> refusalFor(const QueuedReservation &Entry,
                                        TimePoint Now);
+  void recordGoneTargets(const std::vector<TargetInfo> &Current, TimePoint Now);
   void refreshSpeeds(TimePoint Now);
   double capacityFor(TierRank Tier, Duration Horizon, TimePoint Now);
   double expectedWait(const QueuedReservation &Entry, TimePoint Now);
@@ -145,8 +157,8 @@
   void refuseUnservable(TimePoint Now);
   void grantAvailable(TimePoint Now);
   /// Grants or sheds one reservation, or sets it aside if its origin may use
-  /// none of the targets with a free slot. Returns whether another may be
-  /// granted.
+  /// none of the targets with a free slot or it has a suspected segment.
+  /// Returns whether another may be granted.
   bool grantNext(TierRank Tier, std::vector<QueuedReservation> &SetAside,
                  TimePoint Now);
   void grant(const QueuedReservation &Entry, const TargetChoice &Choice,
@@ -161,6 +173,9 @@
   ArbiterSettings Settings;
   FairQueue Queue{};
   TargetTable Targets;
+  CrashSuspects Suspects;
+  /// Incarnations of the listed targets.
+  std::unordered_map<TargetId, IncarnationId> Listed{};
   CostModel Costs{};
   VersionShare Shares{};
   WorkRates Arriving{}; ///< offered work, including refused requests
--- a/packages/coordination/marjorambay/coordination/arbiter_events.h
+++ b/packages/coordination/marjorambay/coordination/arbiter_events.h
@@ -7,6 +7,7 @@
 #ifndef MARJORAMBAY_COORDINATION_ARBITER_EVENTS_H
 #define MARJORAMBAY_COORDINATION_ARBITER_EVENTS_H
 
+#include "marjorambay/coordination/crash_suspects.h"
 #include "marjorambay/coordination/requests.h"
 #include "marjorambay/state/error.h"
 
@@ -86,6 +87,15 @@
 /// off from it.
 struct TargetRefused {
   TargetId Target{};
+  bool Unreachable = false; ///< it took no connection
+};
+/// The answer to a request had its first event.
+struct AnswerBegan {
+  RequestKey Key{};
+};
+/// Decisions of other hosts on segments under which targets crash.
+struct SegmentHoldsLearned {
+  std::vector<SegmentHold> Holds{};
 };
 /// A version was found faulty and gets no new requests, permanently.
 struct VersionTripped {
@@ -137,7 +147,8 @@
                  SlotRequestCancelled, SlotReleased, SlotProgressed,
                  LoadReported, TargetLeaving, TargetRefused, VersionTripped,
                  VersionShareChanged, ServingVersionChanged, GrantsReported,
-                 OriginLost, TakeoverStarted, SlotsConfirmed, ArbiterTicked>;
+                 OriginLost, TakeoverStarted, SlotsConfirmed, AnswerBegan,
+                 SegmentHoldsLearned, ArbiterTicked>;
 
 // ---- Actions ----------------------------------------------------------------
 
@@ -146,6 +157,8 @@
   TargetId Target{};
   /// Version that the request must name; 0 if the target has none.
   VersionId Version{};
+  /// First events of answers are of interest; see AnswerBegan.
+  bool WatchAnswers = false;
 };
 /// The reservation is refused, and the caller gets an error at once.
 struct RefuseSlot {
--- a/packages/coordination/marjorambay/coordination/requests.h
+++ b/packages/coordination/marjorambay/coordination/requests.h
@@ -40,6 +40,9 @@
   Duration FirstTokenObjective{};
   /// Targets that the origin may not use at present.
   std::vector<TargetId> ClosedTargets{};
+  /// Segments that the prompt may share with others.
+  std::vector<SegmentId> Segments{};
+  bool Repeat = false; ///< the request may have run at another target
 };
 
 /// A slot that an origin uses, as reported to an arbiter that takes over.
@@ -72,6 +75,8 @@
   std::uint32_t OutputTokens = 0;
   Duration TimeToFirstToken{}; ///< time from dispatch
   Duration Total{};            ///< time from dispatch to the end
+  bool AnswerBegan = false;    ///< the answer had at least one event
+  bool ConnectionLost = false; ///< the connection failed during the request
 };
 
 } // namespace marjorambay
--- a/packages/coordination/src/arbiter.cpp
+++ b/packages/coordination/src/arbiter.cpp
@@ -2,6 +2,7 @@
 #include "marjorambay/coordination/arbiter.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace marjorambay {
 
@@ -164,6 +165,10 @@
   const RequestKey Key = Entry.Request.Key;
   if (!Targets.anyServing(Entry.Request.Version, Shares))
     return RefuseSlot{Key, ErrorKind::NoTarget, Settings.NoTargetRetryAfter};
+  const SegmentAdmission Admission =
+      Suspects.admit(Entry.Request.Segments, Entry.Request.Repeat, Now);
+  if (Admission.Decision == SegmentAdmission::Kind::Refuse)
+    return RefuseSlot{Key, ErrorKind::CrashingSegment, Admission.RetryAfter};
   if (Entry.LatestStart < Now && cannotMeetDeadline(Entry, Now))
     return RefuseSlot{Key, ErrorKind::DeadlinePassed, Duration(0)};
   // A request that is late already, as after a failed attempt, may wait for as
@@ -186,7 +191,8 @@
     return;
   const auto Reserved = Slots.find(Key);
   if (Reserved != Slots.end()) { // the grant was lost in transit
-    Pending.emplace_back(GrantSlot{Key, Reserved->second.Target});
+    Pending.emplace_back(
+        GrantSlot{Key, Reserved->second.Target, {}, Suspects.watching()});
     return;
   }
   const QueuedReservation Entry = makeEntry(Event.Request, Now);
@@ -316,12 +322,23 @@
 
 bool Arbiter::grantNext(TierRank Tier, std::vector<QueuedReservation> &SetAside,
                         TimePoint Now) {
-  const QueuedReservation *ClosedOut = nullptr;
+  const QueuedReservation *Unusable = nullptr;
   for (const QueuedReservation *Head : Queue.heads(Tier, MaxHeadsTried)) {
     const TargetChoice Choice =
         Targets.choose(*Head, Shares, takingOver(Now), Now);
     if (!Choice.AnyRoom)
       return false;
+    const SegmentAdmission Admission =
+        Suspects.admit(Head->Request.Segments, Head->Request.Repeat, Now);
+    if (Admission.Decision == SegmentAdmission::Kind::Refuse) {
+      refuse(*Queue.cancel(Head->Request.Key), ErrorKind::CrashingSegment,
+             Admission.RetryAfter, Now);
+      return true;
+    }
+    if (Admission.Decision == SegmentAdmission::Kind::Wait) {
+      Unusable = Head;
+      continue;
+    }
     if (Choice.Found) {
       grant(*Queue.dequeue(Head->Request.Key), Choice, Now);
       return Choice.TargetsWithRoom > 1 ||
@@ -332,11 +349,11 @@
       return true;
     }
     if (!Head->Request.ClosedTargets.empty())
-      ClosedOut = Head;
+      Unusable = Head;
   }
-  if (ClosedOut == nullptr)
+  if (Unusable == nullptr)
     return false;
-  SetAside.push_back(*Queue.cancel(ClosedOut->Request.Key));
+  SetAside.push_back(*Queue.cancel(Unusable->Request.Key));
   return true;
 }
 
@@ -354,8 +371,10 @@
   Targets.addSlot(Reserved, takingOver(Now), Now);
   addSlot(Reserved);
   Service.recordGrant(Entry.Request.Tier, Entry.Work, Now);
-  Pending.emplace_back(
-      GrantSlot{Entry.Request.Key, Choice.Target, Reserved.Version});
+  Suspects.recordGrant(Entry.Request.Key, Choice.Target, Entry.Request.Segments,
+                       Now);
+  Pending.emplace_back(GrantSlot{Entry.Request.Key, Choice.Target,
+                                 Reserved.Version, Suspects.watching()});
 }
 
 void Arbiter::addSlot(const Slot &Reserved) {
@@ -380,6 +399,7 @@
     return std::nullopt;
   const Slot Reserved = Found->second;
   Slots.erase(Found);
+  Suspects.recordEnd(Key, AttemptEnd::Other, Now);
   --InFlight[number(Reserved.Request.Tier) % MaxTiers];
   unscheduleExpiry(Reserved);
   Targets.removeSlot(Reserved, Now);
@@ -397,7 +417,17 @@
                  -Reserved->Work);
 }
 
+AttemptEnd Arbiter::attemptEnd(const Usage &Used) {
+  if (Used.ConnectionLost)
+    return Used.AnswerBegan ? AttemptEnd::LostInAnswer
+                            : AttemptEnd::ConnectionLost;
+  const bool Answered =
+      Used.AnswerBegan || Used.Outcome == DispatchOutcome::Complete;
+  return Answered ? AttemptEnd::Answered : AttemptEnd::Other;
+}
+
 void Arbiter::apply(const SlotReleased &Event, TimePoint Now) {
+  Suspects.recordEnd(Event.Key, attemptEnd(Event.Used), Now);
   const std::optional<Slot> Reserved = removeSlot(Event.Key, Now);
   if (!Reserved)
     return;
@@ -421,9 +451,36 @@
     Targets.recordProgress(Reserved->second, Event.OutputTokens, Now);
 }
 
+void Arbiter::apply(const AnswerBegan &Event, TimePoint Now) {
+  Suspects.recordAnswer(Event.Key, Now);
+  SlotMayBeFree = true; // requests with the same segments may wait no longer
+}
+
+void Arbiter::apply(const SegmentHoldsLearned &Event, TimePoint Now) {
+  for (const SegmentHold &Hold : Event.Holds)
+    Suspects.learn(Hold, Now);
+  SlotMayBeFree = true;
+}
+
 // ---- Targets and versions ---------------------------------------------------
 
+/// Records targets that are no longer listed, or have started again.
+void Arbiter::recordGoneTargets(const std::vector<TargetInfo> &Current,
+                                TimePoint Now) {
+  std::unordered_map<TargetId, IncarnationId> Before =
+      std::exchange(Listed, {});
+  for (const TargetInfo &Target : Current) {
+    Listed.emplace(Target.Id, Target.Incarnation);
+    const auto Known = Before.find(Target.Id);
+    if (Known != Before.end() && Known->second == Target.Incarnation)
+      Before.erase(Known);
+  }
+  for (const auto &[Target, Incarnation] : Before)
+    Suspects.recordGone(Target, Now);
+}
+
 void Arbiter::apply(const TargetsChanged &Event, TimePoint Now) {
+  recordGoneTargets(Event.Targets, Now);
   Targets.setTargets(Event.Targets);
   SpeedsValidUntil = {};
   SlotMayBeFree = true;
@@ -447,6 +504,8 @@
 
 void Arbiter::apply(const TargetRefused &Event, TimePoint Now) {
   Targets.recordRefusal(Event.Target, Now);
+  if (Event.Unreachable)
+    Suspects.recordGone(Event.Target, Now);
   SpeedsValidUntil = {};
 }
 
@@ -493,6 +552,8 @@
     Reserved.ExpiresAt = Reserved.Deadline + Settings.ReleaseGrace;
     Targets.addSlot(Reserved, false, Now);
     addSlot(Reserved);
+    Suspects.recordGrant(Grant.Request.Key, Grant.Target,
+                         Grant.Request.Segments, Now);
   }
 }
 
@@ -542,6 +603,7 @@
     Service.recordQueue(Tier, Queue.size(Tier) != 0, Now);
   }
   SlotMayBeFree = true;
+  Suspects.tick(Now);
   refuseLate(Now);
   Queue.removeIdleAccounts();
   while (!ByExpiry.empty() && ByExpiry.begin()->first <= Now) {
--- a/packages/coordination/tests/arbiter_test.cpp
+++ b/packages/coordination/tests/arbiter_test.cpp
@@ -660,5 +660,82 @@
   }
 }
 
+TEST_CASE("a pool in which a prompt segment crashes targets") {
+  constexpr SegmentId Crashing{0xbad};
+  Arbiter Policy;
+  std::vector<TargetInfo> Workers;
+  for (const char *Name : {"a", "b", "c", "d"})
+    Workers.push_back(worker(Name, 8));
+  Policy.step(TargetsChanged{Workers}, at(seconds(0)));
+  const auto Ask = [&Policy](std::uint64_t Id, int Ms, SegmentId Segment,
+                             bool Repeat = false) {
+    Reservation Request = reservation(Id);
+    Request.Segments = {SegmentId{1}, Segment};
+    Request.Repeat = Repeat;
+    return Policy.step(SlotRequested{Request}, at(milliseconds(Ms)));
+  };
+  const auto Lose = [&Policy](std::uint64_t Id, int Ms) {
+    const TargetId Target = Policy.slot(key(Id))->Target;
+    Usage Used;
+    Used.Outcome = DispatchOutcome::Failed;
+    Used.ConnectionLost = true;
+    Policy.step(SlotReleased{key(Id), Used}, at(milliseconds(Ms)));
+    return Policy.step(TargetRefused{Target, true}, at(milliseconds(Ms + 5)));
+  };
+  const auto Answer = [&](std::uint64_t Id, int Ms) {
+    Ask(Id, Ms, SegmentId{2});
+    Policy.step(AnswerBegan{key(Id)}, at(milliseconds(Ms + 5)));
+  };
+  Ask(1, 0, Crashing);
+  Lose(1, 50);
+  Answer(2, 60);
+  Ask(3, 100, Crashing);
+  Lose(3, 150);
+  Answer(4, 160);
+
+  SUBCASE("requests with it are granted one at a time") {
+    CHECK(granted(Ask(5, 200, Crashing)).size() == 1);
+    CHECK(granted(Ask(6, 210, Crashing)).empty());
+    CHECK(Policy.queued(key(6)));
+
+    SUBCASE("while others are granted") {
+      CHECK(granted(Ask(7, 220, SegmentId{2})) ==
+            std::vector<std::uint64_t>{7});
+    }
+    SUBCASE("all of them once an answer with it begins") {
+      const auto Actions =
+          Policy.step(AnswerBegan{key(5)}, at(milliseconds(250)));
+      CHECK(granted(Actions) == std::vector<std::uint64_t>{6});
+    }
+    SUBCASE("none of them once one more target has crashed") {
+      const auto Actions = Lose(5, 250);
+      REQUIRE(refused(Actions) == std::vector<std::uint64_t>{6});
+      CHECK(only<RefuseSlot>(Actions)[0].Kind == ErrorKind::CrashingSegment);
+      const auto Later = Ask(7, 300, Crashing);
+      CHECK(refused(Later) == std::vector<std::uint64_t>{7});
+      CHECK(granted(Ask(8, 310, SegmentId{2})).size() == 1);
+    }
+  }
+  SUBCASE("no request with it is repeated") {
+    const auto Actions = Ask(5, 200, Crashing, true);
+    REQUIRE(refused(Actions) == std::vector<std::uint64_t>{5});
+    CHECK(only<RefuseSlot>(Actions)[0].Kind == ErrorKind::CrashingSegment);
+  }
+  SUBCASE("a new arbiter that is told refuses it") {
+    Ask(5, 200, Crashing);
+    Lose(5, 250);
+    Arbiter Successor;
+    Successor.step(TargetsChanged{Workers}, at(milliseconds(300)));
+    Successor.step(
+        SegmentHoldsLearned{Policy.suspects().holds(at(milliseconds(300)))},
+        at(milliseconds(300)));
+    Reservation Request = reservation(9);
+    Request.Segments = {Crashing};
+    CHECK(refused(
+              Successor.step(SlotRequested{Request}, at(milliseconds(310)))) ==
+          std::vector<std::uint64_t>{9});
+  }
+}
+
 } // namespace
 } // namespace marjorambay
--- a/packages/state/marjorambay/state/error.h
+++ b/packages/state/marjorambay/state/error.h
@@ -36,6 +36,7 @@
   ShuttingDown,
   PlatformUnavailable,
   TooManyConnections,
+  CrashingSegment,
   // Failed after dispatch to a target.
   OutcomeUnknown,
   TargetFailed,
@@ -75,6 +76,7 @@
         "shutting_down",
         "platform_unavailable",
         "too_many_connections",
+        "crashing_segment",
         "outcome_unknown",
         "target_failed",
         "answer_cut",
--- a/packages/state/src/error.cpp
+++ b/packages/state/src/error.cpp
@@ -32,6 +32,7 @@
     {ShuttingDown, 503, NotRun, AfterWait, 5},
     {PlatformUnavailable, 503, NotRun, AfterWait, 5},
     {TooManyConnections, 503, NotRun, AfterWait, 5},
+    {CrashingSegment, 503, NotRun, AfterWait, 5},
     {OutcomeUnknown, 502, MaybeRun, NewKey, 1},
     {TargetFailed, 502, MaybeRun, NewKey, 1},
     {AnswerCut, 502, MaybeRun, NewKey, 1},
