Limit requests with a prompt segment under which targets crash

Callers of an engine pool saw target after target end, each with all its requests, and many got 502: requests with one segment in their prompts ended each target that began to answer them, and were repeated at the next one.

Cause: each host judged a crash by itself and as a failure of its target. Nothing joined the crashes, and nothing limited what was in flight.

Hosts now report to the pool's arbiter the shared segments of each request, whether its answer began and whether its connection was lost, and which targets refuse connections. The arbiter suspects a segment after a chain of two crashes without an answer that began, lets one such request run at a time and refuses the segment after three or more. Decisions go to all hosts with digests, and to new arbiters. New fields and one message between hosts are ignored by earlier builds; the new error kind is the last one, since kinds are sent by number.

--- a/apps/marjorambayd/forward_dispatch.cpp
+++ b/apps/marjorambayd/forward_dispatch.cpp
@@ -54,6 +54,8 @@
   Used.TimeToFirstToken = IsCurrent && Call.ResponseStarted
                               ? Call.FirstEventAt - Attempt.DispatchedAt
                               : Used.Total;
+  Used.AnswerBegan = Events != 0;
+  Used.ConnectionLost = Attempt.ConnectionLost;
   return Used;
 }
 
@@ -295,9 +297,12 @@
     markTargetLeaving(H, Call, Attempt);
 }
 
-void relayBytes(ForwardHost &H, ForwardCall &Call, std::string_view Bytes) {
+void relayBytes(ForwardHost &H, ForwardCall &Call, std::string_view Bytes,
+                std::uint32_t EventsBefore) {
   if (Bytes.empty())
     return;
+  if (EventsBefore == Call.EventsBefore)
+    reportAnswerBegan(H, Call);
   if (!Call.ResponseStarted) {
     Call.ResponseStarted = true;
     Call.FirstEventAt = H.Loop.now();
@@ -347,7 +352,8 @@
 
 void handleEventBytes(ForwardHost &H, ForwardCall &Call,
                       std::string_view Bytes) {
-  relayBytes(H, Call, Call.Events.feed(Bytes));
+  const std::uint32_t Before = Call.Events.events();
+  relayBytes(H, Call, Call.Events.feed(Bytes), Before);
   if (!Call.Events.hasOverlongEvent())
     return;
   endDispatch(H, Call, DispatchOutcome::Failed, true);
@@ -419,6 +425,11 @@
 }
 
 void finishStream(ForwardHost &H, ForwardCall &Call) {
+  // A connection may end an answer without a length, but not without an event.
+  Call.Current.ConnectionLost =
+      Call.Current.Framing == BodyFraming::UntilClose &&
+      (!Call.Events.partial().empty() ||
+       Call.Events.events() == Call.EventsBefore);
   if (!Call.Events.partial().empty()) {
     endDispatch(H, Call, DispatchOutcome::Failed, false);
     return retryOrFail(H, Call, false, ErrorKind::AnswerCut,
@@ -438,11 +449,13 @@
   if (neverSent(Outcome)) {
     Call.Attempts -= std::min(Call.Attempts, 1U);
     H.Health[Call.Current.Target].recordRefusal(H.Loop.now());
-    reportTargetRefusal(H, Call.Pool, Call.Current.Target);
+    reportTargetRefusal(H, Call.Pool, Call.Current.Target,
+                        Outcome == KeepAliveOutcome::Refused);
     endDispatch(H, Call, DispatchOutcome::NotRun, false);
     return retryOrFail(H, Call, true, ErrorKind::NoTarget, nameOf(Outcome));
   }
   Call.MayHaveRun = true;
+  Call.Current.ConnectionLost = Outcome == KeepAliveOutcome::ConnectionLost;
   endDispatch(H, Call, DispatchOutcome::Failed, false);
   retryOrFail(H, Call, false,
               Outcome == KeepAliveOutcome::TimedOut ? ErrorKind::AnswerTimeout
@@ -453,7 +466,8 @@
 /// Handles the end of a replacement that did not take the call.
 void handleReplacementEnd(ForwardHost &H, ForwardCall &Call,
                           KeepAliveOutcome Outcome) {
-  const TargetAttempt &Attempt = *Call.Replacement;
+  TargetAttempt &Attempt = *Call.Replacement;
+  Attempt.ConnectionLost = Outcome == KeepAliveOutcome::ConnectionLost;
   const bool NotSent = neverSent(Outcome);
   const bool NotRun = NotSent || Attempt.Declined;
   logFailedAttempt(H, Call, Attempt, NotRun,
@@ -463,7 +477,8 @@
   if (NotSent)
     H.Health[Attempt.Target].recordRefusal(H.Loop.now());
   if (NotRun && !Attempt.HoldsOff)
-    reportTargetRefusal(H, Call.Pool, Attempt.Target);
+    reportTargetRefusal(H, Call.Pool, Attempt.Target,
+                        Outcome == KeepAliveOutcome::Refused);
   if (NotRun)
     Call.Attempts -= std::min(Call.Attempts, 1U);
   else
--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -16,6 +16,7 @@
 
 #include "marjorambay/coordination.h"
 #include "marjorambay/coordination/account_ledger.h"
+#include "marjorambay/coordination/crash_suspects.h"
 #include "marjorambay/coordination/quick_rollout.h"
 #include "marjorambay/coordination/retry_budget.h"
 #include "marjorambay/coordination/target_directory.h"
@@ -108,6 +109,7 @@
                          ///< report
   bool HoldsOff = false; ///< the target asks this host to hold off
   bool Answers = false;  ///< the response is one for the caller
+  bool ConnectionLost = false; ///< ended with its connection, without an end
 };
 
 /// A caller's request while it is in progress.
@@ -219,6 +221,10 @@
   PoolHealth Health{};
   PoolVersions Versions{};
   HostId SlotsReportedTo{}; ///< arbiter that this host's slots were reported to
+  /// Prompt segments under which targets crash, as far as this host knows.
+  CrashSuspects Segments{};
+  /// Until then the arbiter is told of first events of answers.
+  TimePoint WatchAnswersUntil{};
 };
 
 /// A host as the platform lists it.
@@ -407,7 +413,9 @@
 /// Returns a slot of \p Pool that was granted to this host.
 void releaseSlot(ForwardHost &H, PoolId Pool, const SlotReservation &Held,
                  const Usage &Used);
-void reportTargetRefusal(ForwardHost &H, PoolId Pool, TargetId Target);
+/// \p Unreachable: the target took no connection.
+void reportTargetRefusal(ForwardHost &H, PoolId Pool, TargetId Target,
+                         bool Unreachable = false);
 /// Whether this host may send a request to \p Target at present.
 bool isOpen(const ForwardHost &H, const ListedTarget &Target);
 /// Tells the pool's arbiter that a target is leaving.
@@ -416,6 +424,11 @@
 void stepPrimaryArbiter(ForwardHost &H, PoolId Pool, const ArbiterEvent &Event);
 void handleArbiterAction(ForwardHost &H, const ArbiterAction &Action);
 void publishTargets(ForwardHost &H, PoolId Pool);
+/// Tells the arbiters that granted it of the first event of an answer.
+void reportAnswerBegan(ForwardHost &H, const ForwardCall &Call);
+/// Takes over another host's decision on a prompt segment.
+void learnSegmentHold(ForwardHost &H, const PoolSegmentHold &Learned);
+std::vector<PoolSegmentHold> segmentHolds(const ForwardHost &H);
 void tickArbiters(ForwardHost &H);
 void confirmSlots(ForwardHost &H);
 
--- a/apps/marjorambayd/forward_pools.cpp
+++ b/apps/marjorambayd/forward_pools.cpp
@@ -33,6 +33,8 @@
 /// are admitted are on time, and the queue is long enough to fill all slots.
 constexpr double AdmissionMargin = 0.5;
 constexpr Duration NoTargetRetryAfter = milliseconds(800);
+/// After a grant of an arbiter that watches answers.
+constexpr Duration AnswerWatchTime = seconds(5);
 
 const ListedTarget *targetOf(const ForwardHost &H, TargetId Id) {
   const auto Found = H.Targets.find(Id);
@@ -93,6 +95,9 @@
         .with("pool", static_cast<std::int64_t>(number(Pool)));
     publishVersions(H, Pool, *Primary);
     Primary->step(TargetsChanged{targetsOf(H, Pool)}, H.Loop.now());
+    Primary->step(
+        SegmentHoldsLearned{H.Pools[Pool].Segments.holds(H.Loop.now())},
+        H.Loop.now());
   }
   return *Primary;
 }
@@ -103,6 +108,9 @@
     LocalShare = std::make_unique<Arbiter>(arbiterSettings());
     publishVersions(H, Pool, *LocalShare);
     LocalShare->step(TargetsChanged{localShareOf(H, Pool)}, H.Loop.now());
+    LocalShare->step(
+        SegmentHoldsLearned{H.Pools[Pool].Segments.holds(H.Loop.now())},
+        H.Loop.now());
   }
   return *LocalShare;
 }
@@ -133,6 +141,38 @@
   return Closed;
 }
 
+std::string targetNames(const ForwardHost &H,
+                        const std::vector<TargetId> &Targets) {
+  std::string Names;
+  for (const TargetId Id : Targets) {
+    const ListedTarget *Listed = targetOf(H, Id);
+    Names += (Names.empty() ? "" : ",") +
+             (Listed == nullptr ? std::string("unlisted") : Listed->Name);
+  }
+  return Names;
+}
+
+/// Logs the decisions of an arbiter of this host on prompt segments, and tells
+/// all hosts.
+void publishSegmentDecisions(ForwardHost &H, PoolId Pool, Arbiter &Decider) {
+  const std::vector<SegmentDecision> Decisions = Decider.takeSegmentDecisions();
+  if (Decisions.empty())
+    return;
+  for (const SegmentDecision &Decision : Decisions)
+    LogLine("segment_verdict", LogLevel::Warning)
+        .with("pool", static_cast<std::int64_t>(number(Pool)))
+        .with("segment", formatSegment(Decision.Segment))
+        .with("verdict", nameOf(Decision.Verdict))
+        .with("crashed", targetNames(H, Decision.Crashed))
+        .with("hold_ms",
+              std::chrono::duration_cast<milliseconds>(Decision.Hold).count());
+  bool Changed = false;
+  for (const SegmentHold &Hold : Decider.suspects().holds(H.Loop.now()))
+    Changed = H.Pools[Pool].Segments.learn(Hold, H.Loop.now()) || Changed;
+  if (Changed)
+    sendDigests(H);
+}
+
 Reservation reservationOf(const ForwardHost &H, const ForwardCall &Call,
                           RequestId Id) {
   const ForwardPool *Pool = Call.Table->pool(Call.Pool);
@@ -153,6 +193,8 @@
   Request.FirstTokenObjective = std::max<Duration>(
       Duration(1), Call.Arrived + Call.Route->LatencyObjective - Now);
   Request.ClosedTargets = closedTargets(H, Call);
+  Request.Segments = Call.Segments;
+  Request.Repeat = Call.MayHaveRun || Call.Stage == CallStage::Dispatched;
   return Request;
 }
 
@@ -203,8 +245,9 @@
 
 /// Steps the local-share arbiter and performs its actions.
 void stepLocalShare(ForwardHost &H, PoolId Pool, const ArbiterEvent &Event) {
-  const ArbiterActions Actions =
-      localShareArbiter(H, Pool).step(Event, H.Loop.now());
+  Arbiter &LocalShare = localShareArbiter(H, Pool);
+  const ArbiterActions Actions = LocalShare.step(Event, H.Loop.now());
+  publishSegmentDecisions(H, Pool, LocalShare);
   for (const ArbiterAction &Action : Actions)
     handleArbiterAction(H, Action);
 }
@@ -392,11 +435,12 @@
     sendToArbiter(H, Cancelled.ArbiterHost, Call.Pool, Event);
 }
 
-void releaseSlot(ForwardHost &H, PoolId Pool, const SlotReservation &Held,
-                 const Usage &Used) {
-  if (number(Held.Id) == 0)
-    return;
-  const SlotReleased Event{reservationKey(H, Held.Id), Used};
+namespace {
+
+/// Passes an event of a slot to the arbiters that know of it.
+void informSlotArbiters(ForwardHost &H, PoolId Pool,
+                        const SlotReservation &Held,
+                        const ArbiterEvent &Event) {
   if (number(Held.ArbiterHost) == 0)
     stepLocalShare(H, Pool, Event);
   const HostId Informed = H.Pools[Pool].SlotsReportedTo;
@@ -406,6 +450,43 @@
     sendToArbiter(H, Informed, Pool, Event);
 }
 
+} // namespace
+
+void releaseSlot(ForwardHost &H, PoolId Pool, const SlotReservation &Held,
+                 const Usage &Used) {
+  if (number(Held.Id) != 0)
+    informSlotArbiters(H, Pool, Held,
+                       SlotReleased{reservationKey(H, Held.Id), Used});
+}
+
+void reportAnswerBegan(ForwardHost &H, const ForwardCall &Call) {
+  const SlotReservation Held = Call.Current.Slot;
+  if (number(Held.Id) != 0 &&
+      H.Loop.now() < H.Pools[Call.Pool].WatchAnswersUntil)
+    informSlotArbiters(H, Call.Pool, Held,
+                       AnswerBegan{reservationKey(H, Held.Id)});
+}
+
+namespace {
+
+/// Reports the answers in progress once the arbiter asks for first events.
+void watchAnswers(ForwardHost &H, PoolId Pool) {
+  const TimePoint Now = H.Loop.now();
+  const bool Watched = Now < H.Pools[Pool].WatchAnswersUntil;
+  H.Pools[Pool].WatchAnswersUntil = Now + AnswerWatchTime;
+  if (Watched)
+    return;
+  std::vector<RequestId> Begun;
+  for (const auto &[Id, Call] : H.Calls)
+    if (Call.Pool == Pool && Call.Events.events() > Call.EventsBefore)
+      Begun.push_back(Id);
+  for (const RequestId Id : Begun)
+    if (const ForwardCall *Call = findCall(H, Id))
+      reportAnswerBegan(H, *Call);
+}
+
+} // namespace
+
 namespace {
 
 /// Tells the arbiters of an engine pool what this host has learned of a target.
@@ -423,8 +504,9 @@
 
 } // namespace
 
-void reportTargetRefusal(ForwardHost &H, PoolId Pool, TargetId Target) {
-  informArbiters(H, Pool, TargetRefused{Target});
+void reportTargetRefusal(ForwardHost &H, PoolId Pool, TargetId Target,
+                         bool Unreachable) {
+  informArbiters(H, Pool, TargetRefused{Target, Unreachable});
 }
 
 void reportTargetLeaving(ForwardHost &H, PoolId Pool, TargetId Target,
@@ -460,6 +542,7 @@
   if (std::holds_alternative<SlotRequested>(Event))
     H.Pools[Pool].PrimaryUsedAt = H.Loop.now();
   const ArbiterActions Actions = Primary.step(Event, H.Loop.now());
+  publishSegmentDecisions(H, Pool, Primary);
   if (number(Target) != 0)
     logIfEjected(H, Primary, *Released, Target, WasUsable);
   for (const ArbiterAction &Action : Actions) {
@@ -537,8 +620,31 @@
     return; // the reservation has ended; confirmSlots() frees its slot
   if (const auto *Refusal = std::get_if<RefuseSlot>(&Action))
     return handleRefusal(H, *Call, *Refusal);
-  if (const auto *Grant = std::get_if<GrantSlot>(&Action))
-    handleGrant(H, *Call, Grant->Target);
+  const auto *Grant = std::get_if<GrantSlot>(&Action);
+  if (Grant == nullptr)
+    return;
+  if (Grant->WatchAnswers)
+    watchAnswers(H, Call->Pool);
+  handleGrant(H, *Call, Grant->Target);
+}
+
+void learnSegmentHold(ForwardHost &H, const PoolSegmentHold &Learned) {
+  PoolState &State = H.Pools[Learned.Pool];
+  if (!State.Segments.learn(Learned.Hold, H.Loop.now()))
+    return;
+  const SegmentHoldsLearned Event{{Learned.Hold}};
+  if (State.PrimaryArbiter)
+    stepPrimaryArbiter(H, Learned.Pool, Event);
+  if (State.LocalShareArbiter)
+    stepLocalShare(H, Learned.Pool, Event);
+}
+
+std::vector<PoolSegmentHold> segmentHolds(const ForwardHost &H) {
+  std::vector<PoolSegmentHold> Known;
+  for (const auto &[Pool, State] : H.Pools)
+    for (const SegmentHold &Hold : State.Segments.holds(H.Loop.now()))
+      Known.push_back({Pool, Hold});
+  return Known;
 }
 
 void publishTargets(ForwardHost &H, PoolId Pool) {
--- a/apps/marjorambayd/peer_codec.cpp
+++ b/apps/marjorambayd/peer_codec.cpp
@@ -47,6 +47,9 @@
   Out->set_first_within_us(Request.FirstTokenObjective.count());
   for (const TargetId Target : Request.ClosedTargets)
     Out->add_closed_targets(number(Target));
+  for (const SegmentId Segment : Request.Segments)
+    Out->add_segments(number(Segment));
+  Out->set_repeat(Request.Repeat);
 }
 
 Reservation decode(const peer::Reservation &In) {
@@ -65,6 +68,9 @@
   Request.FirstTokenObjective = Duration(In.first_within_us());
   for (const std::uint64_t Target : In.closed_targets())
     Request.ClosedTargets.push_back(TargetId{Target});
+  for (const std::uint64_t Segment : In.segments())
+    Request.Segments.push_back(SegmentId{Segment});
+  Request.Repeat = In.repeat();
   return Request;
 }
 
@@ -105,6 +111,8 @@
   Out->set_output_tokens(Used.OutputTokens);
   Out->set_to_first_token_us(Used.TimeToFirstToken.count());
   Out->set_total_us(Used.Total.count());
+  Out->set_answer_began(Used.AnswerBegan);
+  Out->set_connection_lost(Used.ConnectionLost);
 }
 
 Usage decode(const peer::Usage &In) {
@@ -118,6 +126,8 @@
   Used.OutputTokens = In.output_tokens();
   Used.TimeToFirstToken = Duration(In.to_first_token_us());
   Used.Total = Duration(In.total_us());
+  Used.AnswerBegan = In.answer_began();
+  Used.ConnectionLost = In.connection_lost();
   return Used;
 }
 
@@ -177,6 +187,10 @@
 }
 void encodeEvent(const TargetRefused &Event, peer::Message *Out) {
   Out->mutable_target_sign()->set_target(number(Event.Target));
+  Out->mutable_target_sign()->set_unreachable(Event.Unreachable);
+}
+void encodeEvent(const AnswerBegan &Event, peer::Message *Out) {
+  encode(Event.Key, Out->mutable_answering()->mutable_key());
 }
 void encodeEvent(const SlotsConfirmed &Event, peer::Message *Out) {
   peer::SlotsHeld *Held = Out->mutable_slots_held();
@@ -199,7 +213,7 @@
 ArbiterEvent decodeTargetSign(const peer::TargetSign &In) {
   if (In.leaving())
     return TargetLeaving{TargetId{In.target()}, IncarnationId{In.life()}};
-  return TargetRefused{TargetId{In.target()}};
+  return TargetRefused{TargetId{In.target()}, In.unreachable()};
 }
 
 // ---- Arbiter to origin ------------------------------------------------------
@@ -208,6 +222,7 @@
   encode(Action.Key, Out->mutable_grant()->mutable_key());
   Out->mutable_grant()->set_target(number(Action.Target));
   Out->mutable_grant()->set_version(number(Action.Version));
+  Out->mutable_grant()->set_watch_answers(Action.WatchAnswers);
 }
 void encodeAction(const RefuseSlot &Action, peer::Message *Out) {
   peer::Refuse *Refusal = Out->mutable_refuse();
@@ -320,6 +335,14 @@
     Entry->set_share(Order.Share);
     Entry->set_age_us(Order.Age.count());
   }
+  for (const auto &[Pool, Hold] : Digest.SegmentHolds) {
+    peer::SegmentHold *Entry = Body->add_segment_holds();
+    Entry->set_pool(number(Pool));
+    Entry->set_segment(number(Hold.Segment));
+    Entry->set_confirmations(Hold.Confirmations);
+    Entry->set_cleared(Hold.Cleared);
+    Entry->set_remaining_us(Hold.Remaining.count());
+  }
 }
 void encodeMessage(const ReservationQueued &Queued, peer::Message *Out) {
   encode(Queued.Key, Out->mutable_slot_queued()->mutable_key());
@@ -443,6 +466,11 @@
         {PoolId{Entry.pool()}, VersionId{Entry.version()},
          static_cast<VersionStage>(std::min(Entry.stage(), LastStage)),
          Entry.share(), Duration(Entry.age_us())});
+  for (const peer::SegmentHold &Entry : In.segment_holds())
+    Digest.SegmentHolds.push_back(
+        {PoolId{Entry.pool()},
+         {SegmentId{Entry.segment()}, Entry.confirmations(), Entry.cleared(),
+          Duration(Entry.remaining_us())}});
   return Digest;
 }
 
@@ -501,7 +529,8 @@
   case peer::Message::kGrant:
     return OriginMessage{Pool, GrantSlot{decode(In.grant().key()),
                                          TargetId{In.grant().target()},
-                                         VersionId{In.grant().version()}}};
+                                         VersionId{In.grant().version()},
+                                         In.grant().watch_answers()}};
   case peer::Message::kRefuse:
     return OriginMessage{Pool, decodeRefusal(In.refuse())};
   case peer::Message::kPreempt:
@@ -533,6 +562,8 @@
     return decodeDigest(In.fleet_digest());
   case peer::Message::kSlotsHeld:
     return ArbiterMessage{Pool, decodeSlotsHeld(In.slots_held(), Sender)};
+  case peer::Message::kAnswering:
+    return ArbiterMessage{Pool, AnswerBegan{decode(In.answering().key())}};
   case peer::Message::kSlotQueued:
     return ReservationQueued{decode(In.slot_queued().key())};
   case peer::Message::BODY_NOT_SET:
--- a/packages/coordination/marjorambay/coordination/fleet_heartbeat.h
+++ b/packages/coordination/marjorambay/coordination/fleet_heartbeat.h
@@ -9,6 +9,7 @@
 #define MARJORAMBAY_COORDINATION_FLEET_HEARTBEAT_H
 
 #include "marjorambay/coordination/account_ledger.h"
+#include "marjorambay/coordination/crash_suspects.h"
 #include "marjorambay/coordination/membership.h"
 #include "marjorambay/coordination/object_mirror.h"
 
@@ -53,6 +54,12 @@
   Duration Age{};   ///< time since the operator's order was first seen
 };
 
+/// Decision of a pool's arbiter on a prompt segment.
+struct PoolSegmentHold {
+  PoolId Pool{};
+  SegmentHold Hold{};
+};
+
 struct FleetDigest {
   /// Sequence of the heartbeat that it answers; 0 if sent unsolicited.
   std::uint64_t Sequence = 0;
@@ -64,6 +71,7 @@
   /// Position of the last change, by object kind.
   std::array<StorePosition, ObjectKindCount> FeedPositions{};
   bool WatchHealthy = false; ///< the sender's platform watch is responding
+  std::vector<PoolSegmentHold> SegmentHolds{};
 };
 
 /// An arbiter has received a reservation and has not decided on it yet.
--- a/packages/state/marjorambay/state/error.h
+++ b/packages/state/marjorambay/state/error.h
@@ -36,7 +36,6 @@
   ShuttingDown,
   PlatformUnavailable,
   TooManyConnections,
-  CrashingSegment,
   // Failed after dispatch to a target.
   OutcomeUnknown,
   TargetFailed,
@@ -53,6 +52,8 @@
   RolloutRolledBack,
   Timeout,
   Internal,
+  // Later kinds are appended: hosts of other builds know them by their number.
+  CrashingSegment, ///< targets crash under a segment of the prompt
 };
 
 template <>
@@ -76,7 +77,6 @@
         "shutting_down",
         "platform_unavailable",
         "too_many_connections",
-        "crashing_segment",
         "outcome_unknown",
         "target_failed",
         "answer_cut",
@@ -91,9 +91,10 @@
         "rollout_taken_back",
         "timeout",
         "internal",
+        "crashing_segment",
     });
 inline constexpr std::size_t ErrorKindCount =
-    static_cast<std::size_t>(ErrorKind::Internal) + 1;
+    static_cast<std::size_t>(ErrorKind::CrashingSegment) + 1;
 static_assert(NamesOf<ErrorKind>.size() == ErrorKindCount);
 
 /// Whether the request may have been executed by a target.
--- a/packages/state/src/error.cpp
+++ b/packages/state/src/error.cpp
@@ -32,7 +32,6 @@
     {ShuttingDown, 503, NotRun, AfterWait, 5},
     {PlatformUnavailable, 503, NotRun, AfterWait, 5},
     {TooManyConnections, 503, NotRun, AfterWait, 5},
-    {CrashingSegment, 503, NotRun, AfterWait, 5},
     {OutcomeUnknown, 502, MaybeRun, NewKey, 1},
     {TargetFailed, 502, MaybeRun, NewKey, 1},
     {AnswerCut, 502, MaybeRun, NewKey, 1},
@@ -47,6 +46,7 @@
     {RolloutRolledBack, 409, NotRun, Never, 7},
     {Timeout, 504, NotRun, AfterWait, 6},
     {Internal, 500, MaybeRun, NewKey, 1},
+    {CrashingSegment, 503, NotRun, AfterWait, 5},
 });
 static_assert(Traits.size() == ErrorKindCount);
 
