--- a/apps/marjorambayd/forward_versions.cpp
+++ b/apps/marjorambayd/forward_versions.cpp
@@ -86,7 +86,11 @@
         .with("new_answers",
               static_cast<std::int64_t>(Versions.Rollout->newAnswers()))
         .with("new_failures",
-              static_cast<std::int64_t>(Versions.Rollout->newFailures()));
+              static_cast<std::int64_t>(Versions.Rollout->newFailures()))
+        .with("new_compared",
+              static_cast<std::int64_t>(Versions.Rollout->newCompared()))
+        .with("new_slow",
+              static_cast<std::int64_t>(Versions.Rollout->newSlow()));
   }
   publishTargets(H, Pool);
 }
--- a/packages/coordination/marjorambay/coordination/quick_rollout.h
+++ b/packages/coordination/marjorambay/coordination/quick_rollout.h
@@ -51,6 +51,10 @@
   TimePoint startedAt() const { return StartedAt; }
   std::uint64_t newAnswers() const { return NewAnswers; }
   std::uint64_t newFailures() const { return NewFailures; }
+  /// Answers of the new version whose speed was compared, and those that were
+  /// slow.
+  std::uint64_t newCompared() const { return NewCompared; }
+  std::uint64_t newSlow() const { return NewSlow; }
 
 private:
   double budget(TimePoint Now) const;
@@ -67,6 +71,8 @@
   std::uint64_t Answers = 0; ///< of both versions
   std::uint64_t NewAnswers = 0;
   std::uint64_t NewFailures = 0;
+  std::uint64_t NewCompared = 0;
+  std::uint64_t NewSlow = 0;
 };
 
 } // namespace marjorambay
--- a/packages/coordination/src/quick_rollout.cpp
+++ b/packages/coordination/src/quick_rollout.cpp
@@ -7,8 +7,11 @@
 
 void QuickRollout::add(const Evidence &Cells) {
   for (const EvidenceCell &Cell : Cells) {
-    if (Cell.Kind != FaultKind::Errors)
+    if (Cell.Kind == FaultKind::Slowness) {
+      NewCompared += Cell.NewAnswers;
+      NewSlow += Cell.NewBad;
       continue;
+    }
     Answers += Cell.OldAnswers + Cell.NewAnswers;
     NewAnswers += Cell.NewAnswers;
     NewFailures += Cell.NewBad;
