--- /dev/null
+++ b/packages/coordination/tests/slow_version_test.cpp
@@ -0,0 +1,73 @@
+/// Tests of slow versions that must be completed or rolled back within seconds.
+#include "support/quick_pool.h"
+
+#include <doctest/doctest.h>
+
+namespace marjorambay {
+namespace {
+
+using test::QuickPool;
+using test::QuickScenario;
+using test::SlowWhen;
+
+constexpr std::uint64_t Seeds = 10;
+
+/// Returns how many of Seeds rollouts ended at \p Stage.
+std::uint64_t countEnded(QuickScenario Scene, VersionStage Stage) {
+  std::uint64_t Count = 0;
+  for (Scene.Seed = 1; Scene.Seed <= Seeds; ++Scene.Seed)
+    Count += QuickPool(Scene).run().Stage == Stage ? 1 : 0;
+  return Count;
+}
+
+// Guards against a version that answers several times slower, and is completed
+// because few of its answers were compared, and those were the fast ones.
+TEST_CASE("a version that is several times slower is not completed" *
+          doctest::should_fail()) {
+  for (const double PerSecond : {20.0, 94.0, 240.0})
+    for (const double Slowdown : {4.0, 8.0})
+      for (const SlowWhen When : {SlowWhen::Always, SlowWhen::SecondHalf}) {
+        CAPTURE(PerSecond);
+        CAPTURE(Slowdown);
+        CAPTURE(static_cast<int>(When));
+        QuickScenario Scene;
+        Scene.RequestsPerSecond = PerSecond;
+        Scene.Slowdown = Slowdown;
+        Scene.When = When;
+        CHECK(countEnded(Scene, VersionStage::RolledBack) == Seeds);
+      }
+}
+
+// Guards against a switch for want of evidence: answers that did not fail say
+// nothing about the version's speed.
+TEST_CASE("a version whose speed was not compared is not completed" *
+          doctest::should_fail()) {
+  const auto Pool = idOf<PoolId>("pool");
+  const TimePoint Start(hours(1));
+  QuickRollout Rollout(Pool, idOf<VersionId>("v2"), seconds(15), Start);
+  EvidenceCell Answers;
+  Answers.OldAnswers = 200;
+  Answers.NewAnswers = 20;
+  Rollout.add({Answers});
+  for (Duration Now{}; Now <= seconds(15); Now += milliseconds(250))
+    CHECK(Rollout.step(Start + Now).Stage != VersionStage::Completed);
+}
+
+TEST_CASE("a version as fast as the old one is completed") {
+  QuickScenario Scene;
+  SUBCASE("in large and small pools") {}
+  SUBCASE("and also if one of its targets is silent for a second") {
+    Scene.SilentTarget = true;
+  }
+  for (const double PerSecond : {5.0, 20.0, 94.0, 240.0})
+    for (const std::size_t Targets : {2U, 18U}) {
+      CAPTURE(PerSecond);
+      CAPTURE(Targets);
+      Scene.RequestsPerSecond = PerSecond;
+      Scene.Targets = Targets;
+      CHECK(countEnded(Scene, VersionStage::Completed) == Seeds);
+    }
+}
+
+} // namespace
+} // namespace marjorambay
