Compare latencies over all hosts, and switch only with a verdict

Cause: each host compared with its own samples of a route, or not at all, against a limit that slow targets of the old version set. Slowness that fell short of the trip did not keep the switch back: six answers of any kind did for it.

Hosts now count latencies on one scale as soon as they are known and send the counts. The coordinator ranks the new version's among the old one's, trips on them, and switches only with compared answers that are not slower. Near a trip it does not complete either. Requests that wait for one target at the same time count once, so that a target's silence of a second is not many slow answers.

quick_rollout_test feeds equal latencies for both versions, since a version whose speed was not compared is no longer completed; its checks are unchanged. Hosts of earlier builds send no latencies and ignore those they get.

--- a/apps/marjorambayd/forward_dispatch.cpp
+++ b/apps/marjorambayd/forward_dispatch.cpp
@@ -57,6 +57,45 @@
   return Used;
 }
 
+/// Passes the time to the first event to the guard. Streams that are resumed
+/// are left out: the target does other work for them.
+void observeFirstEvent(ForwardHost &H, ForwardCall &Call) {
+  if (Call.Current.FirstEventObserved || Call.EventsBefore > 0)
+    return;
+  Call.Current.FirstEventObserved = true;
+  observeLatency(H, Call, LatencyKind::FirstEvent, Call.Current.DispatchedAt,
+                 H.Loop.now() - Call.Current.DispatchedAt);
+}
+
+/// Passes the time between events to the guard, once the stream has more than
+/// \p Intervals. Its end is not waited for: slow streams end last.
+void observeEventTime(ForwardHost &H, ForwardCall &Call,
+                      std::uint32_t Intervals) {
+  const std::uint32_t Events = Call.Events.events();
+  if (Call.Current.EventTimeObserved || Call.EventsBefore > 0 ||
+      Events <= Intervals || !Call.ResponseStarted)
+    return;
+  Call.Current.EventTimeObserved = true;
+  const Duration Elapsed = H.Loop.now() - Call.FirstEventAt;
+  observeLatency(H, Call, LatencyKind::PerEvent, Call.FirstEventAt,
+                 Elapsed / (Events - 1));
+}
+
+/// Passes what has not been observed when a dispatch ends. A call that was
+/// given up without an event after its route's objective took at least that
+/// long.
+void observeLatencyAtEnd(ForwardHost &H, ForwardCall &Call,
+                         DispatchOutcome Outcome) {
+  constexpr std::uint32_t MinIntervals = 2;
+  const Duration Elapsed = H.Loop.now() - Call.Current.DispatchedAt;
+  if (Outcome == DispatchOutcome::Complete ||
+      (Outcome == DispatchOutcome::Cancelled &&
+       Elapsed >= Call.Route->LatencyObjective))
+    observeFirstEvent(H, Call);
+  if (Outcome == DispatchOutcome::Complete)
+    observeEventTime(H, Call, MinIntervals);
+}
+
 /// Ends a dispatch: records its result, releases its slot and, with \p Cancel,
 /// cancels the HTTP call.
 void endAttempt(ForwardHost &H, ForwardCall &Call, TargetAttempt &Attempt,
@@ -91,6 +130,7 @@
                  bool Cancel) {
   if (Call.Stage != CallStage::Dispatched)
     return;
+  observeLatencyAtEnd(H, Call, Outcome);
   // Releasing the slot steps the arbiter, which may decide on the reservation
   // of a replacement. Until the stage changes, that does not end the call.
   endAttempt(H, Call, Call.Current, Outcome, Cancel);
@@ -300,6 +340,15 @@
   Call.CallerStalled = Unread > MaxUnreadBytes;
 }
 
+/// Passes latencies to the guard as soon as they are known.
+void observeEvents(ForwardHost &H, ForwardCall &Call) {
+  constexpr std::uint32_t EnoughIntervals = 8;
+  if (Call.Events.events() == 0)
+    return;
+  observeFirstEvent(H, Call);
+  observeEventTime(H, Call, EnoughIntervals);
+}
+
 /// Gives up a response that exceeds the buffer. One without a length may have
 /// no end: its target has failed, and another one may take the call. One with a
 /// length would be as long from another target.
@@ -341,7 +390,7 @@
                       std::string_view Bytes) {
   relayBytes(H, Call, Call.Events.feed(Bytes));
   if (!Call.Events.hasOverlongEvent())
-    return;
+    return observeEvents(H, Call);
   endDispatch(H, Call, DispatchOutcome::Failed, true);
   retryOrFail(H, Call, false, ErrorKind::AnswerCut, "event too long");
 }
--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -108,6 +108,9 @@
                          ///< report
   bool HoldsOff = false; ///< the target asks this host to hold off
   bool Answers = false;  ///< the response is one for the caller
+  /// Latencies passed to the guard of the pool's versions.
+  bool FirstEventObserved = false;
+  bool EventTimeObserved = false;
 };
 
 /// A caller's request while it is in progress.
@@ -449,6 +452,8 @@
 void observeVersion(ForwardHost &H, const ForwardCall &Call,
                     const TargetAttempt &Attempt, const Usage &Used,
                     bool Failed);
+void observeLatency(ForwardHost &H, const ForwardCall &Call, LatencyKind Kind,
+                    TimePoint StartedAt, Duration Elapsed);
 void handleEvidence(ForwardHost &H, const EvidenceArrived &Arrived);
 void mergeDecision(ForwardHost &H, const VersionDecision &Decision);
 std::vector<VersionDecision> coordinatedDecisions(const ForwardHost &H);
--- a/apps/marjorambayd/forward_versions.cpp
+++ b/apps/marjorambayd/forward_versions.cpp
@@ -133,7 +133,8 @@
     const auto *Ready = std::get_if<EvidenceReady>(&Action);
     if (Ready == nullptr)
       continue;
-    const EvidenceArrived Evidence{Ready->Rollout, Ready->Cells};
+    const EvidenceArrived Evidence{Ready->Rollout, Ready->Cells,
+                                   Ready->Latencies};
     const auto Hub = arbiterOf(H, Pool);
     if (!Hub || *Hub == H.Self.Id)
       handleEvidence(H, Evidence);
@@ -201,13 +202,25 @@
   Versions.Guard.step(Observed);
 }
 
+void observeLatency(ForwardHost &H, const ForwardCall &Call, LatencyKind Kind,
+                    TimePoint StartedAt, Duration Elapsed) {
+  LatencyObserved Observed;
+  Observed.Version = Call.Current.Version;
+  Observed.Route = Call.Route->Id;
+  Observed.Target = Call.Current.Target;
+  Observed.Kind = Kind;
+  Observed.StartedAt = StartedAt;
+  Observed.Elapsed = Elapsed;
+  H.Pools[Call.Pool].Versions.Guard.step(Observed);
+}
+
 void handleEvidence(ForwardHost &H, const EvidenceArrived &Arrived) {
   for (auto &[Pool, State] : H.Pools) {
     PoolVersions &Versions = State.Versions;
     if (!Versions.Rollout ||
         rolloutId(Pool, Versions.Rollout->version()) != Arrived.Rollout)
       continue;
-    Versions.Rollout->add(Arrived.Cells);
+    Versions.Rollout->add(Arrived.Cells, Arrived.Latencies);
     if (isCoordinator(H, Pool))
       stepCoordinator(H, Pool);
   }
--- a/apps/marjorambayd/peer_codec.cpp
+++ b/apps/marjorambayd/peer_codec.cpp
@@ -279,6 +279,14 @@
     Entry->set_new_answers(Cell.NewAnswers);
     Entry->set_new_bad(Cell.NewBad);
   }
+  for (const LatencyCell &Cell : Arrived.Latencies) {
+    peer::LatencyCell *Entry = Body->add_latencies();
+    Entry->set_route(number(Cell.Route));
+    Entry->set_kind(static_cast<std::uint32_t>(Cell.Kind));
+    Entry->set_bin(Cell.Bin);
+    Entry->set_old_answers(Cell.OldAnswers);
+    Entry->set_new_answers(Cell.NewAnswers);
+  }
 }
 void encodeMessage(const FleetHeartbeat &Message, peer::Message *Out) {
   peer::FleetBeat *Body = Out->mutable_fleet_beat();
@@ -404,6 +412,14 @@
     Cell.NewBad = Entry.new_bad();
     Arrived.Cells.push_back(Cell);
   }
+  for (const peer::LatencyCell &Entry : In.latencies()) {
+    if (Entry.kind() >= LatencyKindCount || Entry.bin() >= LatencyBinCount)
+      continue; // of a later version
+    Arrived.Latencies.push_back({RouteId{Entry.route()},
+                                 static_cast<LatencyKind>(Entry.kind()),
+                                 static_cast<std::uint8_t>(Entry.bin()),
+                                 Entry.old_answers(), Entry.new_answers()});
+  }
   return Arrived;
 }
 
--- a/apps/marjorambayd/tests/peer_codec_test.cpp
+++ b/apps/marjorambayd/tests/peer_codec_test.cpp
@@ -160,6 +160,38 @@
   CHECK(Reported.HttpStatus == 200);
 }
 
+TEST_CASE("evidence keeps its latencies") {
+  EvidenceArrived Sent;
+  Sent.Rollout = RolloutId{6};
+  Sent.Cells.emplace_back();
+  SUBCASE("of both kinds") {
+    Sent.Latencies = {{RouteId{1}, LatencyKind::FirstEvent, 3, 40, 5},
+                      {RouteId{2}, LatencyKind::PerEvent, 127, 6, 7}};
+    const EvidenceArrived Read = roundTrip(Sent);
+    REQUIRE(Read.Latencies.size() == 2);
+    for (std::size_t Index = 0; Index < 2; ++Index) {
+      CHECK(Read.Latencies[Index].Route == Sent.Latencies[Index].Route);
+      CHECK(Read.Latencies[Index].Kind == Sent.Latencies[Index].Kind);
+      CHECK(Read.Latencies[Index].Bin == Sent.Latencies[Index].Bin);
+      CHECK(Read.Latencies[Index].OldAnswers ==
+            Sent.Latencies[Index].OldAnswers);
+      CHECK(Read.Latencies[Index].NewAnswers ==
+            Sent.Latencies[Index].NewAnswers);
+    }
+  }
+  SUBCASE("but not those of a scale or kind that it does not know") {
+    Sent.Latencies = {
+        {RouteId{1}, LatencyKind::FirstEvent, LatencyBinCount, 1, 1},
+        {RouteId{1}, static_cast<LatencyKind>(7), 3, 1, 1}};
+    CHECK(roundTrip(Sent).Latencies.empty());
+  }
+  SUBCASE("and that of a host of an earlier version has none") {
+    const EvidenceArrived Read = roundTrip(Sent);
+    CHECK(Read.Cells.size() == 1);
+    CHECK(Read.Latencies.empty());
+  }
+}
+
 TEST_CASE("a configuration is sent as a document or as deltas") {
   CHECK(roundTrip(ConfigRequested{Sender.Id, Revision{3}}).KnownRevision ==
         Revision{3});
--- a/packages/coordination/marjorambay/coordination/quick_rollout.h
+++ b/packages/coordination/marjorambay/coordination/quick_rollout.h
@@ -13,6 +13,7 @@
 #define MARJORAMBAY_COORDINATION_QUICK_ROLLOUT_H
 
 #include "marjorambay/coordination/fleet_heartbeat.h"
+#include "marjorambay/coordination/latency_comparison.h"
 #include "marjorambay/coordination/version_comparison.h"
 
 #include <optional>
@@ -29,6 +30,8 @@
   Duration WriteMargin = milliseconds(600);
   /// Answers of the new version required to switch.
   std::uint32_t MinNewAnswers = 6;
+  /// Those of which the latency was compared with the old version.
+  std::uint32_t MinComparedAnswers = 4;
 };
 
 class QuickRollout {
@@ -39,7 +42,7 @@
         StartedAt(StartedAt) {}
 
   /// Adds the evidence of any host.
-  void add(const Evidence &Cells);
+  void add(const Evidence &Cells, const LatencyCells &Latencies = {});
   /// Merges a decision of another host: a later stage wins.
   void merge(const VersionDecision &Order);
 
@@ -56,7 +59,14 @@
   std::uint64_t newCompared() const { return NewCompared; }
   std::uint64_t newSlow() const { return NewSlow; }
 
+  const LatencyComparison &latencies() const { return Latency; }
+
 private:
+  /// Whether the evidence suffices to stop the old version, which can't be
+  /// taken back.
+  bool maySwitch() const;
+  /// Whether the evidence is too strong for a step that can't be taken back.
+  bool isSuspicious() const;
   double budget(TimePoint Now) const;
   double requestRate(TimePoint Now) const;
   double canaryShare(TimePoint Now) const;
@@ -67,6 +77,7 @@
   Duration Window{};
   TimePoint StartedAt{};
   VersionComparison Comparison{};
+  LatencyComparison Latency{};
   VersionStage Stage = VersionStage::Canary;
   std::uint64_t Answers = 0; ///< of both versions
   std::uint64_t NewAnswers = 0;
--- a/packages/coordination/marjorambay/coordination/rollout.h
+++ b/packages/coordination/marjorambay/coordination/rollout.h
@@ -11,6 +11,7 @@
 #define MARJORAMBAY_COORDINATION_ROLLOUT_H
 
 #include "marjorambay/coordination/intent_log.h"
+#include "marjorambay/coordination/latency_comparison.h"
 #include "marjorambay/coordination/version_comparison.h"
 #include "marjorambay/state/error.h"
 #include "marjorambay/state/rollout_state.h"
@@ -78,6 +79,7 @@
 struct EvidenceArrived {
   RolloutId Rollout{};
   Evidence Cells{};
+  LatencyCells Latencies{}; ///< of rollouts that last seconds
 };
 /// The complete list of the pool's targets.
 struct TargetsReported {
--- a/packages/coordination/marjorambay/coordination/version_guard.h
+++ b/packages/coordination/marjorambay/coordination/version_guard.h
@@ -6,12 +6,14 @@
 #ifndef MARJORAMBAY_COORDINATION_VERSION_GUARD_H
 #define MARJORAMBAY_COORDINATION_VERSION_GUARD_H
 
+#include "marjorambay/coordination/latency_comparison.h"
 #include "marjorambay/coordination/version_comparison.h"
 #include "marjorambay/state/rollout_state.h"
 
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <tuple>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -26,6 +28,16 @@
   double SecondsPerToken = 0;   ///< mean time per token; 0 if unknown
   double FirstTokenSeconds = 0; ///< time to first token; 0 if unknown
 };
+/// A latency, as soon as it is known: before the end of its answer, because the
+/// slow answers of a version end last.
+struct LatencyObserved {
+  VersionId Version{};
+  RouteId Route{};
+  TargetId Target{};
+  LatencyKind Kind = LatencyKind::FirstEvent;
+  TimePoint StartedAt{}; ///< start of the time that was measured
+  Duration Elapsed{};
+};
 /// A newer view of the pool's rollout, from a leader or a digest.
 struct ViewUpdated {
   RolloutView View{};
@@ -37,8 +49,8 @@
 struct GuardTicked {
   WallTime WallClock{};
 };
-using GuardEvent =
-    std::variant<AnswerObserved, ViewUpdated, TripReported, GuardTicked>;
+using GuardEvent = std::variant<AnswerObserved, LatencyObserved, ViewUpdated,
+                                TripReported, GuardTicked>;
 
 /// Share of requests that the pool's arbiter may send to the new version from
 /// now on.
@@ -58,6 +70,7 @@
 struct EvidenceReady {
   RolloutId Rollout{};
   Evidence Cells{};
+  LatencyCells Latencies{}; ///< since the last report, also for a new leader
 };
 using GuardAction = std::variant<ShareChanged, TripDetected, EvidenceReady>;
 using GuardActions = std::vector<GuardAction>;
@@ -88,6 +101,7 @@
   };
 
   void observe(const AnswerObserved &Answer);
+  void observe(const LatencyObserved &Latency);
   void updateView(const RolloutView &View);
   GuardActions tick(WallTime WallClock);
   GuardActions setShare(double Share);
@@ -102,8 +116,12 @@
   bool TripPublished = false;
   double AllowedShare = 0;
   using Counts = std::map<std::pair<StratumKey, FaultKind>, EvidenceCell>;
-  Counts PendingCounts{};     ///< since the last report
-  Counts ReportedCounts{};    ///< already reported, for this rollout
+  Counts PendingCounts{};  ///< since the last report
+  Counts ReportedCounts{}; ///< already reported, for this rollout
+  using LatencyKey = std::tuple<RouteId, LatencyKind, std::uint8_t>;
+  std::map<LatencyKey, LatencyCell> PendingLatencies{};
+  /// Until when the latest counted latency of a new target was measured.
+  std::map<std::pair<TargetId, LatencyKind>, TimePoint> CountedUntil{};
   bool LeaderChanged = false; ///< the new leader needs all counts
   std::map<StratumKey, Reference> References{};
 };
--- a/packages/coordination/src/quick_rollout.cpp
+++ b/packages/coordination/src/quick_rollout.cpp
@@ -5,7 +5,7 @@
 
 namespace marjorambay {
 
-void QuickRollout::add(const Evidence &Cells) {
+void QuickRollout::add(const Evidence &Cells, const LatencyCells &Latencies) {
   for (const EvidenceCell &Cell : Cells) {
     if (Cell.Kind == FaultKind::Slowness) {
       NewCompared += Cell.NewAnswers;
@@ -17,6 +17,7 @@
     NewFailures += Cell.NewBad;
   }
   Comparison.add(Cells);
+  Latency.add(Latencies);
 }
 
 void QuickRollout::merge(const VersionDecision &Order) {
@@ -46,19 +47,31 @@
          std::min(0.5, Settings.CanaryShare + FromExtra);
 }
 
+bool QuickRollout::isSuspicious() const {
+  return Comparison.isSuspicious() || Latency.isSuspicious();
+}
+
+/// A rollback before its time needs strong evidence that the version is slower.
+/// A switch needs evidence that it is not: without any, it may be for want of
+/// answers.
+bool QuickRollout::maySwitch() const {
+  return NewAnswers >= Settings.MinNewAnswers &&
+         Latency.compared() >= Settings.MinComparedAnswers &&
+         !Latency.isSlower() && !isSuspicious();
+}
+
 VersionDecision QuickRollout::step(TimePoint Now) {
   const TimePoint End = StartedAt + Window - Settings.WriteMargin;
   const Duration SwitchTime =
       std::min(Settings.MaxSwitchTime,
                fromSeconds(Settings.SwitchFraction * budget(Now) /
                            std::max(1.0, requestRate(Now))));
-  if (!isFinal(Stage) && Comparison.tripped())
+  if (!isFinal(Stage) && (Comparison.tripped() || Latency.tripped()))
     Stage = VersionStage::RolledBack;
   if (Stage == VersionStage::Canary && Now >= End - SwitchTime)
-    Stage = NewAnswers >= Settings.MinNewAnswers ? VersionStage::Switching
-                                                 : VersionStage::RolledBack;
+    Stage = maySwitch() ? VersionStage::Switching : VersionStage::RolledBack;
   if (Stage == VersionStage::Switching && Now >= End)
-    Stage = VersionStage::Completed;
+    Stage = isSuspicious() ? VersionStage::RolledBack : VersionStage::Completed;
   VersionDecision Order{Pool, To, Stage};
   Order.Age = Now - StartedAt;
   switch (Stage) {
--- a/packages/coordination/src/version_guard.cpp
+++ b/packages/coordination/src/version_guard.cpp
@@ -68,6 +68,10 @@
     observe(*Answer);
     return {};
   }
+  if (const auto *Latency = std::get_if<LatencyObserved>(&Event)) {
+    observe(*Latency);
+    return {};
+  }
   if (const auto *Updated = std::get_if<ViewUpdated>(&Event)) {
     updateView(Updated->View);
     return {};
@@ -96,6 +100,8 @@
   Comparison = VersionComparison{};
   PendingCounts.clear();
   ReportedCounts.clear();
+  PendingLatencies.clear();
+  CountedUntil.clear();
   Tripped = false;
   TripPublished = false;
 }
@@ -117,6 +123,28 @@
     recordReference(Answer);
 }
 
+void VersionGuard::observe(const LatencyObserved &Latency) {
+  if (!Current || isFinal(Current->Phase))
+    return;
+  const bool IsNew = Latency.Version == Current->To;
+  if (!IsNew && Latency.Version != Current->From)
+    return;
+  if (IsNew) {
+    // Requests that wait for one target at the same time share the cause: a
+    // short silence of it counts once.
+    TimePoint &Until = CountedUntil[{Latency.Target, Latency.Kind}];
+    if (Latency.StartedAt < Until)
+      return;
+    Until = Latency.StartedAt + Latency.Elapsed;
+  }
+  const std::uint8_t Bin = latencyBin(toSeconds(Latency.Elapsed));
+  LatencyCell &Cell = PendingLatencies[{Latency.Route, Latency.Kind, Bin}];
+  Cell.Route = Latency.Route;
+  Cell.Kind = Latency.Kind;
+  Cell.Bin = Bin;
+  ++(IsNew ? Cell.NewAnswers : Cell.OldAnswers);
+}
+
 bool VersionGuard::isSlow(const AnswerObserved &Answer, bool IsNew) const {
   const Reference &Baseline = References.at(Answer.Stratum);
   const double Tolerance = IsNew ? SlowTolerance : 1.0;
@@ -170,8 +198,13 @@
     Actions.push_back(
         TripDetected{Current->Id, Current->To, Comparison.trippedBy()});
   TripPublished = Tripped;
-  if (!Cells.empty())
-    Actions.push_back(EvidenceReady{Current->Id, std::move(Cells)});
+  LatencyCells Latencies;
+  for (const auto &[Key, Cell] : PendingLatencies)
+    Latencies.push_back(Cell);
+  PendingLatencies.clear();
+  if (!Cells.empty() || !Latencies.empty())
+    Actions.push_back(
+        EvidenceReady{Current->Id, std::move(Cells), std::move(Latencies)});
 
   // After the deadline the version gets no requests unless its completion was
   // reported.
--- a/packages/coordination/tests/quick_rollout_test.cpp
+++ b/packages/coordination/tests/quick_rollout_test.cpp
@@ -47,7 +47,13 @@
     }
     Result.SentNew += Cell.NewAnswers;
     Result.SentAll += Cell.NewAnswers + Cell.OldAnswers;
-    Rollout.add({Cell});
+    // Both versions take as long.
+    LatencyCell Latency;
+    Latency.Route = Cell.Stratum.Route;
+    Latency.Bin = latencyBin(0.1);
+    Latency.OldAnswers = Cell.OldAnswers;
+    Latency.NewAnswers = Cell.NewAnswers;
+    Rollout.add({Cell}, {Latency});
     if (Result.Last.Stage == VersionStage::Completed &&
         Result.CompletedAt == Duration(0))
       Result.CompletedAt = Now;
--- a/packages/coordination/tests/slow_version_test.cpp
+++ b/packages/coordination/tests/slow_version_test.cpp
@@ -22,8 +22,7 @@
 
 // Guards against a version that answers several times slower, and is completed
 // because few of its answers were compared, and those were the fast ones.
-TEST_CASE("a version that is several times slower is not completed" *
-          doctest::should_fail()) {
+TEST_CASE("a version that is several times slower is not completed") {
   for (const double PerSecond : {20.0, 94.0, 240.0})
     for (const double Slowdown : {4.0, 8.0})
       for (const SlowWhen When : {SlowWhen::Always, SlowWhen::SecondHalf}) {
@@ -40,8 +39,7 @@
 
 // Guards against a switch for want of evidence: answers that did not fail say
 // nothing about the version's speed.
-TEST_CASE("a version whose speed was not compared is not completed" *
-          doctest::should_fail()) {
+TEST_CASE("a version whose speed was not compared is not completed") {
   const auto Pool = idOf<PoolId>("pool");
   const TimePoint Start(hours(1));
   QuickRollout Rollout(Pool, idOf<VersionId>("v2"), seconds(15), Start);
--- a/tests/support/quick_pool.h
+++ b/tests/support/quick_pool.h
@@ -118,7 +118,9 @@
     Out.Stage = Decision.Stage;
   }
 
-  void addEvidence(const EvidenceReady &Ready) { Rollout.add(Ready.Cells); }
+  void addEvidence(const EvidenceReady &Ready) {
+    Rollout.add(Ready.Cells, Ready.Latencies);
+  }
 
   void arrivals() {
     Owed += Scene.RequestsPerSecond * toSeconds(Step) * 2 *
@@ -185,6 +187,23 @@
     Ended.FirstTokenSeconds = First;
     Ended.SecondsPerToken =
         Events > 1 ? PerEvent / 3 * (Events - 1) / Events : 0;
+    LatencyObserved Latency{Ended.Version,
+                            Ended.Stratum.Route,
+                            TargetId{Target + (IsNew ? 1000 : 0)},
+                            LatencyKind::FirstEvent,
+                            at(Now),
+                            fromSeconds(First)};
+    after(Latency.Elapsed,
+          [this, Host, Latency] { Guards[Host].step(Latency); });
+    // The time between events is known after eight of them, or at the end.
+    const double Intervals = std::min(8.0, Events - 1);
+    if (Intervals >= 2) {
+      Latency.Kind = LatencyKind::PerEvent;
+      Latency.StartedAt += fromSeconds(First);
+      Latency.Elapsed = fromSeconds(PerEvent);
+      after(fromSeconds(First + PerEvent * Intervals),
+            [this, Host, Latency] { Guards[Host].step(Latency); });
+    }
     after(fromSeconds(First + PerEvent * (Events - 1)),
           [this, Host, Ended] { Guards[Host].step(Ended); });
   }
