--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -431,10 +431,16 @@
 void reportAnswerBegan(ForwardHost &H, const ForwardCall &Call);
 /// Takes over another host's decision on a prompt segment.
 void learnSegmentHold(ForwardHost &H, const PoolSegmentHold &Learned);
-std::vector<PoolSegmentHold> segmentHolds(const ForwardHost &H);
 void tickArbiters(ForwardHost &H);
 void confirmSlots(ForwardHost &H);
 
+// forward_segments.cpp
+/// Logs the decisions of an arbiter of this host on prompt segments, and tells
+/// the other hosts.
+void publishSegmentDecisions(ForwardHost &H, PoolId Pool, Arbiter &Decider);
+/// Returns what other hosts should know of all pools.
+std::vector<PoolSegmentHold> segmentHolds(const ForwardHost &H);
+
 // forward_fleet.cpp
 Result<Done> startFleet(ForwardHost &H);
 /// Returns the hub that arbitrates \p Pool; empty if none is reachable.
--- a/apps/marjorambayd/forward_pools.cpp
+++ b/apps/marjorambayd/forward_pools.cpp
@@ -141,38 +141,6 @@
   return Closed;
 }
 
-std::string targetNames(const ForwardHost &H,
-                        const std::vector<TargetId> &Targets) {
-  std::string Names;
-  for (const TargetId Id : Targets) {
-    const ListedTarget *Listed = targetOf(H, Id);
-    Names += (Names.empty() ? "" : ",") +
-             (Listed == nullptr ? std::string("unlisted") : Listed->Name);
-  }
-  return Names;
-}
-
-/// Logs the decisions of an arbiter of this host on prompt segments, and tells
-/// all hosts.
-void publishSegmentDecisions(ForwardHost &H, PoolId Pool, Arbiter &Decider) {
-  const std::vector<SegmentDecision> Decisions = Decider.takeSegmentDecisions();
-  if (Decisions.empty())
-    return;
-  for (const SegmentDecision &Decision : Decisions)
-    LogLine("segment_verdict", LogLevel::Warning)
-        .with("pool", static_cast<std::int64_t>(number(Pool)))
-        .with("segment", formatSegment(Decision.Segment))
-        .with("verdict", nameOf(Decision.Verdict))
-        .with("crashed", targetNames(H, Decision.Crashed))
-        .with("hold_ms",
-              std::chrono::duration_cast<milliseconds>(Decision.Hold).count());
-  bool Changed = false;
-  for (const SegmentHold &Hold : Decider.suspects().holds(H.Loop.now()))
-    Changed = H.Pools[Pool].Segments.learn(Hold, H.Loop.now()) || Changed;
-  if (Changed)
-    sendDigests(H);
-}
-
 Reservation reservationOf(const ForwardHost &H, const ForwardCall &Call,
                           RequestId Id) {
   const ForwardPool *Pool = Call.Table->pool(Call.Pool);
@@ -345,7 +313,7 @@
   dispatch(H, Call, *Target, SlotReservation{});
 }
 
-/// Gives the call a new reservation, which is yet to be sent.
+/// Opens a reservation for the call, for the caller of this to send.
 void openReservation(ForwardHost &H, ForwardCall &Call) {
   Call.Pending = SlotReservation{};
   Call.Pending.Id = static_cast<RequestId>(++H.LastRequest);
@@ -639,14 +607,6 @@
     stepLocalShare(H, Learned.Pool, Event);
 }
 
-std::vector<PoolSegmentHold> segmentHolds(const ForwardHost &H) {
-  std::vector<PoolSegmentHold> Known;
-  for (const auto &[Pool, State] : H.Pools)
-    for (const SegmentHold &Hold : State.Segments.holds(H.Loop.now()))
-      Known.push_back({Pool, Hold});
-  return Known;
-}
-
 void publishTargets(ForwardHost &H, PoolId Pool) {
   PoolState &State = H.Pools[Pool];
   if (State.PrimaryArbiter) {
