Log how the latencies of a new version rank among the old one's

The stage of a rollout was logged with counts alone, which don't tell whether a slow version was compared at all or compared with slower answers.

--- a/apps/marjorambayd/forward_versions.cpp
+++ b/apps/marjorambayd/forward_versions.cpp
@@ -3,6 +3,7 @@
 #include "forward_host.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace marjorambay {
 
@@ -62,6 +63,12 @@
   Versions.Guard.step(ViewUpdated{View});
 }
 
+/// Mean rank of the new version's latest latencies among those of the old one:
+/// about 50 if both are as fast, 0 if there are none.
+std::int64_t rankPercent(const QuickRollout &Rollout, LatencyKind Kind) {
+  return std::lround(100 * Rollout.latencies().meanRank(Kind));
+}
+
 /// Applies a decision on this host.
 void applyDecision(ForwardHost &H, PoolId Pool,
                    const VersionDecision &Decision) {
@@ -90,7 +97,11 @@
         .with("new_compared",
               static_cast<std::int64_t>(Versions.Rollout->newCompared()))
         .with("new_slow",
-              static_cast<std::int64_t>(Versions.Rollout->newSlow()));
+              static_cast<std::int64_t>(Versions.Rollout->newSlow()))
+        .with("first_event_rank",
+              rankPercent(*Versions.Rollout, LatencyKind::FirstEvent))
+        .with("event_rank",
+              rankPercent(*Versions.Rollout, LatencyKind::PerEvent));
   }
   publishTargets(H, Pool);
 }
