--- a/packages/coordination/tests/slow_version_test.cpp
+++ b/packages/coordination/tests/slow_version_test.cpp
@@ -37,6 +37,25 @@
       }
 }
 
+// Guards against a version that is slower, and is completed because its targets
+// have few requests and those of the old version are loaded: their answers take
+// as long.
+TEST_CASE("a slower version is not completed beside loaded targets" *
+          doctest::should_fail()) {
+  for (const double PerSecond : {94.0, 240.0})
+    for (const double Slowdown : {2.0, 3.0, 4.0})
+      for (const double Load : {0.3, 0.6}) {
+        CAPTURE(PerSecond);
+        CAPTURE(Slowdown);
+        CAPTURE(Load);
+        QuickScenario Scene;
+        Scene.RequestsPerSecond = PerSecond;
+        Scene.Slowdown = Slowdown;
+        Scene.OldLoad = Load;
+        CHECK(countEnded(Scene, VersionStage::RolledBack) == Seeds);
+      }
+}
+
 // Guards against a switch for want of evidence: answers that did not fail say
 // nothing about the version's speed.
 TEST_CASE("a version whose speed was not compared is not completed") {
@@ -57,6 +76,7 @@
   SUBCASE("and also if one of its targets is silent for a second") {
     Scene.SilentTarget = true;
   }
+  SUBCASE("and beside loaded targets") { Scene.OldLoad = 0.5; }
   for (const double PerSecond : {5.0, 20.0, 94.0, 240.0})
     for (const std::size_t Targets : {2U, 18U}) {
       CAPTURE(PerSecond);
--- a/tests/support/quick_pool.h
+++ b/tests/support/quick_pool.h
@@ -30,6 +30,9 @@
   bool SilentTarget = false; ///< the new target with most requests is silent
                              ///< for the second before the switch, and for one
                              ///< in the middle of the window
+  /// Share of the time in which a target of the old version also processes
+  /// prompts of other requests. Targets of the new one have few others.
+  double OldLoad = 0;
   std::uint64_t Seed = 1;
 };
 
@@ -170,15 +173,37 @@
     return Duration(0);
   }
 
+  /// Seconds for which a target processes a prompt of another request; 0 if it
+  /// has none at that moment.
+  double interruption(bool IsNew, double Speed) {
+    if (IsNew || Scene.OldLoad <= 0 || drawFraction(Random) >= Scene.OldLoad)
+      return 0;
+    return -0.03 * Speed * std::log(1 - drawFraction(Random) * 0.999);
+  }
+
+  /// Returns the times between the first events of a stream, in seconds.
+  std::vector<double> eventGaps(bool IsNew, double Speed, double Events) {
+    constexpr double MostGaps = 12;
+    const double Step = logNormal(0.011, Scene.OldLoad > 0 ? 0.03 : 0.25);
+    std::vector<double> Gaps;
+    for (double Gap = 1; Gap < Events && Gap <= MostGaps; ++Gap)
+      Gaps.push_back(Step * Speed + interruption(IsNew, Speed));
+    return Gaps;
+  }
+
   void answer(bool IsNew, std::size_t Route, std::size_t Target, bool Fast,
               bool Slow) {
     const double Speed = (Fast ? 1.0 : 3.0) * (Slow ? Scene.Slowdown : 1.0);
     const std::array<double, Routes> Prompts = {0.08, 0.04, 0.015};
     const std::array<double, Routes> Lengths = {4, 5, 25};
     const double First = 0.055 + logNormal(Prompts[Route], 0.9) * Speed / 2 +
-                         toSeconds(silence(IsNew, Target));
+                         toSeconds(silence(IsNew, Target)) +
+                         2 * interruption(IsNew, Speed);
     const double Events = std::floor(1 + logNormal(Lengths[Route], 1.4));
-    const double PerEvent = logNormal(0.011, 0.25) * Speed;
+    const std::vector<double> Gaps = eventGaps(IsNew, Speed, Events);
+    double PerEvent = 0;
+    for (const double Gap : Gaps)
+      PerEvent += Gap / static_cast<double>(Gaps.size());
     const std::size_t Host = static_cast<std::size_t>(
         drawFraction(Random) * static_cast<double>(Guards.size()));
     AnswerObserved Ended;
