Test that a version that fails is rolled back beside failures of the old one; fails

The old version fails 45 of 100 answers, for 5 s after the order or all the time, the new one 60. A sound version is completed after such failures.

--- a/packages/coordination/tests/quick_rollout_test.cpp
+++ b/packages/coordination/tests/quick_rollout_test.cpp
@@ -22,8 +22,15 @@
   Duration CompletedAt{}; ///< time since the operator's order
 };
 
-Outcome play(double PerSecond, double OldBad, double NewBad,
-             Duration BadFrom = Duration(0)) {
+/// Share of answers that fail from a moment on, and before it.
+struct FailureShare {
+  double Until = 0;
+  double From = 0;
+  Duration Change{};
+  double at(Duration Now) const { return Now < Change ? Until : From; }
+};
+
+Outcome play(double PerSecond, FailureShare Old, FailureShare New) {
   QuickRollout Rollout(Pool, Version, Window, at(Duration(0)));
   SplitMix64 Random(1);
   Outcome Result;
@@ -37,13 +44,13 @@
     const double Requests = PerSecond * toSeconds(Step);
     for (double Request = 0; Request < Requests; ++Request) {
       Credit += Result.Last.Share;
-      const bool New = Credit >= 1;
-      Credit -= New ? 1 : 0;
-      const double Rate = New && Now >= BadFrom ? NewBad : OldBad;
+      const bool IsNew = Credit >= 1;
+      Credit -= IsNew ? 1 : 0;
+      const double Rate = (IsNew ? New : Old).at(Now);
       const bool Fails = drawFraction(Random) < Rate;
-      ++(New ? Cell.NewAnswers : Cell.OldAnswers);
-      (New ? Cell.NewBad : Cell.OldBad) += Fails ? 1 : 0;
-      Bad += New && Fails ? 1 : 0;
+      ++(IsNew ? Cell.NewAnswers : Cell.OldAnswers);
+      (IsNew ? Cell.NewBad : Cell.OldBad) += Fails ? 1 : 0;
+      Bad += IsNew && Fails ? 1 : 0;
     }
     Result.SentNew += Cell.NewAnswers;
     Result.SentAll += Cell.NewAnswers + Cell.OldAnswers;
@@ -63,6 +70,12 @@
   return Result;
 }
 
+Outcome play(double PerSecond, double OldBad, double NewBad,
+             Duration BadFrom = Duration(0)) {
+  return play(PerSecond, FailureShare{OldBad, OldBad},
+              FailureShare{OldBad, NewBad, BadFrom});
+}
+
 TEST_CASE("a good version is completed within its window") {
   for (const double PerSecond : {20.0, 100.0, 250.0}) {
     CAPTURE(PerSecond);
@@ -102,6 +115,38 @@
   }
 }
 
+// Guards against a version that fails, and is completed because the old one has
+// failed as well: what the old one may do sets the bound for the new one.
+TEST_CASE("a version that fails beside failures of the old one" *
+          doctest::should_fail()) {
+  constexpr double Usual = 0.01;
+  constexpr double Trouble = 0.45;
+  for (const double PerSecond : {20.0, 94.0, 240.0}) {
+    CAPTURE(PerSecond);
+    SUBCASE("for a while is rolled back within 50 bad answers") {
+      const Outcome Result =
+          play(PerSecond, FailureShare{Trouble, Usual, seconds(5)}, {0.6, 0.6});
+      CHECK(Result.Last.Stage == VersionStage::RolledBack);
+      CHECK(Result.BadAtTrip < 50);
+    }
+    SUBCASE("all the time is rolled back within 50 bad answers") {
+      const Outcome Result =
+          play(PerSecond, FailureShare{Trouble, Trouble}, {0.6, 0.6});
+      CHECK(Result.Last.Stage == VersionStage::RolledBack);
+      CHECK(Result.BadAtTrip < 50);
+    }
+  }
+}
+
+TEST_CASE("a sound version is completed after failures of the whole service") {
+  for (const double PerSecond : {20.0, 94.0, 240.0}) {
+    CAPTURE(PerSecond);
+    const FailureShare Trouble{0.45, 0.01, seconds(4)};
+    CHECK(play(PerSecond, Trouble, Trouble).Last.Stage ==
+          VersionStage::Completed);
+  }
+}
+
 TEST_CASE("a version without answers is rolled back") {
   QuickRollout Rollout(Pool, Version, Window, at(Duration(0)));
   CHECK(Rollout.step(at(Window)).Stage == VersionStage::RolledBack);
