--- a/packages/coordination/tests/slow_version_test.cpp
+++ b/packages/coordination/tests/slow_version_test.cpp
@@ -55,6 +55,24 @@
       }
 }
 
+// Guards against a version of a plain service of which half of the answers are
+// several times slower: the quick half hides it.
+TEST_CASE("a version slow for half of its answers is not completed" *
+          doctest::should_fail()) {
+  for (const double PerSecond : {33.0, 94.0})
+    for (const double Slowdown : {8.0, 16.0}) {
+      CAPTURE(PerSecond);
+      CAPTURE(Slowdown);
+      QuickScenario Scene;
+      Scene.RequestsPerSecond = PerSecond;
+      Scene.Slowdown = Slowdown;
+      Scene.SlowShare = 0.5;
+      Scene.Streams = false;
+      Scene.Targets = 4;
+      CHECK(countEnded(Scene, VersionStage::RolledBack) == Seeds);
+    }
+}
+
 // Guards against a switch for want of evidence: answers that did not fail say
 // nothing about the version's speed.
 TEST_CASE("a version whose speed was not compared is not completed") {
--- a/tests/support/quick_pool.h
+++ b/tests/support/quick_pool.h
@@ -22,7 +22,9 @@
 
 struct QuickScenario {
   double RequestsPerSecond = 94;
-  double Slowdown = 1; ///< of the new version
+  double Slowdown = 1;  ///< of the new version
+  double SlowShare = 1; ///< of its answers are slow
+  bool Streams = true;  ///< otherwise, each answer is one event
   SlowWhen When = SlowWhen::Always;
   Duration Window = seconds(15);
   std::size_t Hosts = 8;
@@ -143,7 +145,9 @@
         drawFraction(Random) *
         static_cast<double>(Prefers ? FastTargets : Scene.Targets));
     ++Out.Requests;
-    const bool Slow = IsNew && Scene.Slowdown > 1 && isSlow(Route);
+    const bool Slow =
+        IsNew && Scene.Slowdown > 1 && isSlow(Route) &&
+        (Scene.SlowShare >= 1 || drawFraction(Random) < Scene.SlowShare);
     Out.SlowRequests += Slow ? 1 : 0;
     answer(IsNew, Route, Target, Target < FastTargets, Slow);
   }
@@ -199,7 +203,8 @@
     const double First = 0.055 + logNormal(Prompts[Route], 0.9) * Speed / 2 +
                          toSeconds(silence(IsNew, Target)) +
                          2 * interruption(IsNew, Speed);
-    const double Events = std::floor(1 + logNormal(Lengths[Route], 1.4));
+    const double Events =
+        Scene.Streams ? std::floor(1 + logNormal(Lengths[Route], 1.4)) : 1;
     const std::vector<double> Gaps = eventGaps(IsNew, Speed, Events);
     double PerEvent = 0;
     for (const double Gap : Gaps)
