--- a/apps/marjorambayd/forward_dispatch.cpp
+++ b/apps/marjorambayd/forward_dispatch.cpp
@@ -201,10 +201,10 @@
          H.Pools[Call.Pool].Retries.tryWithdraw();
 }
 
-std::string formatSegments(const std::vector<SegmentId> &Segments) {
+std::string formatCrashKeys(const std::vector<CrashKey> &Keys) {
   std::string Text;
-  for (const SegmentId Segment : Segments)
-    Text += (Text.empty() ? "" : ",") + formatSegment(Segment);
+  for (const CrashKey &Key : Keys)
+    Text += (Text.empty() ? "" : ",") + formatCrashKey(Key);
   return Text;
 }
 
@@ -223,7 +223,7 @@
       .with("silent_ms", std::chrono::duration_cast<milliseconds>(
                              H.Loop.now() - Attempt.LastBytesAt)
                              .count())
-      .with("segments", formatSegments(Call.Segments));
+      .with("segments", formatCrashKeys(Call.CrashKeys));
 }
 
 /// Retries a call that a target has not completed, or fails it. \p NotRun: the
--- a/apps/marjorambayd/forward_fleet.cpp
+++ b/apps/marjorambayd/forward_fleet.cpp
@@ -90,7 +90,7 @@
   Digest.Ready = isReady(H);
   Digest.Decisions = coordinatedDecisions(H);
   Digest.FeedPositions = feedPositions(H);
-  Digest.SegmentHolds = segmentHolds(H);
+  Digest.CrashHolds = crashHolds(H);
   Digest.WatchHealthy = isWatchHealthy(H);
   if (!H.Table)
     return Digest;
@@ -105,8 +105,8 @@
     H.Meter.updateLevel(Level, Now);
   for (const VersionDecision &Order : Digest.Decisions)
     mergeDecision(H, Order);
-  for (const PoolSegmentHold &Hold : Digest.SegmentHolds)
-    learnSegmentHold(H, Hold);
+  for (const PoolCrashHold &Hold : Digest.CrashHolds)
+    learnCrashHold(H, Hold);
 }
 
 /// Decides whether this host watches the platform or follows hubs that do.
--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -141,7 +141,7 @@
   std::uint32_t OutputHint = 0;
   std::uint64_t PrefixHash = 0; ///< hash of the prompt's first segment
   /// Segments that the prompt may share with others: all but its last.
-  std::vector<SegmentId> Segments{};
+  std::vector<CrashKey> CrashKeys{};
   double QuotaCharge = 0; ///< quota charged to the account
   TimePoint Arrived{};
   TimePoint Deadline{}; ///< the earlier one of the caller's deadline and the
@@ -226,8 +226,8 @@
   PoolHealth Health{};
   PoolVersions Versions{};
   HostId SlotsReportedTo{}; ///< arbiter that this host's slots were reported to
-  /// Prompt segments under which targets crash, as far as this host knows.
-  CrashSuspects Segments{};
+  /// Keys under which targets crash, as far as this host knows.
+  CrashSuspects Suspects{};
   /// Until then the arbiter is told of first events of answers.
   TimePoint WatchAnswersUntil{};
 };
@@ -431,17 +431,17 @@
 void publishTargets(ForwardHost &H, PoolId Pool);
 /// Tells the arbiters that granted it of the first event of an answer.
 void reportAnswerBegan(ForwardHost &H, const ForwardCall &Call);
-/// Takes over another host's decision on a prompt segment.
-void learnSegmentHold(ForwardHost &H, const PoolSegmentHold &Learned);
+/// Takes over another host's decision on a crash key.
+void learnCrashHold(ForwardHost &H, const PoolCrashHold &Learned);
 void tickArbiters(ForwardHost &H);
 void confirmSlots(ForwardHost &H);
 
-// forward_segments.cpp
-/// Logs the decisions of an arbiter of this host on prompt segments, and tells
+// forward_suspects.cpp
+/// Logs the decisions of an arbiter of this host on crash keys, and tells
 /// the other hosts.
-void publishSegmentDecisions(ForwardHost &H, PoolId Pool, Arbiter &Decider);
+void publishCrashDecisions(ForwardHost &H, PoolId Pool, Arbiter &Decider);
 /// Returns what other hosts should know of all pools.
-std::vector<PoolSegmentHold> segmentHolds(const ForwardHost &H);
+std::vector<PoolCrashHold> crashHolds(const ForwardHost &H);
 
 // forward_fleet.cpp
 Result<Done> startFleet(ForwardHost &H);
--- a/apps/marjorambayd/forward_pools.cpp
+++ b/apps/marjorambayd/forward_pools.cpp
@@ -95,9 +95,8 @@
         .with("pool", static_cast<std::int64_t>(number(Pool)));
     publishVersions(H, Pool, *Primary);
     Primary->step(TargetsChanged{targetsOf(H, Pool)}, H.Loop.now());
-    Primary->step(
-        SegmentHoldsLearned{H.Pools[Pool].Segments.holds(H.Loop.now())},
-        H.Loop.now());
+    Primary->step(CrashHoldsLearned{H.Pools[Pool].Suspects.holds(H.Loop.now())},
+                  H.Loop.now());
   }
   return *Primary;
 }
@@ -109,7 +108,7 @@
     publishVersions(H, Pool, *LocalShare);
     LocalShare->step(TargetsChanged{localShareOf(H, Pool)}, H.Loop.now());
     LocalShare->step(
-        SegmentHoldsLearned{H.Pools[Pool].Segments.holds(H.Loop.now())},
+        CrashHoldsLearned{H.Pools[Pool].Suspects.holds(H.Loop.now())},
         H.Loop.now());
   }
   return *LocalShare;
@@ -161,7 +160,7 @@
   Request.FirstTokenObjective = std::max<Duration>(
       Duration(1), Call.Arrived + Call.Route->LatencyObjective - Now);
   Request.ClosedTargets = closedTargets(H, Call);
-  Request.Segments = Call.Segments;
+  Request.CrashKeys = Call.CrashKeys;
   Request.Repeat = Call.MayHaveRun || Call.Stage == CallStage::Dispatched;
   return Request;
 }
@@ -215,7 +214,7 @@
 void stepLocalShare(ForwardHost &H, PoolId Pool, const ArbiterEvent &Event) {
   Arbiter &LocalShare = localShareArbiter(H, Pool);
   const ArbiterActions Actions = LocalShare.step(Event, H.Loop.now());
-  publishSegmentDecisions(H, Pool, LocalShare);
+  publishCrashDecisions(H, Pool, LocalShare);
   for (const ArbiterAction &Action : Actions)
     handleArbiterAction(H, Action);
 }
@@ -510,7 +509,7 @@
   if (std::holds_alternative<SlotRequested>(Event))
     H.Pools[Pool].PrimaryUsedAt = H.Loop.now();
   const ArbiterActions Actions = Primary.step(Event, H.Loop.now());
-  publishSegmentDecisions(H, Pool, Primary);
+  publishCrashDecisions(H, Pool, Primary);
   if (number(Target) != 0)
     logIfEjected(H, Primary, *Released, Target, WasUsable);
   for (const ArbiterAction &Action : Actions) {
@@ -596,11 +595,11 @@
   handleGrant(H, *Call, Grant->Target);
 }
 
-void learnSegmentHold(ForwardHost &H, const PoolSegmentHold &Learned) {
+void learnCrashHold(ForwardHost &H, const PoolCrashHold &Learned) {
   PoolState &State = H.Pools[Learned.Pool];
-  if (!State.Segments.learn(Learned.Hold, H.Loop.now()))
+  if (!State.Suspects.learn(Learned.Hold, H.Loop.now()))
     return;
-  const SegmentHoldsLearned Event{{Learned.Hold}};
+  const CrashHoldsLearned Event{{Learned.Hold}};
   if (State.PrimaryArbiter)
     stepPrimaryArbiter(H, Learned.Pool, Event);
   if (State.LocalShareArbiter)
--- a/apps/marjorambayd/forward_requests.cpp
+++ b/apps/marjorambayd/forward_requests.cpp
@@ -87,9 +87,9 @@
   return Path == std::string::npos ? "/" : Target.substr(Path);
 }
 
-/// Returns the id of a segment "ID:TOKENS": the number that ID is in
+/// Returns the key of a segment "ID:TOKENS": the number that ID is in
 /// hexadecimal, so that operators find it in their own records, or its hash.
-SegmentId parseSegment(std::string_view Text) {
+CrashKey parseSegment(std::string_view Text) {
   const std::string_view Id = Text.substr(0, Text.find(':'));
   std::uint64_t Value = 0;
   constexpr int Hexadecimal = 16;
@@ -97,12 +97,14 @@
       std::from_chars(Id.data(), Id.data() + Id.size(), Value, Hexadecimal);
   const bool IsNumber =
       Read.ec == std::errc() && Read.ptr == Id.data() + Id.size();
-  return static_cast<SegmentId>(IsNumber ? Value : hash64(Id));
+  constexpr std::uint64_t MaxValue = ~0ULL >> 1;
+  return {CrashKeyKind::Segment,
+          IsNumber && Value <= MaxValue ? Value : hash64(Id) & MaxValue};
 }
 
 /// Returns all segments of a prompt but the last, which is its own.
-std::vector<SegmentId> sharedSegments(std::string_view Segments) {
-  std::vector<SegmentId> Shared;
+std::vector<CrashKey> sharedSegments(std::string_view Segments) {
+  std::vector<CrashKey> Shared;
   for (std::size_t End = Segments.find(',');
        End != std::string_view::npos && Shared.size() < MaxSharedSegments;
        End = Segments.find(',')) {
@@ -130,7 +132,7 @@
   if (Segments.empty())
     return;
   Call.PrefixHash = hash64(Segments.substr(0, Segments.find(',')));
-  Call.Segments = sharedSegments(Segments);
+  Call.CrashKeys = sharedSegments(Segments);
 }
 
 double quotaCost(const ForwardAccount &Account, const ForwardCall &Call) {
--- a/apps/marjorambayd/forward_segments.cpp
+++ b/apps/marjorambayd/forward_suspects.cpp
@@ -1,4 +1,4 @@
-/// Prompt segments under which targets crash: decisions of arbiters of this
+/// Keys of requests under which targets crash: decisions of arbiters of this
 /// host, and what other hosts are told of them.
 #include "forward_host.h"
 
@@ -19,29 +19,30 @@
 
 } // namespace
 
-void publishSegmentDecisions(ForwardHost &H, PoolId Pool, Arbiter &Decider) {
-  const std::vector<SegmentDecision> Decisions = Decider.takeSegmentDecisions();
+void publishCrashDecisions(ForwardHost &H, PoolId Pool, Arbiter &Decider) {
+  const std::vector<CrashDecision> Decisions = Decider.takeCrashDecisions();
   if (Decisions.empty())
     return;
-  for (const SegmentDecision &Decision : Decisions)
-    LogLine("segment_verdict", LogLevel::Warning)
+  for (const CrashDecision &Decision : Decisions)
+    LogLine("crash_verdict", LogLevel::Warning)
         .with("pool", static_cast<std::int64_t>(number(Pool)))
-        .with("segment", formatSegment(Decision.Segment))
+        .with("kind", nameOf(Decision.Key.Kind))
+        .with("key", formatCrashKey(Decision.Key))
         .with("verdict", nameOf(Decision.Verdict))
         .with("crashed", targetNames(H, Decision.Crashed))
         .with("hold_ms",
               std::chrono::duration_cast<milliseconds>(Decision.Hold).count());
   bool Changed = false;
-  for (const SegmentHold &Hold : Decider.suspects().holds(H.Loop.now()))
-    Changed = H.Pools[Pool].Segments.learn(Hold, H.Loop.now()) || Changed;
+  for (const CrashHold &Hold : Decider.suspects().holds(H.Loop.now()))
+    Changed = H.Pools[Pool].Suspects.learn(Hold, H.Loop.now()) || Changed;
   if (Changed)
     sendDigests(H);
 }
 
-std::vector<PoolSegmentHold> segmentHolds(const ForwardHost &H) {
-  std::vector<PoolSegmentHold> Known;
+std::vector<PoolCrashHold> crashHolds(const ForwardHost &H) {
+  std::vector<PoolCrashHold> Known;
   for (const auto &[Pool, State] : H.Pools)
-    for (const SegmentHold &Hold : State.Segments.holds(H.Loop.now()))
+    for (const CrashHold &Hold : State.Suspects.holds(H.Loop.now()))
       Known.push_back({Pool, Hold});
   return Known;
 }
--- a/apps/marjorambayd/peer_codec.cpp
+++ b/apps/marjorambayd/peer_codec.cpp
@@ -47,8 +47,8 @@
   Out->set_first_within_us(Request.FirstTokenObjective.count());
   for (const TargetId Target : Request.ClosedTargets)
     Out->add_closed_targets(number(Target));
-  for (const SegmentId Segment : Request.Segments)
-    Out->add_segments(number(Segment));
+  for (const CrashKey &Key : Request.CrashKeys)
+    Out->add_segments(Key.Value);
   Out->set_repeat(Request.Repeat);
 }
 
@@ -69,7 +69,7 @@
   for (const std::uint64_t Target : In.closed_targets())
     Request.ClosedTargets.push_back(TargetId{Target});
   for (const std::uint64_t Segment : In.segments())
-    Request.Segments.push_back(SegmentId{Segment});
+    Request.CrashKeys.push_back({CrashKeyKind::Segment, Segment});
   Request.Repeat = In.repeat();
   return Request;
 }
@@ -350,10 +350,10 @@
     Entry->set_share(Order.Share);
     Entry->set_age_us(Order.Age.count());
   }
-  for (const auto &[Pool, Hold] : Digest.SegmentHolds) {
+  for (const auto &[Pool, Hold] : Digest.CrashHolds) {
     peer::SegmentHold *Entry = Body->add_segment_holds();
     Entry->set_pool(number(Pool));
-    Entry->set_segment(number(Hold.Segment));
+    Entry->set_segment(Hold.Key.Value);
     Entry->set_confirmations(Hold.Confirmations);
     Entry->set_cleared(Hold.Cleared);
     Entry->set_remaining_us(Hold.Remaining.count());
@@ -493,10 +493,11 @@
          static_cast<VersionStage>(std::min(Entry.stage(), LastStage)),
          Entry.share(), Duration(Entry.age_us())});
   for (const peer::SegmentHold &Entry : In.segment_holds())
-    Digest.SegmentHolds.push_back(
-        {PoolId{Entry.pool()},
-         {SegmentId{Entry.segment()}, Entry.confirmations(), Entry.cleared(),
-          Duration(Entry.remaining_us())}});
+    Digest.CrashHolds.push_back({PoolId{Entry.pool()},
+                                 {{CrashKeyKind::Segment, Entry.segment()},
+                                  Entry.confirmations(),
+                                  Entry.cleared(),
+                                  Duration(Entry.remaining_us())}});
   return Digest;
 }
 
--- a/apps/marjorambayd/tests/peer_codec_test.cpp
+++ b/apps/marjorambayd/tests/peer_codec_test.cpp
@@ -49,7 +49,8 @@
   Request.Cost = {1000, 20};
   Request.PrefixHash = ~0ULL;
   Request.Remaining = seconds(9);
-  Request.Segments = {SegmentId{0xa1}, SegmentId{0xb2}};
+  Request.CrashKeys = {{CrashKeyKind::Segment, 0xa1},
+                       {CrashKeyKind::Segment, 0xb2}};
   Request.Repeat = true;
   return Request;
 }
@@ -83,7 +84,7 @@
     CHECK(Read.Cost.Output == 20);
     CHECK(Read.PrefixHash == ~0ULL);
     CHECK(Read.Remaining == seconds(9));
-    CHECK(Read.Segments == std::vector{SegmentId{0xa1}, SegmentId{0xb2}});
+    CHECK(Read.CrashKeys == makeReservation().CrashKeys);
     CHECK(Read.Repeat);
   }
   SUBCASE("cancellation, grant, preemption and refusal carry the request key") {
--- a/packages/coordination/marjorambay/coordination/arbiter.h
+++ b/packages/coordination/marjorambay/coordination/arbiter.h
@@ -11,7 +11,7 @@
 ///   7. version_share.h   caps on versions under rollout
 ///   8. work_rate.h       arrival rate of work by tier
 ///   9. backlog_service.h  measured service of tiers that wait
-///  10. crash_suspects.h  prompt segments under which targets crash
+///  10. crash_suspects.h  keys under which targets crash
 ///  11. Arbiter           combines these
 #ifndef MARJORAMBAY_COORDINATION_ARBITER_H
 #define MARJORAMBAY_COORDINATION_ARBITER_H
@@ -101,8 +101,8 @@
   ArbiterView view(TimePoint Now) const;
   const TargetTable &targets() const { return Targets; }
   const CrashSuspects &suspects() const { return Suspects; }
-  /// Returns the decisions on segments since the last call.
-  std::vector<SegmentDecision> takeSegmentDecisions() {
+  /// Returns the decisions on keys since the last call.
+  std::vector<CrashDecision> takeCrashDecisions() {
     return Suspects.takeDecisions();
   }
   /// Returns the slot of a request, or nullptr if it has none.
@@ -129,7 +129,7 @@
   void apply(const TakeoverStarted &Event, TimePoint Now);
   void apply(const SlotsConfirmed &Event, TimePoint Now);
   void apply(const AnswerBegan &Event, TimePoint Now);
-  void apply(const SegmentHoldsLearned &Event, TimePoint Now);
+  void apply(const CrashHoldsLearned &Event, TimePoint Now);
   void apply(const ArbiterTicked &Event, TimePoint Now);
 
   static AttemptEnd attemptEnd(const Usage &Used);
@@ -157,7 +157,7 @@
   void refuseUnservable(TimePoint Now);
   void grantAvailable(TimePoint Now);
   /// Grants or sheds one reservation, or sets it aside if its origin may use
-  /// none of the targets with a free slot or it has a suspected segment.
+  /// none of the targets with a free slot or it has a suspected key.
   /// Returns whether another may be granted.
   bool grantNext(TierRank Tier, std::vector<QueuedReservation> &SetAside,
                  TimePoint Now);
--- a/packages/coordination/marjorambay/coordination/arbiter_events.h
+++ b/packages/coordination/marjorambay/coordination/arbiter_events.h
@@ -93,9 +93,9 @@
 struct AnswerBegan {
   RequestKey Key{};
 };
-/// Decisions of other hosts on segments under which targets crash.
-struct SegmentHoldsLearned {
-  std::vector<SegmentHold> Holds{};
+/// Decisions of other hosts on keys under which targets crash.
+struct CrashHoldsLearned {
+  std::vector<CrashHold> Holds{};
 };
 /// A version was found faulty and gets no new requests, permanently.
 struct VersionTripped {
@@ -148,7 +148,7 @@
                  LoadReported, TargetLeaving, TargetRefused, VersionTripped,
                  VersionShareChanged, ServingVersionChanged, GrantsReported,
                  OriginLost, TakeoverStarted, SlotsConfirmed, AnswerBegan,
-                 SegmentHoldsLearned, ArbiterTicked>;
+                 CrashHoldsLearned, ArbiterTicked>;
 
 // ---- Actions ----------------------------------------------------------------
 
--- a/packages/coordination/marjorambay/coordination/fleet_heartbeat.h
+++ b/packages/coordination/marjorambay/coordination/fleet_heartbeat.h
@@ -54,10 +54,10 @@
   Duration Age{};   ///< time since the operator's order was first seen
 };
 
-/// Decision of a pool's arbiter on a prompt segment.
-struct PoolSegmentHold {
+/// Decision of a pool's arbiter on a crash key.
+struct PoolCrashHold {
   PoolId Pool{};
-  SegmentHold Hold{};
+  CrashHold Hold{};
 };
 
 struct FleetDigest {
@@ -71,7 +71,7 @@
   /// Position of the last change, by object kind.
   std::array<StorePosition, ObjectKindCount> FeedPositions{};
   bool WatchHealthy = false; ///< the sender's platform watch is responding
-  std::vector<PoolSegmentHold> SegmentHolds{};
+  std::vector<PoolCrashHold> CrashHolds{};
 };
 
 /// An arbiter has received a reservation and has not decided on it yet.
--- a/packages/coordination/marjorambay/coordination/requests.h
+++ b/packages/coordination/marjorambay/coordination/requests.h
@@ -2,6 +2,7 @@
 #ifndef MARJORAMBAY_COORDINATION_REQUESTS_H
 #define MARJORAMBAY_COORDINATION_REQUESTS_H
 
+#include "marjorambay/coordination/crash_key.h"
 #include "marjorambay/state/enum_names.h"
 #include "marjorambay/state/ids.h"
 #include "marjorambay/state/time.h"
@@ -40,8 +41,8 @@
   Duration FirstTokenObjective{};
   /// Targets that the origin may not use at present.
   std::vector<TargetId> ClosedTargets{};
-  /// Segments that the prompt may share with others.
-  std::vector<SegmentId> Segments{};
+  /// What the request may have in common with others.
+  std::vector<CrashKey> CrashKeys{};
   bool Repeat = false; ///< the request may have run at another target
 };
 
--- a/packages/coordination/src/arbiter.cpp
+++ b/packages/coordination/src/arbiter.cpp
@@ -165,10 +165,10 @@
   const RequestKey Key = Entry.Request.Key;
   if (!Targets.anyServing(Entry.Request.Version, Shares))
     return RefuseSlot{Key, ErrorKind::NoTarget, Settings.NoTargetRetryAfter};
-  const SegmentAdmission Admission =
-      Suspects.admit(Entry.Request.Segments, Entry.Request.Repeat, Now);
-  if (Admission.Decision == SegmentAdmission::Kind::Refuse)
-    return RefuseSlot{Key, ErrorKind::CrashingSegment, Admission.RetryAfter};
+  const CrashAdmission Admission =
+      Suspects.admit(Entry.Request.CrashKeys, Entry.Request.Repeat, Now);
+  if (Admission.Decision == CrashAdmission::Kind::Refuse)
+    return RefuseSlot{Key, ErrorKind::CrashingRequest, Admission.RetryAfter};
   if (Entry.LatestStart < Now && cannotMeetDeadline(Entry, Now))
     return RefuseSlot{Key, ErrorKind::DeadlinePassed, Duration(0)};
   // A request that is late already, as after a failed attempt, may wait for as
@@ -328,14 +328,14 @@
         Targets.choose(*Head, Shares, takingOver(Now), Now);
     if (!Choice.AnyRoom)
       return false;
-    const SegmentAdmission Admission =
-        Suspects.admit(Head->Request.Segments, Head->Request.Repeat, Now);
-    if (Admission.Decision == SegmentAdmission::Kind::Refuse) {
-      refuse(*Queue.cancel(Head->Request.Key), ErrorKind::CrashingSegment,
+    const CrashAdmission Admission =
+        Suspects.admit(Head->Request.CrashKeys, Head->Request.Repeat, Now);
+    if (Admission.Decision == CrashAdmission::Kind::Refuse) {
+      refuse(*Queue.cancel(Head->Request.Key), ErrorKind::CrashingRequest,
              Admission.RetryAfter, Now);
       return true;
     }
-    if (Admission.Decision == SegmentAdmission::Kind::Wait) {
+    if (Admission.Decision == CrashAdmission::Kind::Wait) {
       Unusable = Head;
       continue;
     }
@@ -371,8 +371,8 @@
   Targets.addSlot(Reserved, takingOver(Now), Now);
   addSlot(Reserved);
   Service.recordGrant(Entry.Request.Tier, Entry.Work, Now);
-  Suspects.recordGrant(Entry.Request.Key, Choice.Target, Entry.Request.Segments,
-                       Now);
+  Suspects.recordGrant(Entry.Request.Key, Choice.Target,
+                       Entry.Request.CrashKeys, Now);
   Pending.emplace_back(GrantSlot{Entry.Request.Key, Choice.Target,
                                  Reserved.Version, Suspects.watching()});
 }
@@ -453,11 +453,11 @@
 
 void Arbiter::apply(const AnswerBegan &Event, TimePoint Now) {
   Suspects.recordAnswer(Event.Key, Now);
-  SlotMayBeFree = true; // requests with the same segments may wait no longer
+  SlotMayBeFree = true; // requests with the same keys may wait no longer
 }
 
-void Arbiter::apply(const SegmentHoldsLearned &Event, TimePoint Now) {
-  for (const SegmentHold &Hold : Event.Holds)
+void Arbiter::apply(const CrashHoldsLearned &Event, TimePoint Now) {
+  for (const CrashHold &Hold : Event.Holds)
     Suspects.learn(Hold, Now);
   SlotMayBeFree = true;
 }
@@ -553,7 +553,7 @@
     Targets.addSlot(Reserved, false, Now);
     addSlot(Reserved);
     Suspects.recordGrant(Grant.Request.Key, Grant.Target,
-                         Grant.Request.Segments, Now);
+                         Grant.Request.CrashKeys, Now);
   }
 }
 
--- a/packages/coordination/src/crash_suspects.cpp
+++ b/packages/coordination/src/crash_suspects.cpp
@@ -1,7 +1,8 @@
-/// Evidence against prompt segments, and the decisions on them.
+/// Evidence against what requests have in common, and the decisions on them.
 #include "marjorambay/coordination/crash_suspects.h"
 
 #include <algorithm>
+#include <cstdio>
 #include <utility>
 
 namespace marjorambay {
@@ -15,7 +16,7 @@
 constexpr Duration ReportSkew = milliseconds(250);
 /// Until then, some hosts may not have reported what they lost in a crash.
 constexpr Duration ReportSettling = milliseconds(50);
-/// Crashes that are stored for one segment.
+/// Crashes that are stored for one key.
 constexpr std::size_t MaxCrashes = 16;
 constexpr std::size_t MaxUnexplained = 256;
 constexpr std::size_t MaxServed = 4096;
@@ -23,29 +24,36 @@
 
 } // namespace
 
+std::string formatCrashKey(const CrashKey &Key) {
+  std::array<char, 24> Text{};
+  const int Length = std::snprintf(Text.data(), Text.size(), "%08llx",
+                                   static_cast<unsigned long long>(Key.Value));
+  return {Text.data(), static_cast<std::size_t>(Length)};
+}
+
 // ---- Evidence ---------------------------------------------------------------
 
-void CrashSuspects::recordGrant(const RequestKey &Key, TargetId Target,
-                                const std::vector<SegmentId> &Segments,
+void CrashSuspects::recordGrant(const RequestKey &Request, TargetId Target,
+                                const std::vector<CrashKey> &Keys,
                                 TimePoint Now) {
-  if (Segments.empty())
+  if (Keys.empty())
     return;
-  const bool IsTrial = std::any_of(
-      Segments.begin(), Segments.end(), [this, Now](SegmentId Segment) {
-        return standing(Segment, Now) != Standing::Clear;
+  const bool IsTrial =
+      std::any_of(Keys.begin(), Keys.end(), [this, Now](const CrashKey &Key) {
+        return standing(Key, Now) != Standing::Clear;
       });
   if (IsTrial)
-    CurrentTrial = Trial{Key, Target, {}};
-  Attempts.insert_or_assign(Key, Attempt{Target, Now, Segments});
+    CurrentTrial = Trial{Request, Target, {}};
+  Attempts.insert_or_assign(Request, Attempt{Target, Now, Keys});
 }
 
-void CrashSuspects::recordAnswer(const RequestKey &Key, TimePoint Now) {
-  const auto Found = Attempts.find(Key);
+void CrashSuspects::recordAnswer(const RequestKey &Request, TimePoint Now) {
+  const auto Found = Attempts.find(Request);
   if (Found != Attempts.end())
-    recordServed(Found->second.Segments, Now);
+    recordServed(Found->second.Keys, Now);
 }
 
-void CrashSuspects::recordServed(const std::vector<SegmentId> &Segments,
+void CrashSuspects::recordServed(const std::vector<CrashKey> &Keys,
                                  TimePoint Now) {
   if (Now - ServedSince > Settings.ServedPeriod ||
       Served[0].size() >= MaxServed) {
@@ -53,10 +61,10 @@
     Served[0].clear();
     ServedSince = Now;
   }
-  for (const SegmentId Segment : Segments) {
-    Served[0].insert(Segment);
-    const auto Suspect = Evidence.find(Segment);
-    const auto Held = Holds.find(Segment);
+  for (const CrashKey &Key : Keys) {
+    Served[0].insert(Key);
+    const auto Suspect = Evidence.find(Key);
+    const auto Held = Holds.find(Key);
     const bool WasHeld = Held != Holds.end() && !Held->second.Cleared;
     const bool WasSuspected =
         Suspect != Evidence.end() && Suspect->second.Suspected;
@@ -65,34 +73,34 @@
     if (Suspect != Evidence.end())
       Evidence.erase(Suspect);
     if (WasHeld || WasSuspected)
-      Decisions.push_back({Segment, SegmentVerdict::Cleared, {}, {}});
+      Decisions.push_back({Key, CrashVerdict::Cleared, {}, {}});
   }
 }
 
-bool CrashSuspects::servedRecently(SegmentId Segment) const {
-  return Served[0].contains(Segment) || Served[1].contains(Segment);
+bool CrashSuspects::servedRecently(const CrashKey &Key) const {
+  return Served[0].contains(Key) || Served[1].contains(Key);
 }
 
-void CrashSuspects::recordEnd(const RequestKey &Key, AttemptEnd How,
+void CrashSuspects::recordEnd(const RequestKey &Request, AttemptEnd How,
                               TimePoint Now) {
-  const auto Found = Attempts.find(Key);
+  const auto Found = Attempts.find(Request);
   if (Found == Attempts.end())
     return;
   const Attempt Ended = std::move(Found->second);
   Attempts.erase(Found);
-  const bool IsTrial = CurrentTrial && CurrentTrial->Key == Key;
+  const bool IsTrial = CurrentTrial && CurrentTrial->Request == Request;
   if (IsTrial && How == AttemptEnd::ConnectionLost)
     CurrentTrial->LostAt = Now;
   else if (IsTrial)
     CurrentTrial.reset();
   if (How == AttemptEnd::Answered || How == AttemptEnd::LostInAnswer)
-    recordServed(Ended.Segments, Now);
+    recordServed(Ended.Keys, Now);
   if (How != AttemptEnd::ConnectionLost && How != AttemptEnd::LostInAnswer)
     return;
   const bool Proven = recordCrash(Ended.Target, Now);
   if (How == AttemptEnd::ConnectionLost)
-    for (const SegmentId Segment : Ended.Segments)
-      addCrash(Segment, {Ended.Target, Ended.GrantedAt, Now, Proven});
+    for (const CrashKey &Key : Ended.Keys)
+      addCrash(Key, {Ended.Target, Ended.GrantedAt, Now, Proven});
   judge(Now);
 }
 
@@ -118,10 +126,10 @@
          Right.At - Left.At <= CrashSpread;
 }
 
-void CrashSuspects::addCrash(SegmentId Segment, const Crash &Added) {
-  if (Evidence.size() >= Settings.MaxSegments && !Evidence.contains(Segment))
+void CrashSuspects::addCrash(const CrashKey &Key, const Crash &Added) {
+  if (Evidence.size() >= Settings.MaxKeys && !Evidence.contains(Key))
     forgetOldest();
-  std::vector<Crash> &Crashes = Evidence[Segment].Crashes;
+  std::vector<Crash> &Crashes = Evidence[Key].Crashes;
   const auto Same = std::find_if(
       Crashes.begin(), Crashes.end(),
       [&Added](const Crash &Known) { return isSameCrash(Known, Added); });
@@ -147,13 +155,13 @@
         Known.Proven = true;
   };
   Prove(Unexplained);
-  for (auto &[Segment, Suspect] : Evidence)
+  for (auto &[Key, Suspect] : Evidence)
     Prove(Suspect.Crashes);
   judge(Now);
 }
 
 void CrashSuspects::tick(TimePoint Now) {
-  for (auto &[Segment, Suspect] : Evidence)
+  for (auto &[Key, Suspect] : Evidence)
     std::erase_if(Suspect.Crashes, [this, Now](const Crash &Known) {
       return Now - Known.At >
              (Known.Proven ? Settings.EvidencePeriod : Settings.ProofWindow);
@@ -173,7 +181,7 @@
   const auto Oldest = std::min_element(
       Evidence.begin(), Evidence.end(),
       [](const auto &Left, const auto &Right) {
-        const auto LastCrash = [](const SegmentEvidence &Suspect) {
+        const auto LastCrash = [](const KeyEvidence &Suspect) {
           return Suspect.Crashes.empty() ? TimePoint{}
                                          : Suspect.Crashes.back().At;
         };
@@ -200,12 +208,12 @@
   return Chain;
 }
 
-bool CrashSuspects::isSuspect(SegmentId Segment, TimePoint Now) const {
-  const auto Found = Evidence.find(Segment);
+bool CrashSuspects::isSuspect(const CrashKey &Key, TimePoint Now) const {
+  const auto Found = Evidence.find(Key);
   if (Found == Evidence.end())
     return false;
   const std::vector<Crash> Chain = chainOf(Found->second.Crashes, false, Now);
-  const std::size_t Needed = servedRecently(Segment)
+  const std::size_t Needed = servedRecently(Key)
                                  ? Settings.CrashesToSuspectServed
                                  : Settings.CrashesToSuspect;
   return Chain.size() >= Needed &&
@@ -213,11 +221,11 @@
                      [](const Crash &Known) { return Known.Proven; });
 }
 
-/// Returns how long the chain against a segment must be.
+/// Returns how long the chain against a key must be.
 std::size_t
-CrashSuspects::crashesToConfirm(SegmentId Segment,
+CrashSuspects::crashesToConfirm(const CrashKey &Key,
                                 const std::vector<Crash> &Chain) const {
-  const std::vector<Crash> &Own = Evidence.at(Segment).Crashes;
+  const std::vector<Crash> &Own = Evidence.at(Key).Crashes;
   std::size_t Others = 0;
   TimePoint LastOther{};
   for (const Crash &Known : Unexplained) {
@@ -234,55 +242,54 @@
   }
   if (Others >= Chain.size())
     return Settings.CrashesToConfirmAmongOthers;
-  return servedRecently(Segment) ? Settings.CrashesToConfirmServed
-                                 : Settings.CrashesToConfirm;
+  return servedRecently(Key) ? Settings.CrashesToConfirmServed
+                             : Settings.CrashesToConfirm;
 }
 
-bool CrashSuspects::isConfirmed(SegmentId Segment, TimePoint Now) const {
-  const std::vector<Crash> Chain =
-      chainOf(Evidence.at(Segment).Crashes, true, Now);
-  const auto Held = Holds.find(Segment);
-  // A segment that was held needs no more than one crash under its trial.
-  if (wasConfirmed(Segment) && !Chain.empty() &&
+bool CrashSuspects::isConfirmed(const CrashKey &Key, TimePoint Now) const {
+  const std::vector<Crash> Chain = chainOf(Evidence.at(Key).Crashes, true, Now);
+  const auto Held = Holds.find(Key);
+  // A key that was held needs no more than one crash under its trial.
+  if (wasConfirmed(Key) && !Chain.empty() &&
       Chain.back().GrantedAt >= Held->second.Until)
     return true;
-  return Chain.size() >= crashesToConfirm(Segment, Chain) &&
+  return Chain.size() >= crashesToConfirm(Key, Chain) &&
          std::any_of(Chain.begin(), Chain.end(), [&Chain](const Crash &Known) {
            return Known.Target != Chain.front().Target;
          });
 }
 
-bool CrashSuspects::wasConfirmed(SegmentId Segment) const {
-  const auto Held = Holds.find(Segment);
+bool CrashSuspects::wasConfirmed(const CrashKey &Key) const {
+  const auto Held = Holds.find(Key);
   return Held != Holds.end() && !Held->second.Cleared;
 }
 
 void CrashSuspects::judge(TimePoint Now) {
-  for (auto &[Segment, Suspect] : Evidence) {
-    if (Suspect.Suspected || !isSuspect(Segment, Now))
+  for (auto &[Key, Suspect] : Evidence) {
+    if (Suspect.Suspected || !isSuspect(Key, Now))
       continue;
     Suspect.Suspected = true;
-    SegmentDecision Decision{Segment, SegmentVerdict::Suspected, {}, {}};
+    CrashDecision Decision{Key, CrashVerdict::Suspected, {}, {}};
     for (const Crash &Known : chainOf(Suspect.Crashes, false, Now))
       Decision.Crashed.push_back(Known.Target);
     Decisions.push_back(Decision);
   }
   std::vector<Crash> Explained;
-  for (const SegmentId Segment : culprits(Now)) {
-    const std::vector<Crash> &Crashes = Evidence.at(Segment).Crashes;
+  for (const CrashKey &Key : culprits(Now)) {
+    const std::vector<Crash> &Crashes = Evidence.at(Key).Crashes;
     Explained.insert(Explained.end(), Crashes.begin(), Crashes.end());
-    confirm(Segment, Now);
+    confirm(Key, Now);
   }
-  // Requests that were sent before a segment was confirmed crash more targets.
-  for (const auto &[Segment, Suspect] : Evidence)
-    if (wasConfirmed(Segment))
+  // Requests that were sent before a key was confirmed crash more targets.
+  for (const auto &[Key, Suspect] : Evidence)
+    if (wasConfirmed(Key))
       Explained.insert(Explained.end(), Suspect.Crashes.begin(),
                        Suspect.Crashes.end());
   if (!Explained.empty())
     explain(Explained);
 }
 
-CrashSuspects::Rivalry CrashSuspects::rivalry(SegmentId Segment,
+CrashSuspects::Rivalry CrashSuspects::rivalry(const CrashKey &Key,
                                               TimePoint Now) const {
   const auto Settled = [Now](const std::vector<Crash> &Crashes) {
     std::vector<Crash> Found;
@@ -291,9 +298,9 @@
         Found.push_back(Known);
     return Found;
   };
-  const std::vector<Crash> Own = Settled(Evidence.at(Segment).Crashes);
+  const std::vector<Crash> Own = Settled(Evidence.at(Key).Crashes);
   const std::vector<Crash> Chain =
-      Settled(chainOf(Evidence.at(Segment).Crashes, true, Now));
+      Settled(chainOf(Evidence.at(Key).Crashes, true, Now));
   const auto Covers = [&Chain](const std::vector<Crash> &Crashes) {
     return std::all_of(Chain.begin(), Chain.end(),
                        [&Crashes](const Crash &Link) {
@@ -305,7 +312,7 @@
   };
   Rivalry Found = Rivalry::None;
   for (const auto &[Other, Suspect] : Evidence) {
-    if (Other == Segment)
+    if (Other == Key)
       continue;
     const std::vector<Crash> Theirs = Settled(Suspect.Crashes);
     if (Theirs.size() < Own.size() || !Covers(Theirs))
@@ -317,35 +324,35 @@
   return Found;
 }
 
-std::vector<SegmentId> CrashSuspects::culprits(TimePoint Now) const {
-  std::vector<SegmentId> Found;
-  for (const auto &[Segment, Suspect] : Evidence) {
-    if (!isConfirmed(Segment, Now))
+std::vector<CrashKey> CrashSuspects::culprits(TimePoint Now) const {
+  std::vector<CrashKey> Found;
+  for (const auto &[Key, Suspect] : Evidence) {
+    if (!isConfirmed(Key, Now))
       continue;
     const Rivalry Others =
-        wasConfirmed(Segment) ? Rivalry::None : rivalry(Segment, Now);
+        wasConfirmed(Key) ? Rivalry::None : rivalry(Key, Now);
     const bool Suffices = chainOf(Suspect.Crashes, true, Now).size() >=
                           Settings.CrashesToConfirmTogether;
     if (Others == Rivalry::None || (Others == Rivalry::Equal && Suffices))
-      Found.push_back(Segment);
+      Found.push_back(Key);
   }
   std::sort(Found.begin(), Found.end());
   return Found;
 }
 
-void CrashSuspects::confirm(SegmentId Segment, TimePoint Now) {
-  HoldState &Held = holdOf(Segment);
+void CrashSuspects::confirm(const CrashKey &Key, TimePoint Now) {
+  HoldState &Held = holdOf(Key);
   const std::uint32_t Doublings = std::min(Held.Confirmations, 16U);
   const Duration Hold =
       std::min(Settings.MaxHold, Settings.FirstHold * (1U << Doublings));
   ++Held.Confirmations;
   Held.Cleared = false;
   Held.Until = Now + Hold;
-  SegmentDecision Decision{Segment, SegmentVerdict::Confirmed, {}, Hold};
-  for (const Crash &Known : chainOf(Evidence.at(Segment).Crashes, true, Now))
+  CrashDecision Decision{Key, CrashVerdict::Confirmed, {}, Hold};
+  for (const Crash &Known : chainOf(Evidence.at(Key).Crashes, true, Now))
     Decision.Crashed.push_back(Known.Target);
   Decisions.push_back(Decision);
-  Evidence.erase(Segment);
+  Evidence.erase(Key);
 }
 
 void CrashSuspects::explain(const std::vector<Crash> &Explained) {
@@ -355,26 +362,26 @@
         [&Known](const Crash &Cause) { return isSameCrash(Cause, Known); });
   };
   std::erase_if(Unexplained, IsExplained);
-  for (auto &[Segment, Suspect] : Evidence)
-    if (!wasConfirmed(Segment))
+  for (auto &[Key, Suspect] : Evidence)
+    if (!wasConfirmed(Key))
       std::erase_if(Suspect.Crashes, IsExplained);
   std::erase_if(Evidence,
                 [](const auto &Entry) { return Entry.second.Crashes.empty(); });
 }
 
-CrashSuspects::Standing CrashSuspects::standing(SegmentId Segment,
+CrashSuspects::Standing CrashSuspects::standing(const CrashKey &Key,
                                                 TimePoint Now) const {
-  const auto Held = Holds.find(Segment);
+  const auto Held = Holds.find(Key);
   if (Held != Holds.end() && !Held->second.Cleared)
     return Now < Held->second.Until ? Standing::Held : Standing::Suspected;
-  return isSuspect(Segment, Now) ? Standing::Suspected : Standing::Clear;
+  return isSuspect(Key, Now) ? Standing::Suspected : Standing::Clear;
 }
 
 bool CrashSuspects::trialUnderway(TimePoint Now) const {
   if (!CurrentTrial)
     return false;
   if (CurrentTrial->LostAt == TimePoint{})
-    return Attempts.contains(CurrentTrial->Key);
+    return Attempts.contains(CurrentTrial->Request);
   // Whether its target has crashed may not be known yet.
   const auto Gone = GoneAt.find(CurrentTrial->Target);
   const bool Known =
@@ -382,18 +389,18 @@
   return !Known && Now - CurrentTrial->LostAt <= Settings.ProofWindow;
 }
 
-SegmentAdmission CrashSuspects::admit(const std::vector<SegmentId> &Segments,
-                                      bool Repeat, TimePoint Now) const {
-  using Kind = SegmentAdmission::Kind;
+CrashAdmission CrashSuspects::admit(const std::vector<CrashKey> &Keys,
+                                    bool Repeat, TimePoint Now) const {
+  using Kind = CrashAdmission::Kind;
   if (Evidence.empty() && Holds.empty())
     return {};
   bool Suspected = false;
   Duration HeldFor{};
-  for (const SegmentId Segment : Segments) {
-    const Standing Found = standing(Segment, Now);
+  for (const CrashKey &Key : Keys) {
+    const Standing Found = standing(Key, Now);
     Suspected = Suspected || Found != Standing::Clear;
     if (Found == Standing::Held)
-      HeldFor = std::max(HeldFor, Holds.at(Segment).Until - Now);
+      HeldFor = std::max(HeldFor, Holds.at(Key).Until - Now);
   }
   if (HeldFor > Duration(0))
     return {Kind::Refuse, HeldFor};
@@ -406,8 +413,8 @@
 
 // ---- Decisions of other hosts -----------------------------------------------
 
-bool CrashSuspects::learn(const SegmentHold &Hold, TimePoint Now) {
-  HoldState &Known = holdOf(Hold.Segment);
+bool CrashSuspects::learn(const CrashHold &Hold, TimePoint Now) {
+  HoldState &Known = holdOf(Hold.Key);
   const bool Newer = Hold.Confirmations > Known.Confirmations ||
                      (Hold.Confirmations == Known.Confirmations &&
                       Hold.Cleared && !Known.Cleared);
@@ -419,8 +426,8 @@
   return true;
 }
 
-CrashSuspects::HoldState &CrashSuspects::holdOf(SegmentId Segment) {
-  const auto Found = Holds.find(Segment);
+CrashSuspects::HoldState &CrashSuspects::holdOf(const CrashKey &Key) {
+  const auto Found = Holds.find(Key);
   if (Found != Holds.end())
     return Found->second;
   if (Holds.size() >= Settings.MaxHolds)
@@ -428,18 +435,18 @@
         Holds.begin(), Holds.end(), [](const auto &Left, const auto &Right) {
           return Left.second.Until < Right.second.Until;
         }));
-  return Holds[Segment];
+  return Holds[Key];
 }
 
-std::vector<SegmentHold> CrashSuspects::holds(TimePoint Now) const {
-  std::vector<SegmentHold> Known;
-  for (const auto &[Segment, Held] : Holds)
-    Known.push_back({Segment, Held.Confirmations, Held.Cleared,
+std::vector<CrashHold> CrashSuspects::holds(TimePoint Now) const {
+  std::vector<CrashHold> Known;
+  for (const auto &[Key, Held] : Holds)
+    Known.push_back({Key, Held.Confirmations, Held.Cleared,
                      std::max(Duration(0), Held.Until - Now)});
   return Known;
 }
 
-std::vector<SegmentDecision> CrashSuspects::takeDecisions() {
+std::vector<CrashDecision> CrashSuspects::takeDecisions() {
   return std::exchange(Decisions, {});
 }
 
--- a/packages/coordination/tests/arbiter_fixture.h
+++ b/packages/coordination/tests/arbiter_fixture.h
@@ -21,6 +21,9 @@
 inline VersionId version(std::string_view Name) {
   return idOf<VersionId>(Name);
 }
+inline CrashKey segment(std::uint64_t Value) {
+  return {CrashKeyKind::Segment, Value};
+}
 inline RequestKey key(std::uint64_t Id, std::string_view Origin = "entry-1") {
   return {host(Origin), static_cast<IncarnationId>(1),
           static_cast<RequestId>(Id)};
--- a/packages/coordination/tests/arbiter_test.cpp
+++ b/packages/coordination/tests/arbiter_test.cpp
@@ -661,16 +661,16 @@
 }
 
 TEST_CASE("a pool in which a prompt segment crashes targets") {
-  constexpr SegmentId Crashing{0xbad};
+  constexpr CrashKey Crashing{CrashKeyKind::Segment, 0xbad};
   Arbiter Policy;
   std::vector<TargetInfo> Workers;
   for (const char *Name : {"a", "b", "c", "d"})
     Workers.push_back(worker(Name, 8));
   Policy.step(TargetsChanged{Workers}, at(seconds(0)));
-  const auto Ask = [&Policy](std::uint64_t Id, int Ms, SegmentId Segment,
+  const auto Ask = [&Policy](std::uint64_t Id, int Ms, CrashKey Shared,
                              bool Repeat = false) {
     Reservation Request = reservation(Id);
-    Request.Segments = {SegmentId{1}, Segment};
+    Request.CrashKeys = {segment(1), Shared};
     Request.Repeat = Repeat;
     return Policy.step(SlotRequested{Request}, at(milliseconds(Ms)));
   };
@@ -683,7 +683,7 @@
     return Policy.step(TargetRefused{Target, true}, at(milliseconds(Ms + 5)));
   };
   const auto Answer = [&](std::uint64_t Id, int Ms) {
-    Ask(Id, Ms, SegmentId{2});
+    Ask(Id, Ms, segment(2));
     Policy.step(AnswerBegan{key(Id)}, at(milliseconds(Ms + 5)));
   };
   Ask(1, 0, Crashing);
@@ -699,8 +699,7 @@
     CHECK(Policy.queued(key(6)));
 
     SUBCASE("while others are granted") {
-      CHECK(granted(Ask(7, 220, SegmentId{2})) ==
-            std::vector<std::uint64_t>{7});
+      CHECK(granted(Ask(7, 220, segment(2))) == std::vector<std::uint64_t>{7});
     }
     SUBCASE("all of them once an answer with it begins") {
       const auto Actions =
@@ -710,16 +709,16 @@
     SUBCASE("none of them once one more target has crashed") {
       const auto Actions = Lose(5, 250);
       REQUIRE(refused(Actions) == std::vector<std::uint64_t>{6});
-      CHECK(only<RefuseSlot>(Actions)[0].Kind == ErrorKind::CrashingSegment);
+      CHECK(only<RefuseSlot>(Actions)[0].Kind == ErrorKind::CrashingRequest);
       const auto Later = Ask(7, 300, Crashing);
       CHECK(refused(Later) == std::vector<std::uint64_t>{7});
-      CHECK(granted(Ask(8, 310, SegmentId{2})).size() == 1);
+      CHECK(granted(Ask(8, 310, segment(2))).size() == 1);
     }
   }
   SUBCASE("no request with it is repeated") {
     const auto Actions = Ask(5, 200, Crashing, true);
     REQUIRE(refused(Actions) == std::vector<std::uint64_t>{5});
-    CHECK(only<RefuseSlot>(Actions)[0].Kind == ErrorKind::CrashingSegment);
+    CHECK(only<RefuseSlot>(Actions)[0].Kind == ErrorKind::CrashingRequest);
   }
   SUBCASE("a new arbiter that is told refuses it") {
     Ask(5, 200, Crashing);
@@ -727,10 +726,10 @@
     Arbiter Successor;
     Successor.step(TargetsChanged{Workers}, at(milliseconds(300)));
     Successor.step(
-        SegmentHoldsLearned{Policy.suspects().holds(at(milliseconds(300)))},
+        CrashHoldsLearned{Policy.suspects().holds(at(milliseconds(300)))},
         at(milliseconds(300)));
     Reservation Request = reservation(9);
-    Request.Segments = {Crashing};
+    Request.CrashKeys = {Crashing};
     CHECK(refused(
               Successor.step(SlotRequested{Request}, at(milliseconds(310)))) ==
           std::vector<std::uint64_t>{9});
--- a/packages/coordination/tests/crash_suspects_test.cpp
+++ b/packages/coordination/tests/crash_suspects_test.cpp
@@ -1,4 +1,5 @@
-/// Tests of the search for prompt segments under which targets crash.
+/// Tests of the search for what requests have in common under which targets
+/// crash.
 #include "marjorambay/coordination/crash_suspects.h"
 #include "marjorambay/state/random.h"
 
@@ -14,17 +15,18 @@
 namespace marjorambay {
 namespace {
 
-using Kind = SegmentAdmission::Kind;
+using Kind = CrashAdmission::Kind;
 
 TimePoint at(Duration SinceStart) { return TimePoint(hours(1)) + SinceStart; }
 TimePoint atMs(int Ms) { return at(milliseconds(Ms)); }
 RequestKey key(std::uint64_t Id) {
   return {HostId{1}, IncarnationId{1}, RequestId{Id}};
 }
+CrashKey segment(std::uint64_t Value) { return {CrashKeyKind::Segment, Value}; }
 
-constexpr SegmentId Popular{0xa1};
-constexpr SegmentId Crashing{0xbad};
-constexpr SegmentId Rare{0xc2};
+constexpr CrashKey Popular{CrashKeyKind::Segment, 0xa1};
+constexpr CrashKey Crashing{CrashKeyKind::Segment, 0xbad};
+constexpr CrashKey Rare{CrashKeyKind::Segment, 0xc2};
 
 /// One request at a time, each granted, lost and its target refusing.
 struct Story {
@@ -34,20 +36,20 @@
 
   /// A request with \p Segments crashes a target of its own. \p Start: when it
   /// is granted, in milliseconds.
-  void crash(const std::vector<SegmentId> &Segments, int Start) {
+  void crash(const std::vector<CrashKey> &Segments, int Start) {
     const RequestKey Key = key(++Requests);
     const TargetId Target{++Targets};
     Suspects.recordGrant(Key, Target, Segments, atMs(Start));
     Suspects.recordEnd(Key, AttemptEnd::ConnectionLost, atMs(Start + 50));
     Suspects.recordGone(Target, atMs(Start + 60));
   }
-  void answer(const std::vector<SegmentId> &Segments, int Start) {
+  void answer(const std::vector<CrashKey> &Segments, int Start) {
     const RequestKey Key = key(++Requests);
     Suspects.recordGrant(Key, TargetId{99}, Segments, atMs(Start));
     Suspects.recordAnswer(Key, atMs(Start + 10));
     Suspects.recordEnd(Key, AttemptEnd::Answered, atMs(Start + 20));
   }
-  Kind admit(const std::vector<SegmentId> &Segments, int Ms,
+  Kind admit(const std::vector<CrashKey> &Segments, int Ms,
              bool Repeat = false) const {
     return Suspects.admit(Segments, Repeat, atMs(Ms)).Decision;
   }
@@ -63,8 +65,8 @@
   SUBCASE("is suspected after the second crash, and the others are not") {
     const auto Decisions = S.Suspects.takeDecisions();
     REQUIRE(Decisions.size() == 1);
-    CHECK(Decisions[0].Segment == Crashing);
-    CHECK(Decisions[0].Verdict == SegmentVerdict::Suspected);
+    CHECK(Decisions[0].Key == Crashing);
+    CHECK(Decisions[0].Verdict == CrashVerdict::Suspected);
     CHECK(Decisions[0].Crashed.size() == 2);
     CHECK(S.admit({Popular, Rare}, 300) == Kind::Admit);
 
@@ -94,8 +96,7 @@
       S.answer({Popular, Crashing}, 300);
       CHECK(S.admit({Crashing}, 400, true) == Kind::Admit);
       CHECK_FALSE(S.Suspects.watching());
-      CHECK(S.Suspects.takeDecisions().at(0).Verdict ==
-            SegmentVerdict::Cleared);
+      CHECK(S.Suspects.takeDecisions().at(0).Verdict == CrashVerdict::Cleared);
     }
   }
   SUBCASE("is refused after the third") {
@@ -123,7 +124,7 @@
     }
     SUBCASE("at hosts that are told") {
       CrashSuspects Other;
-      for (const SegmentHold &Hold : S.Suspects.holds(atMs(10'000)))
+      for (const CrashHold &Hold : S.Suspects.holds(atMs(10'000)))
         CHECK(Other.learn(Hold, atMs(10'000)));
       CHECK(Other.admit({Crashing}, false, atMs(60'400)).Decision ==
             Kind::Refuse);
@@ -131,16 +132,16 @@
             Kind::Admit);
 
       SUBCASE("which prolong nothing by telling it back") {
-        for (const SegmentHold &Hold : Other.holds(atMs(50'000)))
+        for (const CrashHold &Hold : Other.holds(atMs(50'000)))
           CHECK_FALSE(S.Suspects.learn(Hold, atMs(55'000)));
         CHECK(S.admit({Crashing}, 60'500) == Kind::Admit);
       }
       SUBCASE("which forget no clearing by telling it back") {
         S.answer({Crashing}, 60'500);
-        for (const SegmentHold &Hold : Other.holds(atMs(60'600)))
+        for (const CrashHold &Hold : Other.holds(atMs(60'600)))
           CHECK_FALSE(S.Suspects.learn(Hold, atMs(60'600)));
         CHECK(S.admit({Crashing}, 60'700, true) == Kind::Admit);
-        for (const SegmentHold &Hold : S.Suspects.holds(atMs(60'700)))
+        for (const CrashHold &Hold : S.Suspects.holds(atMs(60'700)))
           CHECK(Other.learn(Hold, atMs(60'700)));
         CHECK(Other.admit({Crashing}, true, atMs(60'800)).Decision ==
               Kind::Admit);
@@ -207,15 +208,15 @@
 // Guards against memory that grows with the number of segments.
 TEST_CASE("a flood of segments uses bounded memory") {
   CrashSuspectSettings Settings;
-  Settings.MaxSegments = 64;
+  Settings.MaxKeys = 64;
   Settings.MaxHolds = 16;
   Story S;
   S.Suspects = CrashSuspects(Settings);
   for (std::uint64_t Number = 0; Number < 10'000; ++Number)
-    S.crash({SegmentId{Number}}, static_cast<int>(Number) * 10);
+    S.crash({segment(Number)}, static_cast<int>(Number) * 10);
   for (std::uint64_t Number = 0; Number < 1000; ++Number)
-    S.Suspects.learn({SegmentId{Number}, 1, false, seconds(10)}, atMs(0));
-  CHECK(S.Suspects.segments() <= 64 + 16);
+    S.Suspects.learn({segment(Number), 1, false, seconds(10)}, atMs(0));
+  CHECK(S.Suspects.keys() <= 64 + 16);
 }
 
 // ---- Simulated pool ---------------------------------------------------------
@@ -256,13 +257,13 @@
       retryWaiting();
       if (Now % 250 == 0)
         Suspects.tick(atMs(Now));
-      for (const SegmentDecision &Decision : Suspects.takeDecisions())
-        if (Decision.Verdict == SegmentVerdict::Confirmed)
-          Confirmed.push_back(Decision.Segment);
+      for (const CrashDecision &Decision : Suspects.takeDecisions())
+        if (Decision.Verdict == CrashVerdict::Confirmed)
+          Confirmed.push_back(Decision.Key);
     }
   }
 
-  std::vector<SegmentId> Confirmed{};
+  std::vector<CrashKey> Confirmed{};
   std::vector<int> SegmentCrashes{}; ///< times in milliseconds
   std::vector<int> CrashingRuns{};   ///< requests with the segment, granted
   int Sound = 0;                     ///< in the second half
@@ -271,7 +272,7 @@
 private:
   struct Request {
     std::uint64_t Id = 0;
-    std::vector<SegmentId> Segments{};
+    std::vector<CrashKey> Segments{};
     bool Crashes = false;
     bool Repeat = false;
     std::uint64_t Host = 0;
@@ -292,12 +293,12 @@
   }
 
   /// Segments are shared by all, by an account, or by a few requests.
-  std::vector<SegmentId> drawSegments(bool Crashes) {
-    std::vector<SegmentId> Segments{SegmentId{1}};
+  std::vector<CrashKey> drawSegments(bool Crashes) {
+    std::vector<CrashKey> Segments{segment(1)};
     if (Popularity > 1)
-      Segments.push_back(SegmentId{10 + drawBelow(Random, 4)});
+      Segments.push_back(segment(10 + drawBelow(Random, 4)));
     if (Popularity > 2)
-      Segments.push_back(SegmentId{100 + drawBelow(Random, 60)});
+      Segments.push_back(segment(100 + drawBelow(Random, 60)));
     if (Crashes && CrashingIsFirst)
       Segments.insert(Segments.begin(), Crashing);
     else if (Crashes)
@@ -330,7 +331,7 @@
   bool tryGrant(Request R) {
     const auto Admission = HasLimits
                                ? Suspects.admit(R.Segments, R.Repeat, atMs(Now))
-                               : SegmentAdmission{};
+                               : CrashAdmission{};
     if (Admission.Decision == Kind::Refuse)
       return true;
     if (Admission.Decision == Kind::Wait)
@@ -495,7 +496,7 @@
       Pool.run();
       CAPTURE(Seed);
       CAPTURE(static_cast<int>(Kind));
-      for (const SegmentId Segment : Pool.Confirmed)
+      for (const CrashKey Segment : Pool.Confirmed)
         CHECK(Segment == Crashing);
       if (Pool.SoundBegun * 2 < Pool.Sound) {
         CHECK(Kind != Trouble::Segment);
--- a/packages/state/marjorambay/state/error.h
+++ b/packages/state/marjorambay/state/error.h
@@ -53,7 +53,7 @@
   Timeout,
   Internal,
   // Later kinds are appended: hosts of other builds know them by their number.
-  CrashingSegment, ///< targets crash under a segment of the prompt
+  CrashingRequest, ///< targets crash under such requests
 };
 
 template <>
@@ -91,10 +91,10 @@
         "rollout_taken_back",
         "timeout",
         "internal",
-        "crashing_segment",
+        "crashing_request",
     });
 inline constexpr std::size_t ErrorKindCount =
-    static_cast<std::size_t>(ErrorKind::CrashingSegment) + 1;
+    static_cast<std::size_t>(ErrorKind::CrashingRequest) + 1;
 static_assert(NamesOf<ErrorKind>.size() == ErrorKindCount);
 
 /// Whether the request may have been executed by a target.
--- a/packages/state/marjorambay/state/ids.h
+++ b/packages/state/marjorambay/state/ids.h
@@ -24,9 +24,6 @@
 enum class ModelId : std::uint64_t {};
 enum class VersionId : std::uint64_t {}; ///< version of a pool's model
 enum class RolloutId : std::uint64_t {};
-/// Segment of a prompt that requests may have in common: the number that the
-/// caller gives it, or a hash.
-enum class SegmentId : std::uint64_t {};
 
 /// Sequence number within one incarnation of one host; see RequestKey.
 enum class RequestId : std::uint64_t {};
@@ -68,8 +65,6 @@
 
 /// Returns "origin-incarnation-id" in hexadecimal, as in responses and logs.
 std::string formatKey(const RequestKey &Key);
-/// Returns the id in hexadecimal, at least eight digits, as callers write it.
-std::string formatSegment(SegmentId Segment);
 
 } // namespace marjorambay
 
--- a/packages/state/src/error.cpp
+++ b/packages/state/src/error.cpp
@@ -46,7 +46,7 @@
     {RolloutRolledBack, 409, NotRun, Never, 7},
     {Timeout, 504, NotRun, AfterWait, 6},
     {Internal, 500, MaybeRun, NewKey, 1},
-    {CrashingSegment, 503, NotRun, AfterWait, 5},
+    {CrashingRequest, 503, NotRun, AfterWait, 5},
 });
 static_assert(Traits.size() == ErrorKindCount);
 
--- a/packages/state/src/ids.cpp
+++ b/packages/state/src/ids.cpp
@@ -22,12 +22,4 @@
   return {Text.data(), static_cast<std::size_t>(Length)};
 }
 
-std::string formatSegment(SegmentId Segment) {
-  std::array<char, 24> Text{};
-  const int Length =
-      std::snprintf(Text.data(), Text.size(), "%08llx",
-                    static_cast<unsigned long long>(number(Segment)));
-  return {Text.data(), static_cast<std::size_t>(Length)};
-}
-
 } // namespace marjorambay
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -801,7 +801,7 @@
         served = [answer for answer in answers if answer.status == 200]
         self.assertGreater(len(served), len(answers) * 0.7)
         self.assertFalse([answer for answer in answers
-                          if b"crashing_segment" in answer.body])
+                          if b"crashing_request" in answer.body])
 
 
 class CrashingRequestTest(CrashingTest):
