--- a/packages/coordination/marjorambay/coordination/pace_comparison.h
+++ b/packages/coordination/marjorambay/coordination/pace_comparison.h
@@ -30,10 +30,11 @@
 /// Measures the pace of one stream by its first events.
 class EventPace {
 public:
-  /// Records that \p Count events arrived together.
+  /// Records that \p Count events arrived. One read may be passed on in pieces,
+  /// microseconds apart.
   void add(std::uint32_t Count, TimePoint Now);
 
-  /// Whether further events change nothing.
+  /// Whether further events change nothing, but for those of the latest read.
   bool complete() const { return Size == Arrivals.size(); }
 
   /// Returns the time between two events in the fastest run of events; nothing
@@ -48,6 +49,8 @@
 
   std::array<TimePoint, MaxIntervals + 1> Arrivals{};
   std::size_t Size = 0;
+  std::size_t ReadBegin = 0; ///< index of the first event of the latest read
+  TimePoint ReadAt{};        ///< when that read was passed on
 };
 
 /// The pace of one stream.
--- a/packages/coordination/src/pace_comparison.cpp
+++ b/packages/coordination/src/pace_comparison.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Events that arrive within this time were read together.
+constexpr Duration SameRead = milliseconds(1);
+
 /// Streams that count, of a target and of the new version as a whole.
 constexpr std::size_t RecentStreams = 32;
 constexpr std::size_t RecentNewStreams = 64;
@@ -54,14 +57,21 @@
 void EventPace::add(std::uint32_t Count, TimePoint Now) {
   if (Count == 0 || complete())
     return;
-  if (Size == 0) { // when the others were sent is not known
-    Arrivals[Size++] = Now;
+  if (Size == 0 || (ReadBegin == 0 && Now - ReadAt < SameRead)) {
+    Size = 1; // when the others were sent is not known
+    Arrivals[0] = ReadAt = Now;
     return;
   }
+  if (Now - ReadAt >= SameRead)
+    ReadBegin = Size;
+  ReadAt = Now;
+  Size = std::min(Arrivals.size(), Size + Count);
   // Events that are read together were sent one after the other.
-  const TimePoint Last = Arrivals[Size - 1];
-  for (std::uint32_t Index = 1; Index <= Count && !complete(); ++Index)
-    Arrivals[Size++] = Last + (Now - Last) * Index / Count;
+  const TimePoint Last = Arrivals[ReadBegin - 1];
+  const auto Events = static_cast<std::int64_t>(Size - ReadBegin);
+  for (std::int64_t Index = 1; Index <= Events; ++Index)
+    Arrivals[ReadBegin + static_cast<std::size_t>(Index) - 1] =
+        Last + (Now - Last) * Index / Events;
 }
 
 std::optional<Duration> EventPace::pace() const {
@@ -78,7 +88,8 @@
 void PaceComparison::add(const PaceSamples &Batch) {
   for (const PaceSample &Sample : Batch) {
     TargetPaces &Known = Targets[Sample.Target];
-    Known.IsNew = Sample.IsNew;
+    if (Known.IsNew != Sample.IsNew) // it runs another version than before
+      Known = TargetPaces{Sample.IsNew, {}};
     Known.Recent.push_back(Sample.Pace);
     if (Known.Recent.size() > RecentStreams)
       Known.Recent.pop_front();
--- a/packages/coordination/tests/pace_comparison_test.cpp
+++ b/packages/coordination/tests/pace_comparison_test.cpp
@@ -45,6 +45,28 @@
   }
 }
 
+// Guards against a pace that no target has: each chunk of a response is passed
+// on by itself, so that events of one read differ by microseconds.
+TEST_CASE("the pace of a stream is not that at which one read is processed") {
+  EventPace Pace;
+  Pace.add(1, atMs(0));
+  for (int Event = 0; Event < 4; ++Event)
+    Pace.add(1, atMs(80) + microseconds(20 * Event));
+  CHECK(Pace.pace() >= milliseconds(15));
+}
+
+// Guards against a stall of the host that makes a target look faster: events
+// are read late and the next ones on time.
+TEST_CASE("the pace of a stream leaves out events that were read late" *
+          doctest::should_fail()) {
+  EventPace Pace;
+  Pace.add(1, atMs(0));
+  Pace.add(4, atMs(95));
+  for (const int Ms : {100, 120, 140, 160})
+    Pace.add(1, atMs(Ms));
+  CHECK(Pace.pace() >= milliseconds(18));
+}
+
 /// Old targets of two kinds of hardware, and new ones to be added.
 struct PaceStory {
   PaceComparison Comparison{};
@@ -65,6 +87,18 @@
   }
 };
 
+// Guards against the rollback of a good version that only has the slower
+// hardware, beside old targets of that hardware which are loaded.
+TEST_CASE("a version that is faster than loaded targets is not slower" *
+          doctest::should_fail()) {
+  PaceComparison Loaded;
+  for (std::uint64_t Target = 1; Target <= 16; ++Target)
+    for (int Stream = 0; Stream < 12; ++Stream)
+      Loaded.add({{TargetId{Target}, Target > 12,
+                   milliseconds(Target > 12 ? 30 : (Target > 4 ? 36 : 10))}});
+  CHECK_FALSE(Loaded.isSlower(16));
+}
+
 TEST_CASE("a version's paces") {
   constexpr std::size_t Enough = 16;
   PaceStory S;
--- a/packages/coordination/tests/slow_version_test.cpp
+++ b/packages/coordination/tests/slow_version_test.cpp
@@ -73,6 +73,22 @@
     }
 }
 
+// Guards against a version of which only part of the answers are slow, and
+// which is completed because the others set its pace and its latencies are
+// compared with those of loaded targets.
+TEST_CASE("a partly slower version is not completed beside loaded targets" *
+          doctest::should_fail()) {
+  for (const SlowWhen When :
+       {SlowWhen::SecondHalf, SlowWhen::OneRoute, SlowWhen::UnderLoad}) {
+    CAPTURE(static_cast<int>(When));
+    QuickScenario Scene;
+    Scene.Slowdown = 4;
+    Scene.When = When;
+    Scene.OldLoad = 0.6;
+    CHECK(countEnded(Scene, VersionStage::RolledBack) == Seeds);
+  }
+}
+
 // Guards against a switch for want of evidence: answers that did not fail say
 // nothing about the version's speed.
 TEST_CASE("a version whose speed was not compared is not completed") {
