Report only crashes of plain targets to an arbiter

Each rejection by a plain target was sent to the pool's arbiter as well, which has no use for it, and hosts kept the answered requests of engine pools, which nothing reads.

--- a/apps/marjorambayd/forward_dispatch.cpp
+++ b/apps/marjorambayd/forward_dispatch.cpp
@@ -137,7 +137,7 @@
   Attempt.HttpCall = CallId{};
   if (Attempt.ConnectionLost)
     reportAttemptLost(H, Call, Attempt);
-  else if (Outcome == DispatchOutcome::Complete)
+  else if (Outcome == DispatchOutcome::Complete && number(Attempt.Slot.Id) == 0)
     H.Pools[Call.Pool].Answered.record(Call.CrashKeys, Attempt.DispatchedAt);
   releaseSlot(H, Call.Pool, std::exchange(Attempt.Slot, {}), Used);
 }
--- a/apps/marjorambayd/forward_pools.cpp
+++ b/apps/marjorambayd/forward_pools.cpp
@@ -483,11 +483,14 @@
 
 namespace {
 
-/// Tells the arbiter of a plain pool, which gets to know of crashes alone, what
-/// this host has learned of a target.
+/// Tells the arbiter of a plain pool of a crash: of a lost connection, or of a
+/// target that takes none. It gets to know of nothing else.
 void informPlainArbiter(ForwardHost &H, PoolId Pool,
                         const ArbiterEvent &Event) {
   const bool Starts = std::holds_alternative<AttemptLost>(Event);
+  const auto *Refused = std::get_if<TargetRefused>(&Event);
+  if (!Starts && (Refused == nullptr || !Refused->Unreachable))
+    return;
   const PoolState &State = H.Pools[Pool];
   const auto Hub = arbiterOf(H, Pool);
   if (Hub && *Hub != H.Self.Id)
