--- a/packages/coordination/marjorambay/coordination/crash_suspects.h
+++ b/packages/coordination/marjorambay/coordination/crash_suspects.h
@@ -212,7 +212,7 @@
   /// Takes the suspicion of a key back, after its evidence was dropped.
   void withdrawSuspicion(const CrashKey &Key);
   /// Drops keys without crashes.
-  void dropCleared();
+  void dropWithoutCrashes();
   /// Whether another key was in all crashes of a chain.
   enum class Rivalry : std::uint8_t {
     None,
--- a/packages/coordination/src/crash_suspects.cpp
+++ b/packages/coordination/src/crash_suspects.cpp
@@ -188,7 +188,7 @@
       return Now - Known.At >
              (Known.Proven ? Settings.EvidencePeriod : Settings.ProofWindow);
     });
-  dropCleared();
+  dropWithoutCrashes();
   std::erase_if(Unexplained, [this, Now](const Crash &Known) {
     return Now - Known.At > Settings.EvidencePeriod;
   });
@@ -346,7 +346,7 @@
   Decisions.push_back({Key, CrashVerdict::Cleared, {}, {}});
 }
 
-void CrashSuspects::dropCleared() {
+void CrashSuspects::dropWithoutCrashes() {
   std::erase_if(Evidence, [this](const auto &Entry) {
     if (!Entry.second.Crashes.empty())
       return false;
@@ -472,7 +472,7 @@
       if (!Known.ExplainedBy && IsExplained(Known))
         Known.ExplainedBy = Key;
   }
-  dropCleared();
+  dropWithoutCrashes();
 }
 
 CrashSuspects::Standing CrashSuspects::standing(const CrashKey &Key,
