Test the judgement of requests to plain pools without a network

Two lost attempts make a request suspected, a third refuses it, a complete answer clears it here and at hosts that were told; an answer between two crashes leaves it unsuspected.

--- a/packages/coordination/tests/arbiter_test.cpp
+++ b/packages/coordination/tests/arbiter_test.cpp
@@ -660,6 +660,69 @@
   }
 }
 
+// Guards against a plain pool in which one request ends target after target:
+// its requests have no slots, and no host sees more than a few of the crashes.
+TEST_CASE("a plain pool in which one request crashes targets") {
+  const CrashKey Deadly{CrashKeyKind::Request, 0xdead};
+  Arbiter Policy;
+  Policy.step(TargetsChanged{{worker("a", 6), worker("b", 6), worker("c", 6)}},
+              at({}));
+  const auto Crash = [&Policy, &Deadly](std::string_view Name, int Ms,
+                                        Duration AnsweredAge = {}) {
+    Policy.step(
+        AttemptLost{{Deadly}, target(Name), milliseconds(40), AnsweredAge},
+        at(milliseconds(Ms)));
+    Policy.step(TargetRefused{target(Name), true}, at(milliseconds(Ms + 10)));
+  };
+  const auto Ask = [&Policy, &Deadly](std::uint64_t Id, int Ms) {
+    Reservation Request = reservation(Id);
+    Request.CrashKeys = {Deadly};
+    return Policy.step(SlotRequested{Request}, at(milliseconds(Ms)));
+  };
+  Crash("a", 100);
+  CHECK_FALSE(Policy.suspects().limits({Deadly}, at(milliseconds(150))));
+
+  SUBCASE("which is suspected after the second crash") {
+    Crash("b", 200);
+    CHECK(Policy.suspects().limits({Deadly}, at(milliseconds(250))));
+    CHECK(Policy.needsTicks());
+
+    SUBCASE("and gets a slot for one request at a time") {
+      CHECK(only<GrantSlot>(Ask(1, 300)).size() == 1);
+      CHECK(only<GrantSlot>(Ask(2, 310)).empty());
+
+      SUBCASE("until a complete answer clears it") {
+        Policy.step(SlotReleased{key(1), {}}, at(milliseconds(350)));
+        CHECK_FALSE(Policy.suspects().limits({Deadly}, at(milliseconds(360))));
+      }
+    }
+    SUBCASE("and is refused after the third") {
+      Crash("c", 300);
+      Policy.step(ArbiterTicked{}, at(milliseconds(400)));
+      const auto Refused = only<RefuseSlot>(Ask(1, 410));
+      REQUIRE(Refused.size() == 1);
+      CHECK(Refused[0].Kind == ErrorKind::CrashingRequest);
+    }
+    SUBCASE("also by hosts that are told, as long as it is") {
+      CrashSuspects Told;
+      for (const CrashHold &Hold : Policy.suspects().holds(at(seconds(1))))
+        CHECK(Told.learn(Hold, at(seconds(1))));
+      CHECK(Told.limits({Deadly}, at(seconds(1))));
+      CHECK(Told.admit({Deadly}, true, at(seconds(1))).Decision ==
+            CrashAdmission::Kind::Refuse);
+      Ask(1, 1100);
+      Policy.step(SlotReleased{key(1), {}}, at(milliseconds(1150)));
+      for (const CrashHold &Hold : Policy.suspects().holds(at(seconds(2))))
+        CHECK(Told.learn(Hold, at(seconds(2))));
+      CHECK_FALSE(Told.limits({Deadly}, at(seconds(2))));
+    }
+  }
+  SUBCASE("which is not suspected if it was answered between two crashes") {
+    Crash("b", 200, milliseconds(60));
+    CHECK_FALSE(Policy.suspects().limits({Deadly}, at(milliseconds(250))));
+  }
+}
+
 TEST_CASE("a pool in which a prompt segment crashes targets") {
   constexpr CrashKey Crashing{CrashKeyKind::Segment, 0xbad};
   Arbiter Policy;
