Log why a version was rolled back, and how late its answers are

A stage was logged by every host with evidence that only the coordinator has, and with a mean of ranks that can't tell a version of which half of the answers are slow from a good one. The coordinator logs version_evidence now, with the cause of a rollback, the normal scores of the new version's ranks (shift) and the share beyond the old version's nine tenths (lateness), each in standard deviations, by target. Latency counts carry their target for that; hosts of earlier builds send none. No decision changes: the tests of rollouts pass as before.

--- a/apps/marjorambayd/forward_versions.cpp
+++ b/apps/marjorambayd/forward_versions.cpp
@@ -69,6 +69,44 @@
   return std::lround(100 * Rollout.latencies().meanRank(Kind));
 }
 
+/// Deviation of the new version's latencies, in hundredths of a standard
+/// deviation; 0 if there are too few.
+std::int64_t deviationPercent(const QuickRollout &Rollout, LatencyKind Kind,
+                              LatencyScore Score) {
+  const LatencyScores &Scores = Rollout.latencies().scores(Kind);
+  return std::lround(100 * Scores.deviation(Score).value_or(0));
+}
+
+/// Logs a stage; with the evidence for it on the coordinator, which alone has
+/// all of it.
+void logStage(const ForwardHost &H, PoolId Pool) {
+  const PoolVersions &Versions = H.Pools.at(Pool).Versions;
+  const QuickRollout &Rollout = *Versions.Rollout;
+  LogLine("version_stage")
+      .with("pool", static_cast<std::int64_t>(number(Pool)))
+      .with("version", Versions.RolloutName)
+      .with("stage", nameOf(Versions.Decision.Stage));
+  if (!isCoordinator(H, Pool))
+    return;
+  const LatencyKind First = LatencyKind::FirstEvent;
+  LogLine("version_evidence")
+      .with("pool", static_cast<std::int64_t>(number(Pool)))
+      .with("version", Versions.RolloutName)
+      .with("stage", nameOf(Versions.Decision.Stage))
+      .with("cause", nameOf(Rollout.cause()))
+      .with("new_answers", static_cast<std::int64_t>(Rollout.newAnswers()))
+      .with("new_failures", static_cast<std::int64_t>(Rollout.newFailures()))
+      .with("new_compared",
+            static_cast<std::int64_t>(Rollout.latencies().compared()))
+      .with("shift", deviationPercent(Rollout, First, LatencyScore::Shift))
+      .with("lateness",
+            deviationPercent(Rollout, First, LatencyScore::Lateness))
+      .with("first_event_rank", rankPercent(Rollout, First))
+      .with("event_rank", rankPercent(Rollout, LatencyKind::PerEvent))
+      .with("pace_percent",
+            std::lround(100 * Rollout.paces().ratio().value_or(0)));
+}
+
 /// Applies a decision on this host.
 void applyDecision(ForwardHost &H, PoolId Pool,
                    const VersionDecision &Decision) {
@@ -86,24 +124,7 @@
     Versions.RolledBack.insert(Decision.Version);
   if (StageChanged) {
     updateGuard(Pool, Versions);
-    LogLine("version_stage")
-        .with("pool", static_cast<std::int64_t>(number(Pool)))
-        .with("version", Versions.RolloutName)
-        .with("stage", nameOf(Decision.Stage))
-        .with("new_answers",
-              static_cast<std::int64_t>(Versions.Rollout->newAnswers()))
-        .with("new_failures",
-              static_cast<std::int64_t>(Versions.Rollout->newFailures()))
-        .with("new_compared",
-              static_cast<std::int64_t>(Versions.Rollout->newCompared()))
-        .with("new_slow",
-              static_cast<std::int64_t>(Versions.Rollout->newSlow()))
-        .with("first_event_rank",
-              rankPercent(*Versions.Rollout, LatencyKind::FirstEvent))
-        .with("event_rank",
-              rankPercent(*Versions.Rollout, LatencyKind::PerEvent))
-        .with("pace_percent",
-              std::lround(100 * Versions.Rollout->paces().ratio().value_or(0)));
+    logStage(H, Pool);
   }
   publishTargets(H, Pool);
 }
@@ -238,7 +259,8 @@
     if (!Versions.Rollout ||
         rolloutId(Pool, Versions.Rollout->version()) != Arrived.Rollout)
       continue;
-    Versions.Rollout->add(Arrived.Cells, Arrived.Latencies, Arrived.Paces);
+    Versions.Rollout->add(Arrived.Cells, Arrived.Latencies, Arrived.Paces,
+                          H.Loop.now());
     if (isCoordinator(H, Pool))
       stepCoordinator(H, Pool);
   }
--- a/apps/marjorambayd/peer_codec.cpp
+++ b/apps/marjorambayd/peer_codec.cpp
@@ -334,6 +334,7 @@
     Entry->set_bin(Cell.Bin);
     Entry->set_old_answers(Cell.OldAnswers);
     Entry->set_new_answers(Cell.NewAnswers);
+    Entry->set_target(number(Cell.Target));
   }
   for (const PaceSample &Sample : Arrived.Paces) {
     peer::PaceSample *Entry = Body->add_paces();
@@ -481,7 +482,8 @@
     Arrived.Latencies.push_back({RouteId{Entry.route()},
                                  static_cast<LatencyKind>(Entry.kind()),
                                  static_cast<std::uint8_t>(Entry.bin()),
-                                 Entry.old_answers(), Entry.new_answers()});
+                                 Entry.old_answers(), Entry.new_answers(),
+                                 TargetId{Entry.target()}});
   }
   for (const peer::PaceSample &Entry : In.paces())
     Arrived.Paces.push_back({TargetId{Entry.target()}, Entry.is_new(),
--- a/apps/marjorambayd/tests/peer_codec_test.cpp
+++ b/apps/marjorambayd/tests/peer_codec_test.cpp
@@ -197,7 +197,7 @@
   Sent.Rollout = RolloutId{6};
   Sent.Cells.emplace_back();
   SUBCASE("of both kinds") {
-    Sent.Latencies = {{RouteId{1}, LatencyKind::FirstEvent, 3, 40, 5},
+    Sent.Latencies = {{RouteId{1}, LatencyKind::FirstEvent, 3, 40, 5, TargetId{9}},
                       {RouteId{2}, LatencyKind::PerEvent, 127, 6, 7}};
     const EvidenceArrived Read = roundTrip(Sent);
     REQUIRE(Read.Latencies.size() == 2);
@@ -209,6 +209,7 @@
             Sent.Latencies[Index].OldAnswers);
       CHECK(Read.Latencies[Index].NewAnswers ==
             Sent.Latencies[Index].NewAnswers);
+      CHECK(Read.Latencies[Index].Target == Sent.Latencies[Index].Target);
     }
   }
   SUBCASE("and the paces of both versions") {
--- a/packages/coordination/marjorambay/coordination/latency_comparison.h
+++ b/packages/coordination/marjorambay/coordination/latency_comparison.h
@@ -11,6 +11,7 @@
 #ifndef MARJORAMBAY_COORDINATION_LATENCY_COMPARISON_H
 #define MARJORAMBAY_COORDINATION_LATENCY_COMPARISON_H
 
+#include "marjorambay/coordination/latency_scores.h"
 #include "marjorambay/state/enum_names.h"
 #include "marjorambay/state/ids.h"
 
@@ -40,20 +41,21 @@
 inline constexpr std::uint8_t LatencyBinCount = 128;
 std::uint8_t latencyBin(double Seconds);
 
-/// Counts of one route, kind and bin over one batch.
+/// Counts of one route, kind, bin and target over one batch.
 struct LatencyCell {
   RouteId Route{};
   LatencyKind Kind = LatencyKind::FirstEvent;
   std::uint8_t Bin = 0; ///< below LatencyBinCount
   std::uint32_t OldAnswers = 0;
   std::uint32_t NewAnswers = 0;
+  TargetId Target{}; ///< that answered; 0 from hosts of earlier builds
 };
 using LatencyCells = std::vector<LatencyCell>;
 
 class LatencyComparison {
 public:
-  /// Adds one batch, the old version's answers first.
-  void add(const LatencyCells &Batch);
+  /// Adds one batch, which arrived at \p Now, the old version's answers first.
+  void add(const LatencyCells &Batch, TimePoint Now);
 
   /// Whether the version is slower beyond doubt, however often this is asked:
   /// for a version as fast as the old one, the probability of a trip within N
@@ -65,6 +67,10 @@
   /// can't be taken back.
   bool isSlower() const;
 
+  /// Whether all answers of the new version so far were slower, beyond what
+  /// sound targets differ; see LatencyScores.
+  bool isSlowerByScores(Certainty How) const;
+
   /// Whether the evidence is within a factor of 50 of a trip.
   bool isSuspicious() const;
 
@@ -74,6 +80,10 @@
   /// Mean rank of the latest answers of the new version; 0 if there are none.
   double meanRank(LatencyKind Kind) const;
 
+  const LatencyScores &scores(LatencyKind Kind) const {
+    return Scores[static_cast<std::size_t>(Kind)];
+  }
+
 private:
   static constexpr std::size_t GridSize = 2;
 
@@ -88,7 +98,10 @@
   using Scope = std::pair<LatencyKind, std::optional<RouteId>>;
   using LogSums = std::array<double, GridSize>;
 
-  std::optional<double> rankOf(const LatencyCell &Cell) const;
+  /// Rank of a latency that is lower by \p Tolerance bins than the cell's.
+  std::optional<double> rankOf(const LatencyCell &Cell,
+                               std::uint8_t Tolerance) const;
+  void score(const LatencyCells &Batch, TimePoint Now);
   void observe(const LatencyCell &Cell, std::map<Scope, LogSums> &Factors);
   void apply(const std::map<Scope, LogSums> &Factors);
   void evaluate();
@@ -96,6 +109,7 @@
   std::map<Scope, Histogram> Old{};
   std::map<Scope, LogSums> Detectors{};
   std::map<Scope, std::deque<double>> RecentRanks{};
+  std::array<LatencyScores, LatencyKindCount> Scores{}; ///< by LatencyKind
   std::uint64_t ComparedAnswers = 0;
   double LogStatistic = -1e300; ///< of the whole test
   bool Tripped = false;
--- a/packages/coordination/marjorambay/coordination/quick_rollout.h
+++ b/packages/coordination/marjorambay/coordination/quick_rollout.h
@@ -8,7 +8,8 @@
 ///
 /// [SECTION] Index
 ///   1. QuickRolloutSettings  the bounds
-///   2. QuickRollout          one pool's version
+///   2. RollbackCause         why a version was rolled back
+///   3. QuickRollout          one pool's version
 #ifndef MARJORAMBAY_COORDINATION_QUICK_ROLLOUT_H
 #define MARJORAMBAY_COORDINATION_QUICK_ROLLOUT_H
 
@@ -47,6 +48,20 @@
   std::size_t MinPacesToSwitch = 12;
 };
 
+enum class RollbackCause : std::uint8_t {
+  None,         ///< it was not, or another host decided it
+  Errors,       ///< fails more often than the old version
+  FailureShare, ///< fails too often, whatever the old version does
+  Latency,      ///< its answers take longer
+  Pace,         ///< its streams are slower
+  TooFew,       ///< too few answers to tell
+};
+template <>
+inline constexpr std::array NamesOf<RollbackCause> =
+    std::to_array<std::string_view>(
+        {"none", "errors", "failure_share", "latency", "pace", "too_few"});
+static_assert(NamesOf<RollbackCause>.size() == 6);
+
 class QuickRollout {
 public:
   QuickRollout(PoolId Pool, VersionId To, Duration Window, TimePoint StartedAt,
@@ -54,9 +69,9 @@
       : Settings(InitialSettings), Pool(Pool), To(To), Window(Window),
         StartedAt(StartedAt) {}
 
-  /// Adds the evidence of any host.
-  void add(const Evidence &Cells, const LatencyCells &Latencies = {},
-           const PaceSamples &Paces = {});
+  /// Adds the evidence of any host, which arrived at \p Now.
+  void add(const Evidence &Cells, const LatencyCells &Latencies,
+           const PaceSamples &Paces, TimePoint Now);
   /// Merges a decision of another host: a later stage wins.
   void merge(const VersionDecision &Order);
 
@@ -65,14 +80,10 @@
 
   VersionId version() const { return To; }
   VersionStage stage() const { return Stage; }
+  RollbackCause cause() const { return Cause; }
   TimePoint startedAt() const { return StartedAt; }
   std::uint64_t newAnswers() const { return NewAnswers; }
   std::uint64_t newFailures() const { return NewFailures; }
-  /// Answers of the new version whose speed was compared, and those that were
-  /// slow.
-  std::uint64_t newCompared() const { return NewCompared; }
-  std::uint64_t newSlow() const { return NewSlow; }
-
   const LatencyComparison &latencies() const { return Latency; }
   const PaceComparison &paces() const { return Pace; }
 
@@ -82,11 +93,13 @@
     std::uint32_t Failures = 0;
   };
 
-  /// Whether the evidence suffices to stop the old version, which can't be
-  /// taken back.
-  bool maySwitch() const;
-  /// Whether the evidence is too strong for a step that can't be taken back.
-  bool isSuspicious() const;
+  /// Why to roll back before the window ends.
+  RollbackCause causeToTrip() const;
+  /// Why not to send all requests to the new version.
+  RollbackCause causeAgainstSwitch() const;
+  /// Why not to stop the old version, which can't be taken back.
+  RollbackCause causeAgainstCompletion() const;
+  void rollBackFor(RollbackCause Why);
   bool failsTooOften() const;
   bool failedTooOftenOfLate() const;
   void recordBatch(const RecentBatch &Batch);
@@ -103,11 +116,10 @@
   LatencyComparison Latency{};
   PaceComparison Pace{};
   VersionStage Stage = VersionStage::Canary;
+  RollbackCause Cause = RollbackCause::None;
   std::uint64_t Answers = 0; ///< of both versions
   std::uint64_t NewAnswers = 0;
   std::uint64_t NewFailures = 0;
-  std::uint64_t NewCompared = 0;
-  std::uint64_t NewSlow = 0;
   /// Batches with the latest RecentAnswers.
   std::deque<RecentBatch> Recent{};
 };
--- a/packages/coordination/marjorambay/coordination/version_guard.h
+++ b/packages/coordination/marjorambay/coordination/version_guard.h
@@ -127,7 +127,7 @@
   using Counts = std::map<std::pair<StratumKey, FaultKind>, EvidenceCell>;
   Counts PendingCounts{};  ///< since the last report
   Counts ReportedCounts{}; ///< already reported, for this rollout
-  using LatencyKey = std::tuple<RouteId, LatencyKind, std::uint8_t>;
+  using LatencyKey = std::tuple<RouteId, LatencyKind, std::uint8_t, TargetId>;
   std::map<LatencyKey, LatencyCell> PendingLatencies{};
   PaceSamples PendingPaces{};
   /// Until when the latest counted latency of a new target was measured.
--- a/packages/coordination/src/latency_comparison.cpp
+++ b/packages/coordination/src/latency_comparison.cpp
@@ -76,9 +76,11 @@
   return (Faster + 0.5) / (Total + 1);
 }
 
-std::optional<double> LatencyComparison::rankOf(const LatencyCell &Cell) const {
+std::optional<double>
+LatencyComparison::rankOf(const LatencyCell &Cell,
+                          std::uint8_t Tolerance) const {
   const auto Bin =
-      static_cast<std::uint8_t>(std::max<int>(0, Cell.Bin - ToleranceBins));
+      static_cast<std::uint8_t>(std::max<int>(0, Cell.Bin - Tolerance));
   const auto SameRoute = Old.find({Cell.Kind, Cell.Route});
   if (SameRoute != Old.end() && SameRoute->second.Total >= MinRouteAnswers)
     return SameRoute->second.rank(Bin);
@@ -88,13 +90,14 @@
   return std::nullopt;
 }
 
-void LatencyComparison::add(const LatencyCells &Batch) {
+void LatencyComparison::add(const LatencyCells &Batch, TimePoint Now) {
   for (const LatencyCell &Cell : Batch) {
     if (Cell.Bin >= LatencyBinCount || Cell.OldAnswers == 0)
       continue;
     Old[{Cell.Kind, Cell.Route}].add(Cell.Bin, Cell.OldAnswers);
     Old[{Cell.Kind, std::nullopt}].add(Cell.Bin, Cell.OldAnswers);
   }
+  score(Batch, Now);
   std::map<Scope, LogSums> Factors;
   for (const LatencyCell &Cell : Batch)
     if (Cell.Bin < LatencyBinCount && Cell.NewAnswers > 0)
@@ -103,9 +106,24 @@
     apply(Factors);
 }
 
+void LatencyComparison::score(const LatencyCells &Batch, TimePoint Now) {
+  for (const LatencyCell &Cell : Batch) {
+    if (Cell.Bin >= LatencyBinCount)
+      continue;
+    const std::optional<double> Rank = rankOf(Cell, 0);
+    if (!Rank)
+      continue;
+    LatencyScores &Into = Scores[static_cast<std::size_t>(Cell.Kind)];
+    if (Cell.OldAnswers > 0)
+      Into.addOld(Cell.Target, *Rank, Cell.OldAnswers);
+    if (Cell.NewAnswers > 0)
+      Into.addNew(Cell.Target, Cell.Route, *Rank, Cell.NewAnswers, Now);
+  }
+}
+
 void LatencyComparison::observe(const LatencyCell &Cell,
                                 std::map<Scope, LogSums> &Factors) {
-  const std::optional<double> Rank = rankOf(Cell);
+  const std::optional<double> Rank = rankOf(Cell, ToleranceBins);
   if (!Rank)
     return;
   if (Cell.Kind == LatencyKind::FirstEvent)
@@ -171,6 +189,12 @@
       });
 }
 
+bool LatencyComparison::isSlowerByScores(Certainty How) const {
+  return std::any_of(
+      Scores.begin(), Scores.end(),
+      [How](const LatencyScores &Each) { return Each.isSlower(How); });
+}
+
 bool LatencyComparison::isSuspicious() const {
   constexpr double Factor = 50;
   return LogStatistic >= std::log(LatencyTripThreshold / Factor);
--- a/packages/coordination/src/quick_rollout.cpp
+++ b/packages/coordination/src/quick_rollout.cpp
@@ -6,14 +6,11 @@
 namespace marjorambay {
 
 void QuickRollout::add(const Evidence &Cells, const LatencyCells &Latencies,
-                       const PaceSamples &Paces) {
+                       const PaceSamples &Paces, TimePoint Now) {
   RecentBatch Batch;
   for (const EvidenceCell &Cell : Cells) {
-    if (Cell.Kind == FaultKind::Slowness) {
-      NewCompared += Cell.NewAnswers;
-      NewSlow += Cell.NewBad;
+    if (Cell.Kind == FaultKind::Slowness)
       continue;
-    }
     Answers += Cell.OldAnswers + Cell.NewAnswers;
     NewAnswers += Cell.NewAnswers;
     NewFailures += Cell.NewBad;
@@ -22,7 +19,7 @@
   }
   recordBatch(Batch);
   Comparison.add(Cells);
-  Latency.add(Latencies);
+  Latency.add(Latencies, Now);
   Pace.add(Paces);
 }
 
@@ -53,11 +50,6 @@
          std::min(0.5, Settings.CanaryShare + FromExtra);
 }
 
-bool QuickRollout::isSuspicious() const {
-  return Comparison.isSuspicious() || Latency.isSuspicious() ||
-         Pace.isSlower(Settings.MinPacesToSwitch);
-}
-
 void QuickRollout::recordBatch(const RecentBatch &Batch) {
   if (Batch.Answers == 0)
     return;
@@ -86,13 +78,49 @@
   return Sum.Failures > Settings.MaxFailureShare * Sum.Answers;
 }
 
+RollbackCause QuickRollout::causeToTrip() const {
+  if (Comparison.tripped())
+    return RollbackCause::Errors;
+  if (failsTooOften())
+    return RollbackCause::FailureShare;
+  if (Latency.tripped())
+    return RollbackCause::Latency;
+  if (Pace.isSlower(Settings.MinPacesToTrip))
+    return RollbackCause::Pace;
+  return RollbackCause::None;
+}
+
+/// Strong evidence stands against a step that can't be taken back, also where
+/// it does not justify a rollback before its time.
+RollbackCause QuickRollout::causeAgainstCompletion() const {
+  if (Comparison.isSuspicious())
+    return RollbackCause::Errors;
+  if (failedTooOftenOfLate())
+    return RollbackCause::FailureShare;
+  if (Latency.isSuspicious())
+    return RollbackCause::Latency;
+  if (Pace.isSlower(Settings.MinPacesToSwitch))
+    return RollbackCause::Pace;
+  return RollbackCause::None;
+}
+
 /// A rollback before its time needs strong evidence that the version is slower.
 /// A switch needs evidence that it is not: without any, it may be for want of
 /// answers.
-bool QuickRollout::maySwitch() const {
-  return NewAnswers >= Settings.MinNewAnswers &&
-         Latency.compared() >= Settings.MinComparedAnswers &&
-         !Latency.isSlower() && !isSuspicious() && !failedTooOftenOfLate();
+RollbackCause QuickRollout::causeAgainstSwitch() const {
+  if (NewAnswers < Settings.MinNewAnswers ||
+      Latency.compared() < Settings.MinComparedAnswers)
+    return RollbackCause::TooFew;
+  if (Latency.isSlower())
+    return RollbackCause::Latency;
+  return causeAgainstCompletion();
+}
+
+void QuickRollout::rollBackFor(RollbackCause Why) {
+  if (Why == RollbackCause::None || isFinal(Stage))
+    return;
+  Stage = VersionStage::RolledBack;
+  Cause = Why;
 }
 
 VersionDecision QuickRollout::step(TimePoint Now) {
@@ -101,15 +129,17 @@
       std::min(Settings.MaxSwitchTime,
                fromSeconds(Settings.SwitchFraction * budget(Now) /
                            std::max(1.0, requestRate(Now))));
-  if (!isFinal(Stage) &&
-      (Comparison.tripped() || Latency.tripped() || failsTooOften() ||
-       Pace.isSlower(Settings.MinPacesToTrip)))
-    Stage = VersionStage::RolledBack;
-  if (Stage == VersionStage::Canary && Now >= End - SwitchTime)
-    Stage = maySwitch() ? VersionStage::Switching : VersionStage::RolledBack;
-  if (Stage == VersionStage::Switching && Now >= End)
-    Stage = isSuspicious() || failedTooOftenOfLate() ? VersionStage::RolledBack
-                                                     : VersionStage::Completed;
+  rollBackFor(causeToTrip());
+  if (Stage == VersionStage::Canary && Now >= End - SwitchTime) {
+    rollBackFor(causeAgainstSwitch());
+    if (!isFinal(Stage))
+      Stage = VersionStage::Switching;
+  }
+  if (Stage == VersionStage::Switching && Now >= End) {
+    rollBackFor(causeAgainstCompletion());
+    if (!isFinal(Stage))
+      Stage = VersionStage::Completed;
+  }
   VersionDecision Order{Pool, To, Stage};
   Order.Age = Now - StartedAt;
   switch (Stage) {
--- a/packages/coordination/src/version_guard.cpp
+++ b/packages/coordination/src/version_guard.cpp
@@ -147,7 +147,9 @@
     Until = Latency.StartedAt + Latency.Elapsed;
   }
   const std::uint8_t Bin = latencyBin(toSeconds(Latency.Elapsed));
-  LatencyCell &Cell = PendingLatencies[{Latency.Route, Latency.Kind, Bin}];
+  LatencyCell &Cell =
+      PendingLatencies[{Latency.Route, Latency.Kind, Bin, Latency.Target}];
+  Cell.Target = Latency.Target;
   Cell.Route = Latency.Route;
   Cell.Kind = Latency.Kind;
   Cell.Bin = Bin;
--- a/packages/coordination/tests/quick_rollout_test.cpp
+++ b/packages/coordination/tests/quick_rollout_test.cpp
@@ -60,7 +60,7 @@
     Latency.Bin = latencyBin(0.1);
     Latency.OldAnswers = Cell.OldAnswers;
     Latency.NewAnswers = Cell.NewAnswers;
-    Rollout.add({Cell}, {Latency});
+    Rollout.add({Cell}, {Latency}, {}, at(Now));
     if (Result.Last.Stage == VersionStage::Completed &&
         Result.CompletedAt == Duration(0))
       Result.CompletedAt = Now;
--- a/packages/coordination/tests/slow_version_test.cpp
+++ b/packages/coordination/tests/slow_version_test.cpp
@@ -98,7 +98,7 @@
   EvidenceCell Answers;
   Answers.OldAnswers = 200;
   Answers.NewAnswers = 20;
-  Rollout.add({Answers});
+  Rollout.add({Answers}, {}, {}, Start);
   for (Duration Now{}; Now <= seconds(15); Now += milliseconds(250))
     CHECK(Rollout.step(Start + Now).Stage != VersionStage::Completed);
 }
--- a/tests/support/quick_pool.h
+++ b/tests/support/quick_pool.h
@@ -124,7 +124,7 @@
   }
 
   void addEvidence(const EvidenceReady &Ready) {
-    Rollout.add(Ready.Cells, Ready.Latencies, Ready.Paces);
+    Rollout.add(Ready.Cells, Ready.Latencies, Ready.Paces, at(Now));
   }
 
   void arrivals() {
