Reproduce: a plain service's version with half of its answers slow is completed

The pool of the test had engines only, of two speeds; a plain service has alike targets and few answers.

--- a/packages/coordination/tests/slow_version_test.cpp
+++ b/packages/coordination/tests/slow_version_test.cpp
@@ -12,10 +12,11 @@
 
 constexpr std::uint64_t Seeds = 10;
 
-/// Returns how many of Seeds rollouts ended at \p Stage.
-std::uint64_t countEnded(QuickScenario Scene, VersionStage Stage) {
+/// Returns how many of \p Rollouts ended at \p Stage.
+std::uint64_t countEnded(QuickScenario Scene, VersionStage Stage,
+                         std::uint64_t Rollouts = Seeds) {
   std::uint64_t Count = 0;
-  for (Scene.Seed = 1; Scene.Seed <= Seeds; ++Scene.Seed)
+  for (Scene.Seed = 1; Scene.Seed <= Rollouts; ++Scene.Seed)
     Count += QuickPool(Scene).run().Stage == Stage ? 1 : 0;
   return Count;
 }
@@ -73,6 +74,59 @@
     }
 }
 
+/// A plain service of four targets that has few requests.
+QuickScenario plainService() {
+  QuickScenario Scene;
+  Scene.RequestsPerSecond = 33;
+  Scene.Streams = false;
+  Scene.Alike = true;
+  Scene.Targets = 4;
+  return Scene;
+}
+
+// Guards against a version of a plain service that is completed because half of
+// its answers are as fast as before, and the canary has few.
+TEST_CASE(
+    "a version of a plain service with half of its answers slow is rolled "
+    "back" *
+    doctest::should_fail()) {
+  QuickScenario Scene = plainService();
+  Scene.SlowShare = 0.5;
+  SUBCASE("nine times in ten if they take twice as long") {
+    Scene.Slowdown = 2;
+    CHECK(countEnded(Scene, VersionStage::RolledBack, 200) >= 180);
+  }
+  SUBCASE("if they take several times as long") {
+    for (const double Slowdown : {3.0, 5.0, 8.0}) {
+      CAPTURE(Slowdown);
+      Scene.Slowdown = Slowdown;
+      CHECK(countEnded(Scene, VersionStage::RolledBack, 100) >= 99);
+    }
+  }
+  SUBCASE("also beside a silent target") {
+    Scene.Slowdown = 5;
+    Scene.SilentTarget = true;
+    CHECK(countEnded(Scene, VersionStage::RolledBack, 100) >= 99);
+  }
+}
+
+// Guards against good versions of plain services that are rolled back because
+// targets differ or fall silent.
+TEST_CASE("a good version of a plain service is completed") {
+  QuickScenario Scene = plainService();
+  SUBCASE("all but one time in a thousand") {
+    CHECK(countEnded(Scene, VersionStage::Completed, 1000) >= 999);
+  }
+  SUBCASE("also if a target is silent for a second") {
+    Scene.SilentTarget = true;
+    CHECK(countEnded(Scene, VersionStage::Completed, 1000) >= 990);
+  }
+  SUBCASE("also if targets differ in speed by a tenth") {
+    Scene.SpeedSpread = 0.1;
+    CHECK(countEnded(Scene, VersionStage::Completed, 1000) >= 990);
+  }
+}
+
 // Guards against a version of which only part of the answers are slow, and
 // which is completed because the others set its pace and its latencies are
 // compared with those of loaded targets.
--- a/tests/support/quick_pool.h
+++ b/tests/support/quick_pool.h
@@ -13,6 +13,7 @@
 #include <cmath>
 #include <functional>
 #include <map>
+#include <utility>
 #include <vector>
 
 namespace marjorambay::test {
@@ -25,10 +26,14 @@
   double Slowdown = 1;  ///< of the new version
   double SlowShare = 1; ///< of its answers are slow
   bool Streams = true;  ///< otherwise, each answer is one event
+  bool Alike = false;   ///< targets of one speed, answers that differ little,
+                        ///< as those of plain services
   SlowWhen When = SlowWhen::Always;
   Duration Window = seconds(15);
   std::size_t Hosts = 8;
   std::size_t Targets = 18;  ///< of each version
+  double SpeedSpread = 0;    ///< of alike targets, as a standard deviation of
+                             ///< the logarithm
   bool SilentTarget = false; ///< the new target with most requests is silent
                              ///< for the second before the switch, and for one
                              ///< in the middle of the window
@@ -195,13 +200,26 @@
     return Gaps;
   }
 
+  /// Seconds for which a plain service works on a request; one in a hundred
+  /// takes five times as long.
+  double plainWork(bool IsNew, std::size_t Target) {
+    const auto [Known, First] = Speeds.try_emplace({IsNew, Target}, 1.0);
+    if (First)
+      Known->second = logNormal(1, Scene.SpeedSpread);
+    const double Long = drawFraction(Random) < 0.01 ? 5 : 1;
+    return logNormal(0.055, 0.47) * Known->second * Long;
+  }
+
   void answer(bool IsNew, std::size_t Route, std::size_t Target, bool Fast,
               bool Slow) {
-    const double Speed = (Fast ? 1.0 : 3.0) * (Slow ? Scene.Slowdown : 1.0);
+    const double Speed =
+        (Fast || Scene.Alike ? 1.0 : 3.0) * (Slow ? Scene.Slowdown : 1.0);
     const std::array<double, Routes> Prompts = {0.08, 0.04, 0.015};
     const std::array<double, Routes> Lengths = {4, 5, 25};
-    const double First = 0.055 + logNormal(Prompts[Route], 0.9) * Speed / 2 +
-                         toSeconds(silence(IsNew, Target)) +
+    const double Served =
+        Scene.Alike ? 0.002 + plainWork(IsNew, Target) * Speed
+                    : 0.055 + logNormal(Prompts[Route], 0.9) * Speed / 2;
+    const double First = Served + toSeconds(silence(IsNew, Target)) +
                          2 * interruption(IsNew, Speed);
     const double Events =
         Scene.Streams ? std::floor(1 + logNormal(Lengths[Route], 1.4)) : 1;
@@ -259,6 +277,7 @@
   SplitMix64 Random;
   QuickRollout Rollout;
   std::vector<VersionGuard> Guards;
+  std::map<std::pair<bool, std::size_t>, double> Speeds{};
   Duration Now{};
   std::multimap<Duration, std::function<void()>> Due{};
   double Share = 0;
