Measure the pace of the fastest hardware by more than one target

A version is slower if its fastest streams fall behind the fastest old target. Of many targets with few streams each, the fastest one is so by chance: a good version was rolled back. The pace below which a tenth of the old targets lie is the reference now.

--- a/packages/coordination/src/pace_comparison.cpp
+++ b/packages/coordination/src/pace_comparison.cpp
@@ -41,6 +41,14 @@
   return lowerTail(Samples, 2);
 }
 
+/// Returns the pace of the fastest hardware. Of many targets, single ones look
+/// faster than they are.
+Duration fastestHardware(const std::vector<Duration> &Sorted) {
+  const auto Index = static_cast<std::size_t>(
+      MinHardwareShare * static_cast<double>(Sorted.size()));
+  return Sorted[Index];
+}
+
 /// Single streams may look faster than they are.
 Duration fastestPace(const std::deque<Duration> &Samples) {
   return lowerTail(Samples, 12);
@@ -114,7 +122,7 @@
   const std::vector<Duration> Old = paces(false);
   if (Old.empty() || RecentNew.empty())
     return std::nullopt;
-  return toSeconds(fastestPace(RecentNew)) / toSeconds(Old.front());
+  return toSeconds(fastestPace(RecentNew)) / toSeconds(fastestHardware(Old));
 }
 
 bool PaceComparison::isSlower(std::size_t MinStreams) const {
@@ -122,7 +130,7 @@
     return false;
   const std::vector<Duration> Old = paces(false);
   if (Old.size() < MinOldTargets ||
-      !isSlowerBy(SlowerFactor, fastestPace(RecentNew), Old.front()))
+      !isSlowerBy(SlowerFactor, fastestPace(RecentNew), fastestHardware(Old)))
     return false;
   const auto HasOwnPace = [&Old](Duration Pace) {
     const auto Alike =
