Draw a version's share once for each request, not for each attempt

A bad version of sheet-desk got 144 of 612 requests (111 allowed) while half of the old servers were down, and 117 of 625 (112) with the canary's larger part: a request that old targets refused drew the canary's share again with each of its attempts, and once in a few it fell on the new version. The further attempts of a request go to the serving version now; during the switch all go to the new one.

test_a_canary_gets_its_share_while_old_workers_reject failed before, with 173 runs of the new version for 488 requests (49 allowed), and passes now.

--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -153,8 +153,9 @@
   /// A second dispatch, while the current target is silent. The first of the
   /// two that responds goes on.
   std::optional<TargetAttempt> Replacement{};
-  TimePoint ReplaceAfter{};   ///< no replacement is sought earlier
-  std::uint32_t Attempts = 0; ///< dispatches that may have reached a target
+  TimePoint ReplaceAfter{};     ///< no replacement is sought earlier
+  std::uint32_t Attempts = 0;   ///< dispatches that may have reached a target
+  bool VersionSelected = false; ///< by the share of a version under rollout
   std::vector<TargetId> TriedTargets{};
   std::vector<TargetId> SilentTargets{}; ///< replaced because of their silence
   TimePoint FirstEventAt{};
@@ -476,8 +477,9 @@
 /// Whether the target runs the serving version of its pool, or none is known.
 bool runsServingVersion(const ForwardHost &H, const ListedTarget &Target);
 /// Selects the version for a request of a plain pool by the rollout's share; 0
-/// stands for the serving version.
-VersionId selectVersion(ForwardHost &H, PoolId Pool);
+/// stands for the serving version. The share is one of requests: their further
+/// attempts go to the serving version.
+VersionId selectVersion(ForwardHost &H, ForwardCall &Call);
 void publishVersions(ForwardHost &H, PoolId Pool, Arbiter &To);
 void observeVersion(ForwardHost &H, const ForwardCall &Call,
                     const TargetAttempt &Attempt, const Usage &Used,
--- a/apps/marjorambayd/forward_pools.cpp
+++ b/apps/marjorambayd/forward_pools.cpp
@@ -298,7 +298,7 @@
 
 void dispatchPlain(ForwardHost &H, ForwardCall &Call) {
   const bool Eject = mayEject(H, Call.Pool, H.Loop.now());
-  const VersionId Version = selectVersion(H, Call.Pool);
+  const VersionId Version = selectVersion(H, Call);
   const ListedTarget *Target = selectPlainTarget(H, Call, Version, Eject);
   if (Target == nullptr && number(Version) != 0)
     Target = selectPlainTarget(H, Call, VersionId{}, Eject);
--- a/apps/marjorambayd/forward_versions.cpp
+++ b/apps/marjorambayd/forward_versions.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace marjorambay {
 
@@ -187,11 +188,15 @@
   return number(Versions.Serving) == 0 || Target.Version == Versions.Serving;
 }
 
-VersionId selectVersion(ForwardHost &H, PoolId Pool) {
-  PoolVersions &Versions = H.Pools[Pool].Versions;
+VersionId selectVersion(ForwardHost &H, ForwardCall &Call) {
+  PoolVersions &Versions = H.Pools[Call.Pool].Versions;
   if (!Versions.Rollout || Versions.Decision.Share <= 0 ||
       isFinal(Versions.Decision.Stage))
     return VersionId{};
+  if (Versions.Decision.Share >= 1)
+    return Versions.Rollout->version();
+  if (std::exchange(Call.VersionSelected, true))
+    return VersionId{};
   Versions.Credit = std::min(2.0, Versions.Credit + Versions.Decision.Share);
   if (Versions.Credit < 1)
     return VersionId{};
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -1621,6 +1621,25 @@
                 for run in each.runs[-1:] if run["at"] > time.monotonic() - 1]
         self.assertEqual(late, [], "the old version serves again")
 
+    # Guards against a canary that gets more than its share: a request that the
+    # old workers rejected drew the share again with each of its attempts.
+    def test_a_canary_gets_its_share_while_old_workers_reject(self):
+        routes = config(3)["routes"]
+        routes[0]["max_attempts"] = 5
+        fleet = self.fleet(hosts=1, workers=4,
+                           bounds={"canary_slack": 1, "retry_min_extra": 9999},
+                           first=config(3, routes=routes))
+        for worker in fleet.of("desk"):
+            worker.trouble = lambda run: "full"
+        fleet.add_worker("desk", "desk-new", "v2")
+        fleet.store.put("rollouts", "desk", {"service": "desk", "target": "v2",
+                                             "duration_s": 10})
+        wait_until(lambda: fleet.hosts[0].lines("rollout_ordered"), "the order")
+        sent = pace(4, lambda: fleet.call("/safe/a"), 0.005)
+        new = sum(len(worker.runs) for worker in fleet.of("desk"))
+        share = 0.1  # canary_share
+        self.assertLessEqual(new, share * len(sent) + 1, len(sent))
+
     def test_a_bad_version_is_taken_back(self):
         failing = threading.Lock()
         count = [0]
