Don't hold failures of a request that the old version shares against the new one

A host that repeats a request after a failure of the new version asks the old one, also during the switch. If both fail, it reports the failure as shared; the limit on the share of failures, which stands whatever the old version does, leaves those out. The comparison of error rates is as it was.

Versions that fail beside failures of the old one are rolled back as before.

--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -156,6 +156,7 @@
   TimePoint ReplaceAfter{};     ///< no replacement is sought earlier
   std::uint32_t Attempts = 0;   ///< dispatches that may have reached a target
   bool VersionSelected = false; ///< by the share of a version under rollout
+  VersionId FailedVersion{};    ///< of the last attempt that failed; 0 if none
   std::vector<TargetId> TriedTargets{};
   std::vector<TargetId> SilentTargets{}; ///< replaced because of their silence
   TimePoint FirstEventAt{};
@@ -481,7 +482,7 @@
 /// attempts go to the serving version.
 VersionId selectVersion(ForwardHost &H, ForwardCall &Call);
 void publishVersions(ForwardHost &H, PoolId Pool, Arbiter &To);
-void observeVersion(ForwardHost &H, const ForwardCall &Call,
+void observeVersion(ForwardHost &H, ForwardCall &Call,
                     const TargetAttempt &Attempt, const Usage &Used,
                     bool Failed);
 void observeLatency(ForwardHost &H, const ForwardCall &Call, LatencyKind Kind,
--- a/apps/marjorambayd/forward_versions.cpp
+++ b/apps/marjorambayd/forward_versions.cpp
@@ -97,6 +97,8 @@
       .with("cause", nameOf(Rollout.cause()))
       .with("new_answers", static_cast<std::int64_t>(Rollout.newAnswers()))
       .with("new_failures", static_cast<std::int64_t>(Rollout.newFailures()))
+      .with("shared_failures",
+            static_cast<std::int64_t>(Rollout.sharedFailures()))
       .with("new_compared",
             static_cast<std::int64_t>(Rollout.latencies().compared()))
       .with("shift", deviationPercent(Rollout, First, LatencyScore::Shift))
@@ -193,8 +195,11 @@
   if (!Versions.Rollout || Versions.Decision.Share <= 0 ||
       isFinal(Versions.Decision.Stage))
     return VersionId{};
+  const VersionId New = Versions.Rollout->version();
+  if (Call.FailedVersion == New) // tells whether the request or the version
+    return VersionId{};          // is at fault
   if (Versions.Decision.Share >= 1)
-    return Versions.Rollout->version();
+    return New;
   if (std::exchange(Call.VersionSelected, true))
     return VersionId{};
   Versions.Credit = std::min(2.0, Versions.Credit + Versions.Decision.Share);
@@ -226,7 +231,7 @@
   To.step(VersionShareChanged{Versions.Rollout->version(), Share}, Now);
 }
 
-void observeVersion(ForwardHost &H, const ForwardCall &Call,
+void observeVersion(ForwardHost &H, ForwardCall &Call,
                     const TargetAttempt &Attempt, const Usage &Used,
                     bool Failed) {
   PoolVersions &Versions = H.Pools[Call.Pool].Versions;
@@ -239,6 +244,15 @@
     Observed.SecondsPerToken =
         toSeconds(Used.Total - Used.TimeToFirstToken) / Used.OutputTokens;
   Versions.Guard.step(Observed);
+  if (!Failed)
+    return;
+  const VersionId Before = std::exchange(Call.FailedVersion, Attempt.Version);
+  const VersionId New =
+      Versions.Rollout ? Versions.Rollout->version() : VersionId{};
+  const bool BothFailed = number(Before) != 0 && Before != Attempt.Version &&
+                          (Before == New || Attempt.Version == New);
+  if (BothFailed)
+    Versions.Guard.step(FailureShared{Observed.Stratum});
 }
 
 void observeLatency(ForwardHost &H, const ForwardCall &Call, LatencyKind Kind,
--- a/apps/marjorambayd/peer_codec.cpp
+++ b/apps/marjorambayd/peer_codec.cpp
@@ -326,6 +326,7 @@
     Entry->set_old_bad(Cell.OldBad);
     Entry->set_new_answers(Cell.NewAnswers);
     Entry->set_new_bad(Cell.NewBad);
+    Entry->set_shared_bad(Cell.SharedBad);
   }
   for (const LatencyCell &Cell : Arrived.Latencies) {
     peer::LatencyCell *Entry = Body->add_latencies();
@@ -474,6 +475,7 @@
     Cell.OldBad = Entry.old_bad();
     Cell.NewAnswers = Entry.new_answers();
     Cell.NewBad = Entry.new_bad();
+    Cell.SharedBad = Entry.shared_bad();
     Arrived.Cells.push_back(Cell);
   }
   for (const peer::LatencyCell &Entry : In.latencies()) {
--- a/apps/marjorambayd/tests/peer_codec_test.cpp
+++ b/apps/marjorambayd/tests/peer_codec_test.cpp
@@ -196,6 +196,14 @@
   EvidenceArrived Sent;
   Sent.Rollout = RolloutId{6};
   Sent.Cells.emplace_back();
+  SUBCASE("and failures that versions share") {
+    Sent.Cells.front().NewBad = 4;
+    Sent.Cells.front().SharedBad = 3;
+    const EvidenceArrived Read = roundTrip(Sent);
+    REQUIRE(Read.Cells.size() == 1);
+    CHECK(Read.Cells.front().NewBad == 4);
+    CHECK(Read.Cells.front().SharedBad == 3);
+  }
   SUBCASE("of both kinds") {
     Sent.Latencies = {
         {RouteId{1}, LatencyKind::FirstEvent, 3, 40, 5, TargetId{9}},
--- a/packages/coordination/marjorambay/coordination/quick_rollout.h
+++ b/packages/coordination/marjorambay/coordination/quick_rollout.h
@@ -42,7 +42,8 @@
   std::uint32_t MinComparedAnswers = 4;
   /// A version that fails more than this share of its answers is not switched
   /// to, and rolled back at MaxFailures, whatever the old version does: while
-  /// that one fails as well, the comparison shows nothing.
+  /// that one fails as well, the comparison shows nothing. Requests that fail
+  /// with either version don't count.
   double MaxFailureShare = 0.25;
   std::uint32_t MaxFailures = 40;
   /// Latest answers of the new version that count for the switch.
@@ -89,13 +90,15 @@
   TimePoint startedAt() const { return StartedAt; }
   std::uint64_t newAnswers() const { return NewAnswers; }
   std::uint64_t newFailures() const { return NewFailures; }
+  /// Of those, the ones to requests that the old version failed too.
+  std::uint64_t sharedFailures() const { return SharedFailures; }
   const LatencyComparison &latencies() const { return Latency; }
   const PaceComparison &paces() const { return Pace; }
 
 private:
   struct RecentBatch {
-    std::uint32_t Answers = 0;
-    std::uint32_t Failures = 0;
+    std::int64_t Answers = 0;
+    std::int64_t Failures = 0; ///< that the old version does not share
   };
 
   /// Why to roll back before the window ends.
@@ -127,6 +130,7 @@
   std::uint64_t Answers = 0; ///< of both versions
   std::uint64_t NewAnswers = 0;
   std::uint64_t NewFailures = 0;
+  std::uint64_t SharedFailures = 0;
   /// Batches with the latest RecentAnswers.
   std::deque<RecentBatch> Recent{};
 };
--- a/packages/coordination/marjorambay/coordination/version_comparison.h
+++ b/packages/coordination/marjorambay/coordination/version_comparison.h
@@ -56,6 +56,8 @@
   std::uint32_t OldBad = 0;
   std::uint32_t NewAnswers = 0;
   std::uint32_t NewBad = 0;
+  /// Bad answers of the new version to requests that the old one failed too.
+  std::uint32_t SharedBad = 0;
 };
 using Evidence = std::vector<EvidenceCell>;
 
--- a/packages/coordination/marjorambay/coordination/version_guard.h
+++ b/packages/coordination/marjorambay/coordination/version_guard.h
@@ -29,6 +29,11 @@
   double SecondsPerToken = 0;   ///< mean time per token; 0 if unknown
   double FirstTokenSeconds = 0; ///< time to first token; 0 if unknown
 };
+/// A request for which an answer of the new version failed was failed by the
+/// old version as well.
+struct FailureShared {
+  StratumKey Stratum{};
+};
 /// A latency, as soon as it is known: before the end of its answer, because the
 /// slow answers of a version end last.
 struct LatencyObserved {
@@ -56,8 +61,9 @@
 struct GuardTicked {
   WallTime WallClock{};
 };
-using GuardEvent = std::variant<AnswerObserved, LatencyObserved, PaceObserved,
-                                ViewUpdated, TripReported, GuardTicked>;
+using GuardEvent =
+    std::variant<AnswerObserved, FailureShared, LatencyObserved, PaceObserved,
+                 ViewUpdated, TripReported, GuardTicked>;
 
 /// Share of requests that the pool's arbiter may send to the new version from
 /// now on.
@@ -109,6 +115,7 @@
   };
 
   void observe(const AnswerObserved &Answer);
+  void observe(const FailureShared &Failure);
   void observe(const LatencyObserved &Latency);
   void observe(const PaceObserved &Observed);
   void updateView(const RolloutView &View);
--- a/packages/coordination/src/quick_rollout.cpp
+++ b/packages/coordination/src/quick_rollout.cpp
@@ -15,7 +15,8 @@
     NewAnswers += Cell.NewAnswers;
     NewFailures += Cell.NewBad;
     Batch.Answers += Cell.NewAnswers;
-    Batch.Failures += Cell.NewBad;
+    SharedFailures += Cell.SharedBad;
+    Batch.Failures += std::int64_t{Cell.NewBad} - Cell.SharedBad;
   }
   recordBatch(Batch);
   Comparison.add(Cells);
@@ -60,10 +61,10 @@
 }
 
 void QuickRollout::recordBatch(const RecentBatch &Batch) {
-  if (Batch.Answers == 0)
+  if (Batch.Answers == 0 && Batch.Failures == 0)
     return;
   Recent.push_back(Batch);
-  std::uint32_t Count = 0;
+  std::int64_t Count = 0;
   for (const RecentBatch &Known : Recent)
     Count += Known.Answers;
   while (Count - Recent.front().Answers >= Settings.RecentAnswers) {
@@ -73,8 +74,9 @@
 }
 
 bool QuickRollout::failsTooOften() const {
-  return NewFailures >= Settings.MaxFailures &&
-         static_cast<double>(NewFailures) >
+  const std::uint64_t Own = NewFailures - std::min(NewFailures, SharedFailures);
+  return Own >= Settings.MaxFailures &&
+         static_cast<double>(Own) >
              Settings.MaxFailureShare * static_cast<double>(NewAnswers);
 }
 
--- a/packages/coordination/src/version_guard.cpp
+++ b/packages/coordination/src/version_guard.cpp
@@ -63,6 +63,7 @@
   Sum.OldBad += More.OldBad;
   Sum.NewAnswers += More.NewAnswers;
   Sum.NewBad += More.NewBad;
+  Sum.SharedBad += More.SharedBad;
 }
 
 } // namespace
@@ -72,6 +73,10 @@
     observe(*Answer);
     return {};
   }
+  if (const auto *Failure = std::get_if<FailureShared>(&Event)) {
+    observe(*Failure);
+    return {};
+  }
   if (const auto *Latency = std::get_if<LatencyObserved>(&Event)) {
     observe(*Latency);
     return {};
@@ -132,6 +137,15 @@
     recordReference(Answer);
 }
 
+void VersionGuard::observe(const FailureShared &Failure) {
+  if (!Current || isFinal(Current->Phase))
+    return;
+  EvidenceCell &Cell = PendingCounts[{Failure.Stratum, FaultKind::Errors}];
+  Cell.Stratum = Failure.Stratum;
+  Cell.Kind = FaultKind::Errors;
+  ++Cell.SharedBad;
+}
+
 void VersionGuard::observe(const LatencyObserved &Latency) {
   if (!Current || isFinal(Current->Phase))
     return;
--- a/packages/coordination/tests/quick_rollout_test.cpp
+++ b/packages/coordination/tests/quick_rollout_test.cpp
@@ -146,6 +146,52 @@
   }
 }
 
+/// Plays a rollout of a good version of a service of which some requests fail
+/// at every target. Callers send these twice, and a host repeats each once, at
+/// the old version.
+VersionStage playFailingRequests(std::uint64_t Seed, double PerSecond,
+                                 double FailingShare) {
+  QuickRollout Rollout(Pool, Version, Window, at(Duration(0)));
+  SplitMix64 Random(Seed);
+  VersionDecision Last;
+  constexpr Duration Step = milliseconds(250);
+  for (Duration Now{}; Now < Window; Now += Step) {
+    Last = Rollout.step(at(Now));
+    EvidenceCell Cell;
+    Cell.Stratum.Route = idOf<RouteId>("route");
+    const double Requests = PerSecond * toSeconds(Step);
+    for (double Request = 0; Request < Requests; ++Request) {
+      const bool Fails = drawFraction(Random) < FailingShare;
+      for (int Sent = 0; Sent < (Fails ? 2 : 1); ++Sent) {
+        const bool IsNew = drawFraction(Random) < Last.Share;
+        ++(IsNew ? Cell.NewAnswers : Cell.OldAnswers);
+        (IsNew ? Cell.NewBad : Cell.OldBad) += Fails ? 1 : 0;
+        Cell.OldAnswers += Fails ? 1 : 0;
+        Cell.OldBad += Fails ? 1 : 0;
+        Cell.SharedBad += Fails && IsNew ? 1 : 0;
+      }
+    }
+    LatencyCell Latency;
+    Latency.Route = Cell.Stratum.Route;
+    Latency.Bin = latencyBin(0.1);
+    Latency.OldAnswers = Cell.OldAnswers;
+    Latency.NewAnswers = Cell.NewAnswers;
+    Rollout.add({Cell}, {Latency}, {}, at(Now));
+  }
+  return Last.Stage;
+}
+
+// Guards against a good version that is rolled back because some requests fail
+// at every target, and several of them were among its few answers.
+TEST_CASE("a good version of a service with failing requests is completed") {
+  constexpr std::uint64_t Rollouts = 300;
+  std::uint64_t Completed = 0;
+  for (std::uint64_t Seed = 1; Seed <= Rollouts; ++Seed)
+    Completed +=
+        playFailingRequests(Seed, 33, 0.08) == VersionStage::Completed ? 1 : 0;
+  CHECK(Completed >= 297);
+}
+
 TEST_CASE("a version without answers is rolled back") {
   QuickRollout Rollout(Pool, Version, Window, at(Duration(0)));
   CHECK(Rollout.step(at(Window)).Stage == VersionStage::RolledBack);
