Compare latencies once in the switch, not at each step of it

The switch moves all requests to the new targets within a moment. Latencies are compared at the steps of the canary, before the switch, and once before completion.

--- a/packages/coordination/src/quick_rollout.cpp
+++ b/packages/coordination/src/quick_rollout.cpp
@@ -94,7 +94,10 @@
     return RollbackCause::Errors;
   if (failsTooOften())
     return RollbackCause::FailureShare;
-  if (Latency.tripped() || Latency.isSlower(Certainty::RepeatedLooks))
+  // The switch changes the load of all targets.
+  const bool Comparable = Stage == VersionStage::Canary;
+  if (Latency.tripped() ||
+      (Comparable && Latency.isSlower(Certainty::RepeatedLooks)))
     return RollbackCause::Latency;
   if (Pace.isSlower(Settings.MinPacesToTrip))
     return RollbackCause::Pace;
@@ -108,7 +111,7 @@
     return RollbackCause::Errors;
   if (failedTooOftenOfLate())
     return RollbackCause::FailureShare;
-  if (Latency.isSuspicious())
+  if (Latency.isSuspicious() || Latency.isSlower(Certainty::RepeatedLooks))
     return RollbackCause::Latency;
   if (Pace.isSlower(Settings.MinPacesToSwitch))
     return RollbackCause::Pace;
