Learn and log the limits that targets name

Neither log nor metrics showed that two model servers had named a limit, so that nothing told a limit that is not read from one that is not passed on. Hosts read the header from the head of any answer, of any status but 421; the latest word counts by when its request was sent, and a new incarnation starts without one. Heartbeats carry what a host has heard to the hubs, digests carry it to all hosts. Nothing keeps the limits yet.

--- a/apps/marjorambayd/forward_dispatch.cpp
+++ b/apps/marjorambayd/forward_dispatch.cpp
@@ -351,6 +351,7 @@
 void applyTargetNotices(ForwardHost &H, CallId Id, const HttpHead &Head) {
   ForwardCall &Call = *findCall(H, H.CallsByDispatch.at(Id));
   TargetAttempt &Attempt = attemptOf(Call, Id);
+  recordTargetLimit(H, Attempt, Head);
   recordHoldOff(H, Call, Attempt, Head);
   if (!Head.header(H.HeaderNames.Leaving).empty())
     markTargetLeaving(H, Call, Attempt);
--- a/apps/marjorambayd/forward_fleet.cpp
+++ b/apps/marjorambayd/forward_fleet.cpp
@@ -24,6 +24,8 @@
 /// Number of hubs. Any of them may fail at once without an effect on the
 /// others.
 constexpr std::size_t HubCount = 3;
+/// What a heartbeat repeats of the limits that are known.
+constexpr std::size_t OldLimitWords = 4;
 constexpr std::uint64_t HubHashKey = 0x6d61726a6f72616d;
 
 struct HubCandidate {
@@ -91,6 +93,7 @@
   Digest.Decisions = coordinatedDecisions(H);
   Digest.FeedPositions = feedPositions(H);
   Digest.CrashHolds = crashHolds(H);
+  Digest.TargetLimits = limitsToPassOn(H);
   Digest.WatchHealthy = isWatchHealthy(H);
   if (!H.Table)
     return Digest;
@@ -107,6 +110,7 @@
     mergeDecision(H, Order);
   for (const PoolCrashHold &Hold : Digest.CrashHolds)
     learnCrashHold(H, Hold);
+  learnTargetLimits(H, Digest.TargetLimits);
 }
 
 /// Decides whether this host watches the platform or follows hubs that do.
@@ -136,6 +140,7 @@
   ForwardPeer &Peer = H.Fleet[From.Id];
   if (Message.Draining)
     Peer.DrainingAt = H.Loop.now();
+  learnTargetLimits(H, Message.TargetLimits);
   if (H.Table)
     H.Ledger.recordUsage(From.Id, From.Incarnation, Message.Uptime,
                          Message.AccountUsages, *H.Table, H.Loop.now());
@@ -228,6 +233,7 @@
   Message.ConfigVersion = H.Table ? H.Table->version() : 0;
   Message.Draining = H.Draining;
   Message.Uptime = H.Loop.now() - H.StartedAt;
+  Message.TargetLimits = H.Limits.takeNews(OldLimitWords, H.Loop.now());
   if (H.Table)
     Message.AccountUsages = H.Meter.collectUsage(*H.Table, H.Loop.now());
   H.Ledger.setReachableFraction(reachableFraction(H));
@@ -247,11 +253,13 @@
 }
 
 /// Sends a heartbeat early if much usage was admitted since the last one: other
-/// hosts admit against a level that does not include it yet.
+/// hosts admit against a level that does not include it yet. The same holds if
+/// the limit of a target has changed.
 void sendHeartbeatsIfDue(ForwardHost &H) {
-  if (H.Table == nullptr || !H.Meter.reportDue(*H.Table, fleetSize(H)))
-    return;
-  sendHeartbeats(H);
+  const bool UsageDue =
+      H.Table != nullptr && H.Meter.reportDue(*H.Table, fleetSize(H));
+  if (UsageDue || H.Limits.newsDue())
+    sendHeartbeats(H);
 }
 
 } // namespace
--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -22,6 +22,7 @@
 #include "marjorambay/coordination/target_directory.h"
 #include "marjorambay/coordination/target_health.h"
 #include "marjorambay/coordination/target_hold_offs.h"
+#include "marjorambay/coordination/target_limits.h"
 #include "marjorambay/protocol/sse_splitter.h"
 #include "marjorambay/state.h"
 #include "marjorambay/state/forwarding_config.h"
@@ -52,8 +53,9 @@
   std::string Account{};      ///< name of the client account; sent to targets
   std::string ExpectTarget{}; ///< name of the target; sent to it, others
                               ///< respond with 421
-  std::string NotRun{};  ///< sent by targets that did not execute the request
-  std::string Leaving{}; ///< sent by targets that are leaving
+  std::string NotRun{};    ///< sent by targets that did not execute the request
+  std::string Leaving{};   ///< sent by targets that are leaving
+  std::string RateLimit{}; ///< sent by targets that limit their requests
   std::string LastEventId{};
   std::string TokenCounts{};    ///< token counts: "PROMPT,MAX_OUTPUT"
   std::string LengthHint{};     ///< expected output tokens
@@ -314,6 +316,7 @@
   std::unordered_map<TargetId, LocalTarget> LocalTargets{};
   std::unordered_map<TargetId, TargetHealth> Health{};
   TargetHoldOffs HoldOffs;
+  TargetLimits Limits{};
 
   // The fleet.
   std::map<HostId, ForwardPeer> Fleet{}; ///< all other hosts
@@ -452,6 +455,17 @@
 /// Returns what other hosts should know of all pools.
 std::vector<PoolCrashHold> crashHolds(const ForwardHost &H);
 
+// forward_limits.cpp
+/// Takes over what the head of an answer says of its target's limit.
+void recordTargetLimit(ForwardHost &H, const TargetAttempt &Attempt,
+                       const HttpHead &Head);
+/// Takes over what another host passes on.
+void learnTargetLimits(ForwardHost &H,
+                       const std::vector<TargetLimitWord> &Words);
+std::vector<TargetLimitWord> limitsToPassOn(ForwardHost &H);
+/// Drops the limits of targets that are gone or have started again.
+void dropOutdatedLimits(ForwardHost &H);
+
 // forward_fleet.cpp
 Result<Done> startFleet(ForwardHost &H);
 /// Returns the hub that arbitrates \p Pool; empty if none is reachable.
--- a/apps/marjorambayd/forward_lifecycle.cpp
+++ b/apps/marjorambayd/forward_lifecycle.cpp
@@ -74,7 +74,10 @@
   updateTrafficMetrics(H.Peers.traffic(), H.Stats);
   if (View.Path == "/metrics")
     return H.Operators.answer(View.Id, 200, PlainText,
-                              H.Stats.prometheusText());
+                              H.Stats.prometheusText() +
+                                  "# TYPE marjorambay_limited_targets gauge\n"
+                                  "marjorambay_limited_targets " +
+                                  std::to_string(H.Limits.size()) + "\n");
   H.Operators.answer(View.Id, 404, PlainText, "no such path\n");
 }
 
@@ -274,6 +277,7 @@
       H.Health.erase(Id);
   }
   H.TargetsKnown = true;
+  dropOutdatedLimits(H);
   updateServingVersions(H);
   for (const PoolId Pool : Pools)
     publishTargets(H, Pool);
--- a/apps/marjorambayd/peer_codec.cpp
+++ b/apps/marjorambayd/peer_codec.cpp
@@ -345,6 +345,13 @@
         std::chrono::duration_cast<microseconds>(Sample.Pace).count()));
   }
 }
+void encode(const TargetLimitWord &Word, peer::TargetLimit *Out) {
+  Out->set_target(number(Word.Target));
+  Out->set_incarnation(number(Word.Incarnation));
+  Out->set_limited(Word.PerSecond.has_value());
+  Out->set_per_second(Word.PerSecond.value_or(0));
+  Out->set_age_us(Word.Age.count());
+}
 void encodeMessage(const FleetHeartbeat &Message, peer::Message *Out) {
   peer::FleetBeat *Body = Out->mutable_fleet_beat();
   encode(Message.Sender, Body->mutable_sender());
@@ -352,6 +359,8 @@
   Body->set_config_version(Message.ConfigVersion);
   Body->set_draining(Message.Draining);
   Body->set_uptime_us(Message.Uptime.count());
+  for (const TargetLimitWord &Word : Message.TargetLimits)
+    encode(Word, Body->add_target_limits());
   for (const AccountUsage &Use : Message.AccountUsages) {
     peer::AccountUse *Entry = Body->add_uses();
     Entry->set_account(number(Use.Account));
@@ -393,6 +402,8 @@
     Entry->set_cleared(Hold.Cleared);
     Entry->set_remaining_us(Hold.Remaining.count());
   }
+  for (const TargetLimitWord &Word : Digest.TargetLimits)
+    encode(Word, Body->add_target_limits());
 }
 void encodeMessage(const ReservationQueued &Queued, peer::Message *Out) {
   encode(Queued.Key, Out->mutable_slot_queued()->mutable_key());
@@ -492,6 +503,14 @@
   return Arrived;
 }
 
+TargetLimitWord decode(const peer::TargetLimit &In) {
+  TargetLimitWord Word{TargetId{In.target()}, IncarnationId{In.incarnation()}};
+  if (In.limited())
+    Word.PerSecond = In.per_second();
+  Word.Age = Duration(In.age_us());
+  return Word;
+}
+
 FleetHeartbeat decodeFleetHeartbeat(const peer::FleetBeat &In) {
   FleetHeartbeat Message;
   Message.Sender = decode(In.sender());
@@ -499,6 +518,8 @@
   Message.ConfigVersion = In.config_version();
   Message.Draining = In.draining();
   Message.Uptime = Duration(In.uptime_us());
+  for (const peer::TargetLimit &Entry : In.target_limits())
+    Message.TargetLimits.push_back(decode(Entry));
   for (const peer::AccountUse &Entry : In.uses()) {
     AccountUsage Use{AccountId{Entry.account()}, Entry.used()};
     if (Entry.has_level())
@@ -533,6 +554,8 @@
         {PoolId{Entry.pool()},
          {decodeKey(Entry.segment()), Entry.confirmations(), Entry.cleared(),
           Duration(Entry.remaining_us())}});
+  for (const peer::TargetLimit &Entry : In.target_limits())
+    Digest.TargetLimits.push_back(decode(Entry));
   return Digest;
 }
 
--- a/packages/coordination/marjorambay/coordination/fleet_heartbeat.h
+++ b/packages/coordination/marjorambay/coordination/fleet_heartbeat.h
@@ -12,6 +12,7 @@
 #include "marjorambay/coordination/crash_suspects.h"
 #include "marjorambay/coordination/membership.h"
 #include "marjorambay/coordination/object_mirror.h"
+#include "marjorambay/coordination/target_limits.h"
 
 #include <array>
 #include <cstdint>
@@ -26,6 +27,9 @@
   bool Draining = false;
   std::vector<AccountUsage> AccountUsages{};
   Duration Uptime{}; ///< since the sender started; 0 if unknown
+  /// What targets said to the sender since its last heartbeat, and some of what
+  /// it knew before.
+  std::vector<TargetLimitWord> TargetLimits{};
 };
 
 /// Stage of a version under rollout.
@@ -72,6 +76,7 @@
   std::array<StorePosition, ObjectKindCount> FeedPositions{};
   bool WatchHealthy = false; ///< the sender's platform watch is responding
   std::vector<PoolCrashHold> CrashHolds{};
+  std::vector<TargetLimitWord> TargetLimits{}; ///< some of those it knows
 };
 
 /// An arbiter has received a reservation and has not decided on it yet.
--- /dev/null
+++ b/packages/coordination/marjorambay/coordination/target_limits.h
@@ -0,0 +1,82 @@
+/// Rates that targets name for themselves.
+///
+/// A target in need says in its answers how many requests a second it takes
+/// from all hosts together. The latest word counts, by when its request was
+/// sent. Hosts pass words on with their heartbeats, hubs with their digests, so
+/// that the arbiter of a pool knows them, also after it has moved or restarted.
+#ifndef MARJORAMBAY_COORDINATION_TARGET_LIMITS_H
+#define MARJORAMBAY_COORDINATION_TARGET_LIMITS_H
+
+#include "marjorambay/state/enum_names.h"
+#include "marjorambay/state/ids.h"
+#include "marjorambay/state/time.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace marjorambay {
+
+/// What a target said in its answer to one request.
+struct TargetLimitWord {
+  TargetId Target{};
+  IncarnationId Incarnation{};
+  std::optional<double> PerSecond{}; ///< nothing: it named no limit
+  Duration Age{};                    ///< since the request was sent
+};
+
+enum class LimitChange : std::uint8_t { None, Learned, Changed, Ended };
+template <>
+inline constexpr std::array NamesOf<LimitChange> =
+    std::to_array<std::string_view>({"none", "learned", "changed", "ended"});
+static_assert(NamesOf<LimitChange>.size() == 4);
+
+class TargetLimits {
+public:
+  /// Takes over a word that a target said to this host.
+  LimitChange hear(const TargetLimitWord &Word, TimePoint Now);
+  /// Takes over a word that another host passed on.
+  LimitChange learn(const TargetLimitWord &Word, TimePoint Now);
+  /// Drops what is known of targets that are not among \p Listed or run a later
+  /// incarnation. Returns those that had a limit.
+  std::vector<TargetId>
+  retain(const std::unordered_map<TargetId, IncarnationId> &Listed);
+
+  /// Returns the limit of \p Target; nothing if it has none.
+  std::optional<double> limit(TargetId Target) const;
+  /// Number of targets with a limit.
+  std::size_t size() const;
+
+  /// Whether this host heard a change that it has not passed on.
+  bool newsDue() const { return NewsDue; }
+  /// Returns the words heard since the last call, and up to \p Old others in
+  /// rotation: hubs that have all restarted know of none.
+  std::vector<TargetLimitWord> takeNews(std::size_t Old, TimePoint Now);
+  /// Returns up to \p Count words to be passed on, in rotation.
+  std::vector<TargetLimitWord> someWords(std::size_t Count, TimePoint Now);
+
+private:
+  struct Entry {
+    IncarnationId Incarnation{};
+    std::optional<double> PerSecond{};
+    TimePoint SentAt{};
+  };
+  TargetLimitWord wordOf(TargetId Target, const Entry &Known,
+                         TimePoint Now) const;
+
+  /// Targets that have named a limit, also those that no longer do.
+  std::map<TargetId, Entry> Entries{};
+  std::set<TargetId> Heard{}; ///< since takeNews()
+  bool NewsDue = false;
+  TargetId LastPassedOn{};
+};
+
+} // namespace marjorambay
+
+#endif // MARJORAMBAY_COORDINATION_TARGET_LIMITS_H
--- /dev/null
+++ b/packages/coordination/src/target_limits.cpp
@@ -0,0 +1,103 @@
+/// Words of targets on their limits, and token buckets by target.
+#include "marjorambay/coordination/target_limits.h"
+
+#include <algorithm>
+
+namespace marjorambay {
+
+LimitChange TargetLimits::learn(const TargetLimitWord &Word, TimePoint Now) {
+  const auto Known = Entries.find(Word.Target);
+  if (Known == Entries.end() && !Word.PerSecond)
+    return LimitChange::None;
+  const Entry New{Word.Incarnation, Word.PerSecond, Now - Word.Age};
+  if (Known == Entries.end()) {
+    Entries.emplace(Word.Target, New);
+    return LimitChange::Learned;
+  }
+  Entry &Old = Known->second;
+  const bool Later =
+      New.Incarnation > Old.Incarnation ||
+      (New.Incarnation == Old.Incarnation && New.SentAt > Old.SentAt);
+  // A word that is passed around must not become newer with each host.
+  const bool Same =
+      New.Incarnation == Old.Incarnation && New.PerSecond == Old.PerSecond;
+  if (!Later || Same)
+    return LimitChange::None;
+  const bool Had = Old.PerSecond.has_value();
+  Old = New;
+  if (!New.PerSecond)
+    return Had ? LimitChange::Ended : LimitChange::None;
+  return Had ? LimitChange::Changed : LimitChange::Learned;
+}
+
+LimitChange TargetLimits::hear(const TargetLimitWord &Word, TimePoint Now) {
+  const LimitChange Change = learn(Word, Now);
+  const auto Known = Entries.find(Word.Target);
+  if (Known == Entries.end() || Known->second.Incarnation != Word.Incarnation)
+    return Change;
+  if (Known->second.PerSecond == Word.PerSecond)
+    Known->second.SentAt = std::max(Known->second.SentAt, Now - Word.Age);
+  Heard.insert(Word.Target);
+  NewsDue = NewsDue || Change != LimitChange::None;
+  return Change;
+}
+
+std::vector<TargetId> TargetLimits::retain(
+    const std::unordered_map<TargetId, IncarnationId> &Listed) {
+  std::vector<TargetId> Dropped;
+  std::erase_if(Entries, [&](const auto &Known) {
+    const auto Found = Listed.find(Known.first);
+    const bool Stays =
+        Found != Listed.end() && Found->second <= Known.second.Incarnation;
+    if (!Stays && Known.second.PerSecond)
+      Dropped.push_back(Known.first);
+    if (!Stays)
+      Heard.erase(Known.first);
+    return !Stays;
+  });
+  return Dropped;
+}
+
+std::optional<double> TargetLimits::limit(TargetId Target) const {
+  const auto Known = Entries.find(Target);
+  return Known == Entries.end() ? std::nullopt : Known->second.PerSecond;
+}
+
+std::size_t TargetLimits::size() const {
+  return static_cast<std::size_t>(
+      std::count_if(Entries.begin(), Entries.end(), [](const auto &Known) {
+        return Known.second.PerSecond.has_value();
+      }));
+}
+
+TargetLimitWord TargetLimits::wordOf(TargetId Target, const Entry &Known,
+                                     TimePoint Now) const {
+  return {Target, Known.Incarnation, Known.PerSecond, Now - Known.SentAt};
+}
+
+std::vector<TargetLimitWord> TargetLimits::takeNews(std::size_t Old,
+                                                    TimePoint Now) {
+  std::vector<TargetLimitWord> News = someWords(Old, Now);
+  for (const TargetId Target : Heard)
+    News.push_back(wordOf(Target, Entries.at(Target), Now));
+  Heard.clear();
+  NewsDue = false;
+  return News;
+}
+
+std::vector<TargetLimitWord> TargetLimits::someWords(std::size_t Count,
+                                                     TimePoint Now) {
+  std::vector<TargetLimitWord> Words;
+  auto Next = Entries.upper_bound(LastPassedOn);
+  for (std::size_t Index = 0; Index < std::min(Count, Entries.size());
+       ++Index) {
+    if (Next == Entries.end())
+      Next = Entries.begin();
+    Words.push_back(wordOf(Next->first, Next->second, Now));
+    LastPassedOn = Next->first;
+    ++Next;
+  }
+  return Words;
+}
+
+} // namespace marjorambay
