Reproduce: targets get more requests than the limit that they have named

Workers of the stand-in name a limit while hosts are under load; what they get is counted at the workers, over 4 s from 3 s after the limit was named, against six times the limit + 5. A limit that is no number is ignored, as it should be.

--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -1048,6 +1048,121 @@
             self.assertEqual(fleet.runs(answers[-1].attempt), [])
 
 
+class TargetLimitTest(ForwardingTest):
+    """Workers in need name the rate that they take from all hosts together."""
+
+    WINDOW = 4
+    TOLD = 3  # seconds after which all hosts keep a limit
+
+    def load(self, fleet, path, seconds, callers=8):
+        with concurrent.futures.ThreadPoolExecutor(callers) as pool:
+            work = [pool.submit(pace, seconds, lambda: fleet.call(
+                path, host=place % len(fleet.hosts)), 0.01)
+                    for place in range(callers)]
+            return [each for one in work for each in one.result()]
+
+    def most_in_window(self, worker, since):
+        times = sorted(at for _, at in worker.seen if at >= since)
+        return max((sum(start <= at < start + self.WINDOW for at in times)
+                    for start in times), default=0)
+
+    def check(self, service, path, limited, limit, hosts=4):
+        """Limits some workers under load; returns the fleet and the answers."""
+        fleet = self.fleet(hosts=hosts, workers=3)
+        workers = fleet.of(service)[:limited]
+        self.load(fleet, path, 1)
+        for worker in workers:
+            worker.notices = {"Server-Limit": str(limit)}
+        begun = time.monotonic()
+        answers = self.load(fleet, path, 9)
+        for worker in workers:
+            most = self.most_in_window(worker, begun + self.TOLD)
+            self.assertLessEqual(most, 6 * limit + 5)
+            # It is used while there is work.
+            late = [at for _, at in worker.seen if at >= begun + self.TOLD]
+            self.assertGreaterEqual(len(late), 0.5 * limit * (9 - self.TOLD))
+        return fleet, workers, answers
+
+    # Guards against an engine that gets its usual requests after it has named a
+    # limit in its answers.
+    @unittest.expectedFailure
+    def test_a_limited_engine_gets_its_rate_from_all_hosts_together(self):
+        _, _, answers = self.check("pool", "/stream/a", 1, 2.2)
+        for answer in answers:
+            self.assert_served(answer)
+
+    # Guards against the same for a plain service, whose hosts dispatch alone.
+    @unittest.expectedFailure
+    def test_a_limited_worker_gets_its_rate_from_all_hosts_together(self):
+        _, _, answers = self.check("desk", "/safe/a", 1, 2.2)
+        for answer in answers:
+            self.assert_served(answer)
+
+    # Guards against limits of all workers that are exceeded, or under which
+    # callers wait only to be refused.
+    @unittest.expectedFailure
+    def test_callers_are_refused_when_all_workers_limit_their_requests(self):
+        _, _, answers = self.check("desk", "/safe/a", 3, 2)
+        refused = [each for each in answers if each.status == 503]
+        self.assertTrue(refused)
+        for answer in refused:
+            self.assertGreater(float(answer.headers["Retry-After"]), 0)
+        served = [each for each in answers if each.status == 200]
+        self.assertGreaterEqual(len(served), 0.5 * 3 * 2 * 9)
+
+    # Guards against a limit that outlasts the need of its worker.
+    @unittest.expectedFailure
+    def test_a_limit_ends_with_an_answer_that_names_none(self):
+        fleet, workers, _ = self.check("pool", "/stream/a", 1, 1)
+        workers[0].notices = {}
+        self.load(fleet, "/stream/a", 2)  # one of its answers says so
+        since = time.monotonic()
+        self.load(fleet, "/stream/a", 2)
+        seen = sum(at >= since for _, at in workers[0].seen)
+        self.assertGreater(seen, 3 * 2)
+        self.assertTrue(any(host.lines("target_limit", change="ended")
+                            for host in fleet.hosts))
+
+    # Guards against a host that sends without knowing a limit after it started
+    # again, and against an arbiter that grants anew when it moves.
+    @unittest.expectedFailure
+    def test_hosts_that_restart_in_turn_keep_a_limit(self):
+        fleet = self.fleet(hosts=4, workers=3)
+        worker = fleet.of("pool")[0]
+        worker.notices = {"Server-Limit": "2"}
+        over = threading.Event()
+
+        def ask(place):
+            while not over.is_set():
+                fleet.call("/stream/a", host=place, timeout=2)
+                time.sleep(0.01)
+
+        with concurrent.futures.ThreadPoolExecutor(8) as pool:
+            work = [pool.submit(ask, place) for place in (0, 1, 2, 3) * 2]
+            time.sleep(self.TOLD)
+            since = time.monotonic()
+            for turn in range(8):
+                host = fleet.hosts[turn % 4]
+                host.kill()
+                host.start()
+                wait_until(host.ready, f"{host.name} ready")
+                time.sleep(0.4)
+            over.set()
+            for each in work:
+                each.result()
+        self.assertLessEqual(self.most_in_window(worker, since), 6 * 2 + 5)
+
+    def test_a_limit_that_is_no_number_is_logged_and_ignored(self):
+        fleet = self.fleet(hosts=1, workers=1)
+        for text in ("-1", "many", "nan", "2 3"):
+            fleet.of("desk")[0].notices = {"Server-Limit": text}
+            self.assert_served(fleet.call("/safe/a"))
+            self.assertEqual(fleet.hosts[0].lines("target_limit"), [])
+        wait_until(
+            lambda: len(fleet.hosts[0].lines("target_limit_ignored")) == 4,
+            "the log lines", 2)
+
+
 class FleetChangeTest(ForwardingTest):
     """Workers, configuration and hosts come and go."""
 
--- a/tests/system_tests.cmake
+++ b/tests/system_tests.cmake
@@ -27,6 +27,7 @@
 # The adapter and forwarded routes, before a stand-in of the users' platform.
 foreach(Class RequestTest RepeatTest ResponseEndTest EndlessAnswerTest
     SilentTargetTest CrashingSegmentTest CrashingRequestTest TargetNoticeTest
+    TargetLimitTest
     FleetChangeTest OutageTest RestoreTest ExplainTest LimitTest RolloutTest)
   marjorambay_system_test(forwarding_${Class} forwarding_test.py 150 ${Class})
 endforeach()
