Soak: workers that name limits, counted at the workers

Workers of the stand-in name a limit of 0 to 20 requests a second for 6 to 9 s, beside the other faults. What they got in 4 s from hosts that were told and in touch is checked against one and a half times the limit, + 5.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,6 +13,7 @@
 NOTICE_WEIGHT = 2  # of each fault of that kind, against the same 12
 SILENCE_WEIGHT, CRASH_WEIGHT = 4, 1  # against the same 12
 CHANGE_WEIGHT = 4  # likewise
+LIMIT_WEIGHT = 3  # likewise
 ENDLESS = tuple(f"endless:{what}" for what in (
     "bytes", "interim", "late", "head", "chunk", "body", "chunks", "event"))
 AIMED_SHARE = 0.7  # of stops, returns and silences that meet a configuration
@@ -41,7 +42,8 @@
             * self.notices
             + ((self.silence,) * SILENCE_WEIGHT
                + (self.crash_many,) * CRASH_WEIGHT) * self.silences
-            + (self.change,) * CHANGE_WEIGHT * self.changes)
+            + (self.change,) * CHANGE_WEIGHT * self.changes
+            + (self.worker_limits,) * LIMIT_WEIGHT * self.limits)
         self.faults.append(choice.__name__)
         return choice()
 
@@ -163,6 +165,23 @@
 
         return start_again
 
+    def worker_limits(self):
+        """A worker names the rate that it takes, for some seconds."""
+        worker = self.random.choice(list(self.fleet.workers.values()))
+        if worker.notices:
+            return lambda: None
+        limit = self.random.choice((0, 0.5, 2.2, 5, 20))
+        noted = [worker, limit, time.monotonic(), None]
+        worker.notices = {"Server-Limit": str(limit)}
+
+        def end():
+            worker.notices = {}
+            noted[3] = time.monotonic()
+
+        self.named.append(noted)
+        threading.Timer(self.random.uniform(6, 9), end).start()
+        return lambda: None
+
     def store_mode(self):
         store = self.fleet.store
         store.mode = self.random.choice(("silent", "busy", "reset"))
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -16,6 +16,9 @@
 MAY_BE_DROPPED = "/more/"  # a route that comes and goes
 NOT_RUN = (408, 421, 429, 503)
 DEADLINE_S = 3
+CONTACT_S = 3  # without disruption, until a host is in touch
+TOLD_S = 1.5  # until a host knows the limit after its first request
+LIMIT_WINDOW_S = 4
 READ_S = 0.2  # a connection that ends later has not crossed its request
 # Troubles of a worker that end its answer early.
 BREAKING = ("reset_before", "reset_after", "silent", "break", "cut", "endless")
@@ -44,6 +47,7 @@
         path = self.random.choice(self.soak.kinds) + attempt
         body = b"x" * self.random.choice((0, 10, 2000))
         self.soak.note_sent(attempt, path, body)
+        self.soak.hosts_of[attempt] = self.choose_host()
         began = time.monotonic()
         status, answer, whole = self.exchange(attempt, path, body)
         self.soak.note_answer(attempt, path, status, answer, whole)
@@ -51,9 +55,13 @@
             self.soak.ends.append((attempt, self.host.name, began,
                                    time.monotonic()))
 
-    def exchange(self, attempt, path, body):
+    def choose_host(self):
         if self.connection is None:
             self.host = self.random.choice(self.soak.fleet.hosts)
+        return self.host.name
+
+    def exchange(self, attempt, path, body):
+        if self.connection is None:
             self.connection = http.client.HTTPConnection(
                 "127.0.0.1", self.host.caller, timeout=6)
         try:
@@ -86,6 +94,8 @@
         self.ends = []  # without an answer: (attempt, host, sent, ended)
         self.lost = collections.Counter()  # of these, by what was beside them
         self.happened = []  # [what, to whom, since, until]
+        self.hosts_of = {}  # the host that each attempt was sent to
+        self.named = []  # [worker, its limit, since, until]
 
     def fail(self, what):
         with self.lock:
@@ -193,3 +203,27 @@
         self.note_sent(attempt, path + "probe", b"payload")
         return self.fleet.call(path + "probe", host=place,
                                attempt=attempt).status == 200
+
+    def check_limits(self):
+        """No worker got more than one and a half times its limit, + 5."""
+        for worker, limit, since, until in self.named:
+            times = self.limited_arrivals(worker, since, until or math.inf)
+            most = max((sum(first <= at < first + LIMIT_WINDOW_S
+                            for at in times) for first in times), default=0)
+            if most > 1.5 * limit * LIMIT_WINDOW_S + 5:
+                self.fail(f"{worker.name} had named a limit of {limit} and got "
+                          f"{most} requests in {LIMIT_WINDOW_S} s")
+
+    def limited_arrivals(self, worker, since, until):
+        """Times at which a limited worker got requests from hosts that knew its
+        limit and were in touch, as it was itself."""
+        told, times = {}, []
+        for attempt, at in list(worker.seen):
+            host = self.hosts_of.get(attempt)
+            if not since <= at < until or host is None:
+                continue
+            told.setdefault(host, at + TOLD_S)
+            in_touch = not self.beside(at - CONTACT_S, at, host, worker.name)
+            if in_touch and at >= max(told[host], since + CONTACT_S):
+                times.append(at)
+        return times
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -2,7 +2,7 @@
 """A randomized fault soak of forwarded routes, on real processes.
 
 soak.py [--seed N] [--seconds S] [--hosts N] [--restores] [--notices]
-        [--silences] [--changes] [--endless] [--keep FOLDER]
+        [--silences] [--changes] [--endless] [--limits] [--keep FOLDER]
 
 Callers keep their connections open and send requests of every kind, while
 workers, the store, connections and processes fail in overlapping series. What
@@ -35,7 +35,7 @@
         Promises.__init__(self)
         self.seed, self.restores, self.notices = seed, given.restores, given.notices
         self.silences, self.changes = given.silences, given.changes
-        self.endless = given.endless
+        self.endless, self.limits = given.endless, given.limits
         self.kinds = KINDS + (MAY_BE_DROPPED,) * self.changes
         self.random = random.Random(seed)
         self.over = threading.Event()
@@ -81,6 +81,7 @@
             caller.join(10)
         self.check_runs()
         self.check_ends()
+        self.check_limits()
 
     def report(self):
         served = sum(status == 200 for status in self.answers.values())
@@ -126,6 +127,8 @@
                         "limits, accounts and services, in series")
     parser.add_argument("--endless", action="store_true",
                         help="some answers do not end")
+    parser.add_argument("--limits", action="store_true",
+                        help="workers also name limits on their rate")
     parser.add_argument("--keep", help="folder for the logs of failed seeds")
     given = parser.parse_args()
     seeds = list(given.seed)
--- a/tests/system_tests.cmake
+++ b/tests/system_tests.cmake
@@ -42,6 +42,8 @@
   ${CMAKE_SOURCE_DIR}/tests/soak/soak.py --silences --changes --seed 2 --seed 103 --seconds 5)
 add_test(NAME soak_endless COMMAND ${Python3_EXECUTABLE}
   ${CMAKE_SOURCE_DIR}/tests/soak/soak.py --endless --seed 1 --seed 2 --seconds 8)
-set_tests_properties(soak soak_restores soak_notices soak_changes soak_endless
+add_test(NAME soak_limits COMMAND ${Python3_EXECUTABLE}
+  ${CMAKE_SOURCE_DIR}/tests/soak/soak.py --limits --seed 4 --seed 5 --seconds 12)
+set_tests_properties(soak soak_restores soak_notices soak_changes soak_endless soak_limits
   PROPERTIES TIMEOUT 240
   ENVIRONMENT "MARJORAMBAY_BIN=${CMAKE_BINARY_DIR}/bin;PYTHONDONTWRITEBYTECODE=1")
