Virtual pool of limited targets: a step for each period, without captures

clang-tidy rejects a structured binding that a lambda captures; the period's check is a function of its own. The checks are the same and pass.

--- a/tests/support/limited_pool.h
+++ b/tests/support/limited_pool.h
@@ -322,26 +322,24 @@
             Word.Age = Now - SentAt;
             applyChange(Host, Target, Hosts[Host].Limits.hear(Word, at(Now)));
           });
-    after(Head + draw(milliseconds(600)),
-          [this, Id, GrantedBy, Target, SentAt] {
-            const auto Found = Requests.find(Id);
-            if (Found == Requests.end())
-              return;
-            const Request Ended = Found->second;
-            Requests.erase(Found);
-            Out.Served += 1;
-            Usage Used;
-            Used.PromptTokens = 200;
-            Used.OutputTokens = 20;
-            Used.TimeToFirstToken = milliseconds(100);
-            Used.Total = Now - SentAt;
-            const SlotReleased Released{Ended.Wanted.Key, Used};
-            if (!Ended.Arbiter)
-              return stepLocalShare(Ended.Host, Released);
-            send(Ended.Host, GrantedBy, [this, GrantedBy, Released] {
-              stepPrimary(GrantedBy, Released);
-            });
-          });
+    after(Head + draw(milliseconds(600)), [this, Id, GrantedBy, SentAt] {
+      const auto Found = Requests.find(Id);
+      if (Found == Requests.end())
+        return;
+      const Request Ended = Found->second;
+      Requests.erase(Found);
+      Out.Served += 1;
+      Usage Used;
+      Used.PromptTokens = 200;
+      Used.OutputTokens = 20;
+      Used.TimeToFirstToken = milliseconds(100);
+      Used.Total = Now - SentAt;
+      const SlotReleased Released{Ended.Wanted.Key, Used};
+      if (!Ended.Arbiter)
+        return stepLocalShare(Ended.Host, Released);
+      send(Ended.Host, GrantedBy,
+           [this, GrantedBy, Released] { stepPrimary(GrantedBy, Released); });
+    });
   }
 
   /// Whether a request that \p Host sends now counts: hosts are bound by a
@@ -421,29 +419,34 @@
     return limitAt(Target, Now);
   }
 
+  /// Measures a time in which a target's limit was known and did not change.
+  void measurePeriod(TargetId Target, Duration From, Duration To,
+                     double &Allowed, double &Got) {
+    const std::vector<Arrival> &All = Arrivals[Target];
+    const double Limit = *limitAt(Target, From);
+    Allowed += Limit * toSeconds(To - From);
+    for (auto First = All.begin(); First != All.end(); ++First) {
+      if (First->At < From || First->At >= To)
+        continue;
+      Got += 1;
+      const Duration End = std::min(First->At + Window, To);
+      const auto Count =
+          std::count_if(First, All.end(), [End](const Arrival &Each) {
+            return Each.Counts && Each.At < End;
+          });
+      Out.WorstFill =
+          std::max(Out.WorstFill, static_cast<double>(Count) / (6 * Limit + 5));
+    }
+  }
+
   void measure() {
     double Allowed = 0;
     double Got = 0;
     for (std::size_t Index = 1; Index <= Scene.LimitedTargets; ++Index) {
-      const TargetId Target{Index};
-      const std::vector<Arrival> &All = Arrivals[Target];
-      for (const auto &[From, To] :
-           {std::pair{LimitedFrom + ContactTime, ChangedAt},
-            std::pair{ChangedAt + ContactTime, Length}}) {
-        const double Limit = *limitAt(Target, From);
-        Allowed += Limit * toSeconds(To - From);
-        for (auto First = All.begin(); First != All.end(); ++First) {
-          if (First->At < From || First->At >= To)
-            continue;
-          Got += 1;
-          const double Count = static_cast<double>(
-              std::count_if(First, All.end(), [&](const Arrival &Each) {
-                return Each.Counts && Each.At < First->At + Window &&
-                       Each.At < To;
-              }));
-          Out.WorstFill = std::max(Out.WorstFill, Count / (6 * Limit + 5));
-        }
-      }
+      measurePeriod(TargetId{Index}, LimitedFrom + ContactTime, ChangedAt,
+                    Allowed, Got);
+      measurePeriod(TargetId{Index}, ChangedAt + ContactTime, Length, Allowed,
+                    Got);
     }
     Out.Used = Allowed == 0 ? 0 : Got / Allowed;
   }
