Use what a limited target allows while others are idle

The arbiter grants the target that finishes first, and the two others always did. A target that gets nothing says nothing, so that its limit would not have ended either. A limited target that has got less than its limit allows goes before others now, unless its first token would be late.

What a target says is called a notice throughout.

--- a/apps/marjorambayd/forward_fleet.cpp
+++ b/apps/marjorambayd/forward_fleet.cpp
@@ -25,7 +25,7 @@
 /// others.
 constexpr std::size_t HubCount = 3;
 /// What a heartbeat repeats of the limits that are known.
-constexpr std::size_t OldLimitWords = 4;
+constexpr std::size_t RepeatedLimitNotices = 4;
 constexpr std::uint64_t HubHashKey = 0x6d61726a6f72616d;
 
 struct HubCandidate {
@@ -233,7 +233,8 @@
   Message.ConfigVersion = H.Table ? H.Table->version() : 0;
   Message.Draining = H.Draining;
   Message.Uptime = H.Loop.now() - H.StartedAt;
-  Message.TargetLimits = H.Limits.takeNews(OldLimitWords, H.Loop.now());
+  Message.TargetLimits =
+      H.Limits.takeUnsent(RepeatedLimitNotices, H.Loop.now());
   if (H.Table)
     Message.AccountUsages = H.Meter.collectUsage(*H.Table, H.Loop.now());
   H.Ledger.setReachableFraction(reachableFraction(H));
@@ -258,7 +259,7 @@
 void sendHeartbeatsIfDue(ForwardHost &H) {
   const bool UsageDue =
       H.Table != nullptr && H.Meter.reportDue(*H.Table, fleetSize(H));
-  if (UsageDue || H.Limits.newsDue())
+  if (UsageDue || H.Limits.changeUnsent())
     sendHeartbeats(H);
 }
 
--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -463,8 +463,8 @@
                        const HttpHead &Head);
 /// Takes over what another host passes on.
 void learnTargetLimits(ForwardHost &H,
-                       const std::vector<TargetLimitWord> &Words);
-std::vector<TargetLimitWord> limitsToPassOn(ForwardHost &H);
+                       const std::vector<TargetLimitNotice> &Notices);
+std::vector<TargetLimitNotice> limitsToPassOn(ForwardHost &H);
 /// Drops the limits of targets that are gone or have started again.
 void dropOutdatedLimits(ForwardHost &H);
 /// Returns the events that tell a new arbiter of the pool's limits.
--- a/apps/marjorambayd/forward_limits.cpp
+++ b/apps/marjorambayd/forward_limits.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-/// Words in one digest; more are passed on in rotation.
-constexpr std::size_t MaxWordsInDigest = 16;
+/// Notices in one digest; more are passed on in rotation.
+constexpr std::size_t MaxNoticesInDigest = 16;
 
 /// Returns how this host's arbiters pace \p Target. The local share is granted
 /// without knowledge of other hosts: each has a part of the limit, and turns of
@@ -62,25 +62,25 @@
 }
 
 /// Returns what the head says; nothing if it does not count.
-std::optional<TargetLimitWord> readLimit(const ForwardHost &H,
-                                         const TargetAttempt &Attempt,
-                                         const HttpHead &Head) {
+std::optional<TargetLimitNotice> readLimit(const ForwardHost &H,
+                                           const TargetAttempt &Attempt,
+                                           const HttpHead &Head) {
   constexpr int Misdirected = 421; // another target answers at this address
   if (Head.Status == Misdirected)
     return std::nullopt;
-  TargetLimitWord Word{Attempt.Target, Attempt.TargetIncarnation};
-  Word.Age = H.Loop.now() - Attempt.DispatchedAt;
+  TargetLimitNotice Notice{Attempt.Target, Attempt.TargetIncarnation};
+  Notice.Age = H.Loop.now() - Attempt.DispatchedAt;
   const auto Count = std::count_if(
       Head.Headers.begin(), Head.Headers.end(), [&H](const HttpHeader &Header) {
         return equalsIgnoringCase(Header.Name, H.HeaderNames.RateLimit);
       });
   // A target that rejects a request need not say more than that.
   if (Count == 0)
-    return Attempt.Declined ? std::nullopt : std::optional(Word);
+    return Attempt.Declined ? std::nullopt : std::optional(Notice);
   const std::string_view Text = Head.header(H.HeaderNames.RateLimit);
-  Word.PerSecond = Count == 1 ? parseRateLimit(Text) : std::nullopt;
-  if (Word.PerSecond)
-    return Word;
+  Notice.PerSecond = Count == 1 ? parseRateLimit(Text) : std::nullopt;
+  if (Notice.PerSecond)
+    return Notice;
   LogLine("target_limit_ignored", LogLevel::Warning)
       .with("target", Attempt.TargetName)
       .with("value", Text.substr(0, 40));
@@ -91,23 +91,23 @@
 
 void recordTargetLimit(ForwardHost &H, const TargetAttempt &Attempt,
                        const HttpHead &Head) {
-  if (const auto Word = readLimit(H, Attempt, Head))
-    applyChange(H, Word->Target, H.Limits.hear(*Word, H.Loop.now()));
+  if (const auto Notice = readLimit(H, Attempt, Head))
+    applyChange(H, Notice->Target, H.Limits.observe(*Notice, H.Loop.now()));
 }
 
 void learnTargetLimits(ForwardHost &H,
-                       const std::vector<TargetLimitWord> &Words) {
-  for (const TargetLimitWord &Word : Words) {
-    const auto Listed = H.Targets.find(Word.Target);
+                       const std::vector<TargetLimitNotice> &Notices) {
+  for (const TargetLimitNotice &Notice : Notices) {
+    const auto Listed = H.Targets.find(Notice.Target);
     const bool Current = Listed != H.Targets.end() &&
-                         Listed->second.Incarnation <= Word.Incarnation;
+                         Listed->second.Incarnation <= Notice.Incarnation;
     if (Current)
-      applyChange(H, Word.Target, H.Limits.learn(Word, H.Loop.now()));
+      applyChange(H, Notice.Target, H.Limits.merge(Notice, H.Loop.now()));
   }
 }
 
-std::vector<TargetLimitWord> limitsToPassOn(ForwardHost &H) {
-  return H.Limits.someWords(MaxWordsInDigest, H.Loop.now());
+std::vector<TargetLimitNotice> limitsToPassOn(ForwardHost &H) {
+  return H.Limits.nextNotices(MaxNoticesInDigest, H.Loop.now());
 }
 
 void dropOutdatedLimits(ForwardHost &H) {
--- a/apps/marjorambayd/peer_codec.cpp
+++ b/apps/marjorambayd/peer_codec.cpp
@@ -345,12 +345,12 @@
         std::chrono::duration_cast<microseconds>(Sample.Pace).count()));
   }
 }
-void encode(const TargetLimitWord &Word, peer::TargetLimit *Out) {
-  Out->set_target(number(Word.Target));
-  Out->set_incarnation(number(Word.Incarnation));
-  Out->set_limited(Word.PerSecond.has_value());
-  Out->set_per_second(Word.PerSecond.value_or(0));
-  Out->set_age_us(Word.Age.count());
+void encode(const TargetLimitNotice &Notice, peer::TargetLimit *Out) {
+  Out->set_target(number(Notice.Target));
+  Out->set_incarnation(number(Notice.Incarnation));
+  Out->set_limited(Notice.PerSecond.has_value());
+  Out->set_per_second(Notice.PerSecond.value_or(0));
+  Out->set_age_us(Notice.Age.count());
 }
 void encodeMessage(const FleetHeartbeat &Message, peer::Message *Out) {
   peer::FleetBeat *Body = Out->mutable_fleet_beat();
@@ -359,8 +359,8 @@
   Body->set_config_version(Message.ConfigVersion);
   Body->set_draining(Message.Draining);
   Body->set_uptime_us(Message.Uptime.count());
-  for (const TargetLimitWord &Word : Message.TargetLimits)
-    encode(Word, Body->add_target_limits());
+  for (const TargetLimitNotice &Notice : Message.TargetLimits)
+    encode(Notice, Body->add_target_limits());
   for (const AccountUsage &Use : Message.AccountUsages) {
     peer::AccountUse *Entry = Body->add_uses();
     Entry->set_account(number(Use.Account));
@@ -402,8 +402,8 @@
     Entry->set_cleared(Hold.Cleared);
     Entry->set_remaining_us(Hold.Remaining.count());
   }
-  for (const TargetLimitWord &Word : Digest.TargetLimits)
-    encode(Word, Body->add_target_limits());
+  for (const TargetLimitNotice &Notice : Digest.TargetLimits)
+    encode(Notice, Body->add_target_limits());
 }
 void encodeMessage(const ReservationQueued &Queued, peer::Message *Out) {
   encode(Queued.Key, Out->mutable_slot_queued()->mutable_key());
@@ -503,12 +503,13 @@
   return Arrived;
 }
 
-TargetLimitWord decode(const peer::TargetLimit &In) {
-  TargetLimitWord Word{TargetId{In.target()}, IncarnationId{In.incarnation()}};
+TargetLimitNotice decode(const peer::TargetLimit &In) {
+  TargetLimitNotice Notice{TargetId{In.target()},
+                           IncarnationId{In.incarnation()}};
   if (In.limited())
-    Word.PerSecond = In.per_second();
-  Word.Age = Duration(In.age_us());
-  return Word;
+    Notice.PerSecond = In.per_second();
+  Notice.Age = Duration(In.age_us());
+  return Notice;
 }
 
 FleetHeartbeat decodeFleetHeartbeat(const peer::FleetBeat &In) {
--- a/packages/coordination/marjorambay/coordination/fleet_heartbeat.h
+++ b/packages/coordination/marjorambay/coordination/fleet_heartbeat.h
@@ -29,7 +29,7 @@
   Duration Uptime{}; ///< since the sender started; 0 if unknown
   /// What targets said to the sender since its last heartbeat, and some of what
   /// it knew before.
-  std::vector<TargetLimitWord> TargetLimits{};
+  std::vector<TargetLimitNotice> TargetLimits{};
 };
 
 /// Stage of a version under rollout.
@@ -76,7 +76,7 @@
   std::array<StorePosition, ObjectKindCount> FeedPositions{};
   bool WatchHealthy = false; ///< the sender's platform watch is responding
   std::vector<PoolCrashHold> CrashHolds{};
-  std::vector<TargetLimitWord> TargetLimits{}; ///< some of those it knows
+  std::vector<TargetLimitNotice> TargetLimits{}; ///< some of those it knows
 };
 
 /// An arbiter has received a reservation and has not decided on it yet.
--- a/packages/coordination/marjorambay/coordination/target_limits.h
+++ b/packages/coordination/marjorambay/coordination/target_limits.h
@@ -1,8 +1,8 @@
 /// Rates that targets name for themselves, and how a pool's arbiter keeps them.
 ///
 /// A target in need says in its answers how many requests a second it takes
-/// from all hosts together. The latest word counts, by when its request was
-/// sent. Hosts pass words on with their heartbeats, hubs with their digests, so
+/// from all hosts together. The latest notice counts, by when its request was
+/// sent. Heartbeats carry notices to the hubs, and digests to all hosts, so
 /// that the arbiter of a pool knows them, also after it has moved or restarted.
 ///
 /// [SECTION] Index
@@ -30,7 +30,7 @@
 // ---- What a host knows ------------------------------------------------------
 
 /// What a target said in its answer to one request.
-struct TargetLimitWord {
+struct TargetLimitNotice {
   TargetId Target{};
   IncarnationId Incarnation{};
   std::optional<double> PerSecond{}; ///< nothing: it named no limit
@@ -45,10 +45,10 @@
 
 class TargetLimits {
 public:
-  /// Takes over a word that a target said to this host.
-  LimitChange hear(const TargetLimitWord &Word, TimePoint Now);
-  /// Takes over a word that another host passed on.
-  LimitChange learn(const TargetLimitWord &Word, TimePoint Now);
+  /// Records the notice in an answer to this host.
+  LimitChange observe(const TargetLimitNotice &Notice, TimePoint Now);
+  /// Records a notice that another host passed on.
+  LimitChange merge(const TargetLimitNotice &Notice, TimePoint Now);
   /// Drops what is known of targets that are not among \p Listed or run a later
   /// incarnation. Returns those that had a limit.
   std::vector<TargetId>
@@ -59,13 +59,13 @@
   /// Number of targets with a limit.
   std::size_t size() const;
 
-  /// Whether this host heard a change that it has not passed on.
-  bool newsDue() const { return NewsDue; }
-  /// Returns the words heard since the last call, and up to \p Old others in
-  /// rotation: hubs that have all restarted know of none.
-  std::vector<TargetLimitWord> takeNews(std::size_t Old, TimePoint Now);
-  /// Returns up to \p Count words to be passed on, in rotation.
-  std::vector<TargetLimitWord> someWords(std::size_t Count, TimePoint Now);
+  /// Whether this host observed a change that it has not passed on.
+  bool changeUnsent() const { return ChangeUnsent; }
+  /// Returns the notices observed since the last call, and up to \p Old others
+  /// in rotation: hubs that have all restarted know of none.
+  std::vector<TargetLimitNotice> takeUnsent(std::size_t Old, TimePoint Now);
+  /// Returns up to \p Count notices, in rotation.
+  std::vector<TargetLimitNotice> nextNotices(std::size_t Count, TimePoint Now);
 
 private:
   struct Entry {
@@ -73,14 +73,14 @@
     std::optional<double> PerSecond{};
     TimePoint SentAt{};
   };
-  TargetLimitWord wordOf(TargetId Target, const Entry &Known,
-                         TimePoint Now) const;
+  TargetLimitNotice noticeOf(TargetId Target, const Entry &Known,
+                             TimePoint Now) const;
 
   /// Targets that have named a limit, also those that no longer do.
   std::map<TargetId, Entry> Entries{};
-  std::set<TargetId> Heard{}; ///< since takeNews()
-  bool NewsDue = false;
-  TargetId LastPassedOn{};
+  std::set<TargetId> Unsent{}; ///< observed since takeUnsent()
+  bool ChangeUnsent = false;
+  TargetId LastSent{};
 };
 
 // ---- Pacing -----------------------------------------------------------------
@@ -91,8 +91,8 @@
   /// Part of the limit that is granted here; below 1 if other hosts grant the
   /// rest without knowing of each other.
   double Share = 1;
-  double Phase =
-      0; ///< 0 to 1; places the turns of a part among those of others
+  /// Places the turns of a part among those of other hosts, 0 to 1.
+  double Phase = 0;
 };
 
 /// Paces the requests of one pool to its limited targets.
@@ -107,6 +107,8 @@
 
   /// Requests a second that \p Target gets here; nothing if it has no limit.
   std::optional<double> rate(TargetId Target) const;
+  /// Whether \p Target is limited and has got less than its limit allows.
+  bool hasSpare(TargetId Target, TimePoint Now) const;
   /// Requests that \p Target may get at once.
   double allowance(TargetId Target, TimePoint Now) const;
 
@@ -119,6 +121,7 @@
   };
   static double rateOf(const Bucket &Entry);
   static double tokensOf(const Bucket &Entry, TimePoint Now);
+  static double maxTokens(const Bucket &Entry);
   static bool hasTurn(const Bucket &Entry, TimePoint Now);
 
   std::unordered_map<TargetId, Bucket> Buckets{};
--- a/packages/coordination/src/target_limits.cpp
+++ b/packages/coordination/src/target_limits.cpp
@@ -1,4 +1,4 @@
-/// Words of targets on their limits, and token buckets by target.
+/// Notices of targets on their limits, and token buckets by target.
 #include "marjorambay/coordination/target_limits.h"
 
 #include <algorithm>
@@ -20,20 +20,21 @@
 
 // ---- What a host knows ------------------------------------------------------
 
-LimitChange TargetLimits::learn(const TargetLimitWord &Word, TimePoint Now) {
-  const auto Known = Entries.find(Word.Target);
-  if (Known == Entries.end() && !Word.PerSecond)
+LimitChange TargetLimits::merge(const TargetLimitNotice &Notice,
+                                TimePoint Now) {
+  const auto Known = Entries.find(Notice.Target);
+  if (Known == Entries.end() && !Notice.PerSecond)
     return LimitChange::None;
-  const Entry New{Word.Incarnation, Word.PerSecond, Now - Word.Age};
+  const Entry New{Notice.Incarnation, Notice.PerSecond, Now - Notice.Age};
   if (Known == Entries.end()) {
-    Entries.emplace(Word.Target, New);
+    Entries.emplace(Notice.Target, New);
     return LimitChange::Learned;
   }
   Entry &Old = Known->second;
   const bool Later =
       New.Incarnation > Old.Incarnation ||
       (New.Incarnation == Old.Incarnation && New.SentAt > Old.SentAt);
-  // A word that is passed around must not become newer with each host.
+  // A notice that is passed around must not become newer with each host.
   const bool Same =
       New.Incarnation == Old.Incarnation && New.PerSecond == Old.PerSecond;
   if (!Later || Same)
@@ -45,15 +46,16 @@
   return Had ? LimitChange::Changed : LimitChange::Learned;
 }
 
-LimitChange TargetLimits::hear(const TargetLimitWord &Word, TimePoint Now) {
-  const LimitChange Change = learn(Word, Now);
-  const auto Known = Entries.find(Word.Target);
-  if (Known == Entries.end() || Known->second.Incarnation != Word.Incarnation)
+LimitChange TargetLimits::observe(const TargetLimitNotice &Notice,
+                                  TimePoint Now) {
+  const LimitChange Change = merge(Notice, Now);
+  const auto Known = Entries.find(Notice.Target);
+  if (Known == Entries.end() || Known->second.Incarnation != Notice.Incarnation)
     return Change;
-  if (Known->second.PerSecond == Word.PerSecond)
-    Known->second.SentAt = std::max(Known->second.SentAt, Now - Word.Age);
-  Heard.insert(Word.Target);
-  NewsDue = NewsDue || Change != LimitChange::None;
+  if (Known->second.PerSecond == Notice.PerSecond)
+    Known->second.SentAt = std::max(Known->second.SentAt, Now - Notice.Age);
+  Unsent.insert(Notice.Target);
+  ChangeUnsent = ChangeUnsent || Change != LimitChange::None;
   return Change;
 }
 
@@ -67,7 +69,7 @@
     if (!Stays && Known.second.PerSecond)
       Dropped.push_back(Known.first);
     if (!Stays)
-      Heard.erase(Known.first);
+      Unsent.erase(Known.first);
     return !Stays;
   });
   return Dropped;
@@ -85,34 +87,34 @@
       }));
 }
 
-TargetLimitWord TargetLimits::wordOf(TargetId Target, const Entry &Known,
-                                     TimePoint Now) const {
+TargetLimitNotice TargetLimits::noticeOf(TargetId Target, const Entry &Known,
+                                         TimePoint Now) const {
   return {Target, Known.Incarnation, Known.PerSecond, Now - Known.SentAt};
 }
 
-std::vector<TargetLimitWord> TargetLimits::takeNews(std::size_t Old,
-                                                    TimePoint Now) {
-  std::vector<TargetLimitWord> News = someWords(Old, Now);
-  for (const TargetId Target : Heard)
-    News.push_back(wordOf(Target, Entries.at(Target), Now));
-  Heard.clear();
-  NewsDue = false;
-  return News;
+std::vector<TargetLimitNotice> TargetLimits::takeUnsent(std::size_t Old,
+                                                        TimePoint Now) {
+  std::vector<TargetLimitNotice> Notices = nextNotices(Old, Now);
+  for (const TargetId Target : Unsent)
+    Notices.push_back(noticeOf(Target, Entries.at(Target), Now));
+  Unsent.clear();
+  ChangeUnsent = false;
+  return Notices;
 }
 
-std::vector<TargetLimitWord> TargetLimits::someWords(std::size_t Count,
-                                                     TimePoint Now) {
-  std::vector<TargetLimitWord> Words;
-  auto Next = Entries.upper_bound(LastPassedOn);
+std::vector<TargetLimitNotice> TargetLimits::nextNotices(std::size_t Count,
+                                                         TimePoint Now) {
+  std::vector<TargetLimitNotice> Notices;
+  auto Next = Entries.upper_bound(LastSent);
   for (std::size_t Index = 0; Index < std::min(Count, Entries.size());
        ++Index) {
     if (Next == Entries.end())
       Next = Entries.begin();
-    Words.push_back(wordOf(Next->first, Next->second, Now));
-    LastPassedOn = Next->first;
+    Notices.push_back(noticeOf(Next->first, Next->second, Now));
+    LastSent = Next->first;
     ++Next;
   }
-  return Words;
+  return Notices;
 }
 
 // ---- Pacing -----------------------------------------------------------------
@@ -121,9 +123,13 @@
   return std::max(Entry.Pace.PerSecond, MinPerSecond) * Entry.Pace.Share;
 }
 
+double TargetPacer::maxTokens(const Bucket &Entry) {
+  return 1 + BurstSeconds * rateOf(Entry);
+}
+
 double TargetPacer::tokensOf(const Bucket &Entry, TimePoint Now) {
   const double Rate = rateOf(Entry);
-  return std::min(1 + BurstSeconds * Rate,
+  return std::min(maxTokens(Entry),
                   Entry.Tokens + Rate * toSeconds(Now - Entry.At));
 }
 
@@ -175,6 +181,12 @@
   return rateOf(Known->second);
 }
 
+bool TargetPacer::hasSpare(TargetId Target, TimePoint Now) const {
+  const auto Known = Buckets.find(Target);
+  return Known != Buckets.end() && Known->second.Pace.Share >= 1 &&
+         tokensOf(Known->second, Now) >= maxTokens(Known->second);
+}
+
 double TargetPacer::allowance(TargetId Target, TimePoint Now) const {
   const auto Known = Buckets.find(Target);
   return Known == Buckets.end() ? 0
--- a/packages/coordination/src/target_table.cpp
+++ b/packages/coordination/src/target_table.cpp
@@ -14,6 +14,9 @@
 constexpr double PrefixCachedShare = 0.5;
 constexpr double LatePenalty = 1e3; // seconds; penalty for a late first token
 constexpr double DueBonus = 1e6;    // seconds; outweighs any finish time
+// Seconds; outweighs a finish time, but not a late first token. A limited
+// target that others keep from its requests can't say that its need is over.
+constexpr double SpareBonus = 100;
 
 /// Returns whether the origin of \p Request may not use \p Target.
 bool isClosed(TargetId Target, const Reservation &Request) {
@@ -267,6 +270,8 @@
           PrefixCachedShare * Entry.Cost.Prompt * State.Model.prefillSeconds();
     if (Shares.due(State.Info.Version))
       Score -= DueBonus;
+    if (Pacer.hasSpare(State.Info.Id, Now))
+      Score -= SpareBonus;
     if (Score >= BestScore)
       continue;
     BestScore = Score;
--- a/packages/coordination/tests/target_limits_test.cpp
+++ b/packages/coordination/tests/target_limits_test.cpp
@@ -15,33 +15,33 @@
 const TargetId Target{1};
 TimePoint at(Duration Since) { return TimePoint(hours(1)) + Since; }
 
-TargetLimitWord word(std::optional<double> PerSecond, Duration Age,
-                     std::uint64_t Incarnation = 1) {
+TargetLimitNotice notice(std::optional<double> PerSecond, Duration Age,
+                         std::uint64_t Incarnation = 1) {
   return {Target, IncarnationId{Incarnation}, PerSecond, Age};
 }
 
 TEST_CASE("what a target says of its limit") {
   TargetLimits Limits;
-  SUBCASE("counts from the first word on") {
-    CHECK(Limits.hear(word(2.5, milliseconds(20)), at(seconds(1))) ==
+  SUBCASE("counts from the first notice on") {
+    CHECK(Limits.observe(notice(2.5, milliseconds(20)), at(seconds(1))) ==
           LimitChange::Learned);
     CHECK(Limits.limit(Target) == 2.5);
     CHECK(Limits.size() == 1);
     SUBCASE("until a later one changes it") {
-      CHECK(Limits.hear(word(4, milliseconds(20)), at(seconds(2))) ==
+      CHECK(Limits.observe(notice(4, milliseconds(20)), at(seconds(2))) ==
             LimitChange::Changed);
       CHECK(Limits.limit(Target) == 4);
     }
     SUBCASE("until an answer names none") {
-      CHECK(Limits.hear(word({}, milliseconds(20)), at(seconds(2))) ==
+      CHECK(Limits.observe(notice({}, milliseconds(20)), at(seconds(2))) ==
             LimitChange::Ended);
       CHECK_FALSE(Limits.limit(Target));
       CHECK(Limits.size() == 0);
-      CHECK(Limits.learn(word(2.5, seconds(3)), at(seconds(3))) ==
-            LimitChange::None); // an older word that was on its way
+      CHECK(Limits.merge(notice(2.5, seconds(3)), at(seconds(3))) ==
+            LimitChange::None); // an older notice that was on its way
     }
     SUBCASE("whatever the answer to an earlier request says") {
-      CHECK(Limits.hear(word({}, seconds(2)), at(seconds(2))) ==
+      CHECK(Limits.observe(notice({}, seconds(2)), at(seconds(2))) ==
             LimitChange::None);
       CHECK(Limits.limit(Target) == 2.5);
     }
@@ -57,34 +57,35 @@
     }
   }
   SUBCASE("is nothing as long as it names no limit") {
-    CHECK(Limits.hear(word({}, milliseconds(20)), at(seconds(1))) ==
+    CHECK(Limits.observe(notice({}, milliseconds(20)), at(seconds(1))) ==
           LimitChange::None);
-    CHECK(Limits.takeNews(0, at(seconds(1))).empty());
+    CHECK(Limits.takeUnsent(0, at(seconds(1))).empty());
   }
   SUBCASE("is passed on") {
-    Limits.hear(word(2.5, milliseconds(20)), at(seconds(1)));
-    CHECK(Limits.newsDue());
-    const auto News = Limits.takeNews(0, at(seconds(2)));
-    REQUIRE(News.size() == 1);
-    CHECK(News.front().Age == milliseconds(1020));
-    CHECK_FALSE(Limits.newsDue());
-    CHECK(Limits.takeNews(0, at(seconds(2))).empty());
+    Limits.observe(notice(2.5, milliseconds(20)), at(seconds(1)));
+    CHECK(Limits.changeUnsent());
+    const auto Unsent = Limits.takeUnsent(0, at(seconds(2)));
+    REQUIRE(Unsent.size() == 1);
+    CHECK(Unsent.front().Age == milliseconds(1020));
+    CHECK_FALSE(Limits.changeUnsent());
+    CHECK(Limits.takeUnsent(0, at(seconds(2))).empty());
     SUBCASE("and does not become newer on its way") {
       TargetLimits Other;
-      Other.learn(News.front(), at(seconds(2)));
-      Other.learn(News.front(), at(seconds(4)));
-      CHECK(Other.someWords(16, at(seconds(4))).front().Age ==
+      Other.merge(Unsent.front(), at(seconds(2)));
+      Other.merge(Unsent.front(), at(seconds(4)));
+      CHECK(Other.nextNotices(16, at(seconds(4))).front().Age ==
             milliseconds(3020));
     }
   }
   SUBCASE("is passed on in rotation if there is much") {
     for (std::uint64_t Id = 1; Id <= 40; ++Id)
-      Limits.hear({TargetId{Id}, IncarnationId{1}, 1.0, milliseconds(1)},
-                  at(seconds(1)));
+      Limits.observe({TargetId{Id}, IncarnationId{1}, 1.0, milliseconds(1)},
+                     at(seconds(1)));
     std::set<TargetId> Seen;
     for (int Digest = 0; Digest < 3; ++Digest)
-      for (const TargetLimitWord &Word : Limits.someWords(16, at(seconds(2))))
-        Seen.insert(Word.Target);
+      for (const TargetLimitNotice &Notice :
+           Limits.nextNotices(16, at(seconds(2))))
+        Seen.insert(Notice.Target);
     CHECK(Seen.size() == 40);
   }
 }
@@ -199,8 +200,8 @@
           CHECK(Result.Refused > 0);
       }
       SUBCASE("and the other targets serve the rest") {
-        Scene.RequestsPerSecond = 30;
         const LimitedResult Result = LimitedPool(Scene).run();
+        CHECK(Result.Used >= 0.9);
         CHECK(Result.Refused == 0);
         CHECK(Result.WorstFill <= 1);
       }
--- a/tests/support/limited_pool.h
+++ b/tests/support/limited_pool.h
@@ -1,5 +1,5 @@
 /// A pool of engines that name limits on their rate, in virtual time: hosts
-/// that pass words on, an arbiter that moves, and messages that are lost. The
+/// that pass notices on, an arbiter that moves, and messages that are lost. The
 /// decisions are made by TargetLimits and Arbiter.
 #ifndef MARJORAMBAY_TESTS_SUPPORT_LIMITED_POOL_H
 #define MARJORAMBAY_TESTS_SUPPORT_LIMITED_POOL_H
@@ -81,13 +81,13 @@
   static constexpr Duration Length = seconds(28);
   static constexpr Duration LimitedFrom = seconds(3);
   static constexpr Duration ChangedAt = seconds(15);
-  /// Time from a word of a target until all hosts keep it, and after a fault
+  /// Time from a notice of a target until all hosts keep it, and after a fault
   /// until a host is in touch again.
   static constexpr Duration ContactTime = seconds(3);
   static constexpr Duration Window = seconds(4);
   static constexpr Duration HubTimeout = milliseconds(700);
   static constexpr std::size_t Hubs = 3;
-  static constexpr std::size_t OldWords = 4; ///< in one heartbeat
+  static constexpr std::size_t RepeatedNotices = 4; ///< in one heartbeat
   static inline const PoolId Pool = idOf<PoolId>("pool");
 
   struct Request {
@@ -314,14 +314,14 @@
       Arrivals[Target].push_back({Now, Host, counts(Host, Target)});
     });
     const Duration Head = milliseconds(20) + draw(milliseconds(200));
-    after(Head,
-          [this, Host, Target, SentAt, Incarnation = Hosts[Host].Incarnation] {
-            if (Hosts[Host].Incarnation != Incarnation)
-              return;
-            TargetLimitWord Word{Target, IncarnationId{1}, limitNow(Target)};
-            Word.Age = Now - SentAt;
-            applyChange(Host, Target, Hosts[Host].Limits.hear(Word, at(Now)));
-          });
+    after(Head, [this, Host, Target, SentAt,
+                 Incarnation = Hosts[Host].Incarnation] {
+      if (Hosts[Host].Incarnation != Incarnation)
+        return;
+      TargetLimitNotice Notice{Target, IncarnationId{1}, limitNow(Target)};
+      Notice.Age = Now - SentAt;
+      applyChange(Host, Target, Hosts[Host].Limits.observe(Notice, at(Now)));
+    });
     after(Head + draw(milliseconds(600)), [this, Id, GrantedBy, SentAt] {
       const auto Found = Requests.find(Id);
       if (Found == Requests.end())
@@ -364,9 +364,10 @@
                      TargetPaceChanged{Target, paceOf(Host, Target, true)});
   }
 
-  void learn(std::size_t Host, const std::vector<TargetLimitWord> &Words) {
-    for (const TargetLimitWord &Word : Words)
-      applyChange(Host, Word.Target, Hosts[Host].Limits.learn(Word, at(Now)));
+  void learn(std::size_t Host, const std::vector<TargetLimitNotice> &Notices) {
+    for (const TargetLimitNotice &Notice : Notices)
+      applyChange(Host, Notice.Target,
+                  Hosts[Host].Limits.merge(Notice, at(Now)));
   }
 
   void turn(std::size_t Index) {
@@ -379,16 +380,16 @@
       if (Host.LocalShare && Host.LocalShare->needsTicks())
         stepLocalShare(Index, ArbiterTicked{});
     }
-    if (Now < Host.HeartbeatAt && !Host.Limits.newsDue())
+    if (Now < Host.HeartbeatAt && !Host.Limits.changeUnsent())
       return;
     Host.HeartbeatAt = Now + Heartbeat;
     confirm(Index);
-    const auto News = Host.Limits.takeNews(OldWords, at(Now));
+    const auto Unsent = Host.Limits.takeUnsent(RepeatedNotices, at(Now));
     for (std::size_t Hub = 0; Hub < std::min(Hubs, Hosts.size()); ++Hub)
-      send(Index, Hub, [this, Index, Hub, News] {
-        learn(Hub, News);
-        const auto Words = Hosts[Hub].Limits.someWords(16, at(Now));
-        send(Hub, Index, [this, Index, Words] { learn(Index, Words); });
+      send(Index, Hub, [this, Index, Hub, Unsent] {
+        learn(Hub, Unsent);
+        const auto Notices = Hosts[Hub].Limits.nextNotices(16, at(Now));
+        send(Hub, Index, [this, Index, Notices] { learn(Index, Notices); });
       });
   }
 
