--- a/review/harness.py
+++ b/review/harness.py
@@ -4,7 +4,6 @@
 and the workers are the project's own stand-ins in tests/standins.
 """
 
-import json
 import os
 import pathlib
 import signal
@@ -139,7 +138,3 @@
         each.start()
     for each in threads:
         each.join()
-
-
-def as_stored(entry):
-    return json.dumps(entry)
