--- a/review/3/case.py
+++ b/review/3/case.py
@@ -92,6 +92,7 @@
     statuses = [status for status, _ in answers.values()]
     record(f"{len(sent)} requests sent, "
            f"{statuses.count(200)} answered with 200")
+    record.requests(sent, answers)
     record.runs(fleet)
     lost = 0
     for run in fleet.runs():
--- a/review/harness.py
+++ b/review/harness.py
@@ -42,6 +42,12 @@
             self.file.write(f"{since:8.3f} {text}\n")
             self.file.flush()
 
+    def requests(self, sent, answers):
+        """Each request: when it was sent, and its status; 0: no answer."""
+        for attempt, at in sorted(sent.items(), key=lambda item: item[1]):
+            self(f"{attempt} sent at {at - self.started_at:.3f}: "
+                 f"status {answers.get(attempt, ('none yet',))[0]}")
+
     def runs(self, fleet):
         for run in sorted(fleet.runs(), key=lambda run: run["at"]):
             at = run["at"] - self.started_at
