Mirror: the changes kept for other hosts are bounded in bytes

Cause: a mirror keeps the last 512 changes of a kind with the text of each object, so that an object of 64 KiB that another writer changes all the time held up to 32 MiB of a host's memory, and a longer one more.

--- a/packages/coordination/marjorambay/coordination/object_mirror.h
+++ b/packages/coordination/marjorambay/coordination/object_mirror.h
@@ -96,6 +96,8 @@
 private:
   /// Changes kept for hosts that are behind.
   static constexpr std::size_t MaxLog = 512;
+  /// Of the texts in the log; another writer may change a long object often.
+  static constexpr std::size_t MaxLogBytes = 4 << 20;
 
   struct RestoredState {
     ObjectRecord Record{}; ///< in the store since its restore
@@ -117,6 +119,7 @@
   std::map<std::string, ObjectRecord> Objects{};
   std::map<std::string, RestoredState> Retained{}; ///< by object name
   std::deque<ObjectRecord> Log{};                  ///< oldest first
+  std::size_t LogBytes = 0;
   StorePosition LogStart{}; ///< the log is complete after this position
   StorePosition Current{};
   StorePosition LastChange{};
--- a/packages/coordination/src/object_mirror.cpp
+++ b/packages/coordination/src/object_mirror.cpp
@@ -8,11 +8,13 @@
 
 void ObjectMirror::appendToLog(const ObjectRecord &Change) {
   Log.push_back(Change);
+  LogBytes += Change.Text.size();
   LastChange = std::max(LastChange, Change.At);
-  if (Log.size() <= MaxLog)
-    return;
-  LogStart = std::max(LogStart, Log.front().At);
-  Log.pop_front();
+  while (Log.size() > MaxLog || LogBytes > MaxLogBytes) {
+    LogStart = std::max(LogStart, Log.front().At);
+    LogBytes -= Log.front().Text.size();
+    Log.pop_front();
+  }
 }
 
 /// Returns whether this mirror has seen a later state of a restored object.
--- a/packages/coordination/tests/object_mirror_test.cpp
+++ b/packages/coordination/tests/object_mirror_test.cpp
@@ -78,6 +78,33 @@
   }
 }
 
+// Guards against a hub whose memory grows with an object that is long and that
+// another writer changes all the time.
+TEST_CASE("an object of 64 KiB that changes a thousand times") {
+  ObjectMirror Hub;
+  Hub.apply(snapshot(10, {object("a", 3)}), Start);
+  constexpr std::uint64_t Last = 1010;
+  for (std::uint64_t Revision = 11; Revision <= Last; ++Revision)
+    Hub.apply(
+        changes(Revision,
+                {{"long", {Era, Revision}, false, std::string(64 << 10, 'x')}}),
+        Start);
+  const auto BytesSince = [&](std::uint64_t Known) {
+    std::size_t Bytes = 0;
+    for (const ObjectRecord &Record : Hub.since({Era, Known}).Records)
+      Bytes += Record.Text.size();
+    return Bytes;
+  };
+  SUBCASE("is passed on from the changes that are kept") {
+    CHECK_FALSE(Hub.since({Era, Last - 50}).IsSnapshot);
+    CHECK(BytesSince(Last - 50) <= 4 << 20);
+  }
+  SUBCASE("is passed on as a whole to a host that is further behind") {
+    CHECK(Hub.since({Era, Last - 100}).IsSnapshot);
+    CHECK(BytesSince(Last - 100) < 100'000);
+  }
+}
+
 TEST_CASE("a mirror without objects is initialized by an empty snapshot") {
   ObjectMirror Mirror;
   CHECK_FALSE(Mirror.initialized());
