Objects of other writers: one that can't be read names nothing, and the others hold

What callers saw: after one odd entry among those of the workers, every host ended with SIGSEGV as it read the list, again after each restart (nested deep), or no host followed a change of that kind any more and requests reached a worker that had left (a byte that is no UTF-8, 1e400). Cause: an answer of the store was parsed as one text, which one string or number makes invalid, and its objects were then copied and printed by functions that recurse once for each level. Fields were read one by one, each with its own check or none: port 0, times of 1e300 ms, a `born` of another type. Names went unescaped into calls, a page whose last object was skipped was asked for again from an earlier name, and an object that became unreadable left the earlier rollout or host in force. Evidence: `store_lost status=200 end=whole` again and again without an outage; hosts that end with signal 11 within 0.3 s of the entry. What hubs pass on goes through the same function, and JSON of callers, engines and the product's own platform has the same bound of depth. Metric `objects_skipped_total`. Why it works: nothing recurses over a text whose depth is unknown, and no check is left to a single field.

--- a/apps/marjorambayctl/host_client.cpp
+++ b/apps/marjorambayctl/host_client.cpp
@@ -2,6 +2,7 @@
 #include "host_client.h"
 
 #include "marjorambay/protocol/fleet_config_json.h"
+#include "marjorambay/protocol/json_text.h"
 #include "marjorambay/state/address.h"
 #include "marjorambay/transport/event_loop.h"
 #include "marjorambay/transport/http_client.h"
@@ -16,10 +17,6 @@
 
 constexpr Duration ResponseTimeout = seconds(40); ///< a proposal may take 30 s
 
-Json parseJson(const std::string &Text) {
-  return Json::parse(Text, /*cb=*/nullptr, /*allow_exceptions=*/false);
-}
-
 template <typename T>
 T field(const Json &Object, const char *Key, const T &Default) {
   if (!Object.is_object() || !Object.contains(Key))
@@ -32,7 +29,7 @@
 
 /// Returns the error in a host's response.
 Error errorIn(int Status, const std::string &Body) {
-  const Json Parsed = parseJson(Body);
+  const Json Parsed = parseJson<Json>(Body);
   const Json ErrorObject = Parsed.is_object() && Parsed.contains("error")
                                ? Parsed["error"]
                                : Json::object();
@@ -107,7 +104,7 @@
   const Result<std::string> Text = get("/inspect");
   if (!ok(Text))
     return error(Text);
-  const Json Root = parseJson(value(Text));
+  const Json Root = parseJson<Json>(value(Text));
   HostView View;
   View.Json = value(Text);
   View.Name = field(Root, "host", std::string());
@@ -130,7 +127,7 @@
            std::to_string(number(Config.Rev)));
   if (!ok(Text))
     return error(Text);
-  const Json Root = parseJson(value(Text));
+  const Json Root = parseJson<Json>(value(Text));
   return static_cast<Revision>(field<std::uint64_t>(Root, "revision", 0));
 }
 
--- a/packages/protocol/marjorambay/protocol.h
+++ b/packages/protocol/marjorambay/protocol.h
@@ -11,6 +11,7 @@
 ///   4. protocol/platform_api.h          paths and responses of the object API
 ///   5. protocol/rollout_json.h          rollouts, commands, orders
 ///   6. protocol/peer.proto              messages between entry hosts
+///   7. protocol/json_text.h             JSON of other writers, of any depth
 ///
 /// Only the first is included here; each of the others is needed by one part
 /// of the daemon only.
--- a/packages/protocol/src/completion.cpp
+++ b/packages/protocol/src/completion.cpp
@@ -1,6 +1,8 @@
 /// Parsing of completion requests and usage with nlohmann::json.
 #include "marjorambay/protocol/completion.h"
 
+#include "marjorambay/protocol/json_text.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -141,7 +143,7 @@
 
 Result<CompletionRequest> parseCompletion(RouteKind Kind,
                                           std::string_view Body) {
-  const Json Root = Json::parse(Body, nullptr, false);
+  const Json Root = parseJson<Json>(Body);
   if (Root.is_discarded() || !Root.is_object())
     return badRequest("the request body is not a JSON object");
   CompletionRequest Request;
@@ -162,7 +164,7 @@
 }
 
 std::optional<TokenUsage> parseUsage(std::string_view Text) {
-  const Json Root = Json::parse(Text, nullptr, false);
+  const Json Root = parseJson<Json>(Text);
   if (Root.is_discarded() || !Root.is_object())
     return std::nullopt;
   TokenUsage Counts;
--- a/packages/protocol/src/config_manifest_json.cpp
+++ b/packages/protocol/src/config_manifest_json.cpp
@@ -1,11 +1,14 @@
 /// JSON codec of the manifest of the fleet configuration.
 #include "marjorambay/protocol/config_manifest_json.h"
 
+#include "marjorambay/protocol/json_text.h"
+
 #include <nlohmann/json.hpp>
 
 #include <array>
 #include <charconv>
 #include <cstdio>
+#include <limits>
 #include <optional>
 
 namespace marjorambay {
@@ -65,7 +68,8 @@
 bool readPart(const Json &Entry, ConfigManifest &Manifest) {
   const auto Digest = readHex(Entry, "digest");
   const auto Size = readNumber(Entry, "size");
-  if (!Digest || !Size)
+  constexpr std::uint64_t MaxSize = std::numeric_limits<std::uint32_t>::max();
+  if (!Digest || !Size || *Size > MaxSize)
     return false;
   Manifest.Parts.push_back({*Digest, static_cast<std::uint32_t>(*Size)});
   return true;
@@ -83,8 +87,7 @@
 } // namespace
 
 Result<ConfigManifest> parseConfigManifest(std::string_view Bytes) {
-  const Json Object =
-      Json::parse(Bytes, /*cb=*/nullptr, /*allow_exceptions=*/false);
+  const Json Object = parseJson<Json>(Bytes);
   if (!Object.is_object())
     return badManifest("not a JSON object");
   ConfigManifest Manifest;
--- a/packages/protocol/src/fleet_config_json.cpp
+++ b/packages/protocol/src/fleet_config_json.cpp
@@ -1,6 +1,7 @@
 /// JSON codec of the fleet configuration.
 #include "marjorambay/protocol/fleet_config_json.h"
 
+#include "marjorambay/protocol/json_text.h"
 #include "marjorambay/state/config_fields.h"
 
 #include <nlohmann/json.hpp>
@@ -244,8 +245,7 @@
 } // namespace
 
 Result<FleetConfig> parseFleetConfig(std::string_view Text) {
-  const Json Document =
-      Json::parse(Text, /*cb=*/nullptr, /*allow_exceptions=*/false);
+  const Json Document = parseJson<Json>(Text);
   if (Document.is_discarded())
     return Error{ErrorKind::BadConfig, "document: not JSON"};
   FleetConfig Config;
--- a/packages/protocol/src/load_report.cpp
+++ b/packages/protocol/src/load_report.cpp
@@ -1,6 +1,8 @@
 /// Parsing of load reports.
 #include "marjorambay/protocol/load_report.h"
 
+#include "marjorambay/protocol/json_text.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -27,7 +29,7 @@
 } // namespace
 
 Result<LoadReport> parseLoadReport(std::string_view Text) {
-  const Json Root = Json::parse(Text, nullptr, false);
+  const Json Root = parseJson<Json>(Text);
   if (Root.is_discarded() || !Root.is_object())
     return Error{ErrorKind::BadRequest, "the load report is not a JSON object"};
   LoadReport Report;
--- a/packages/protocol/src/platform_api.cpp
+++ b/packages/protocol/src/platform_api.cpp
@@ -1,6 +1,8 @@
 /// Paths and response bodies of the platform's object API.
 #include "marjorambay/protocol/platform_api.h"
 
+#include "marjorambay/protocol/json_text.h"
+
 #include <nlohmann/json.hpp>
 
 #include <charconv>
@@ -56,7 +58,7 @@
 }
 
 Result<std::vector<PlatformHost>> parseHosts(std::string_view Text) {
-  const Json Root = Json::parse(Text, nullptr, false);
+  const Json Root = parseJson<Json>(Text);
   const bool IsObject = !Root.is_discarded() && Root.is_object();
   if (!IsObject || !Root.contains("hosts") || !Root["hosts"].is_array())
     return Error{ErrorKind::PlatformUnavailable,
--- a/packages/protocol/src/rollout_json.cpp
+++ b/packages/protocol/src/rollout_json.cpp
@@ -1,8 +1,12 @@
 /// JSON codecs of rollouts, commands and orders.
 #include "marjorambay/protocol/rollout_json.h"
 
+#include "marjorambay/protocol/json_text.h"
+
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace marjorambay {
 
 namespace {
@@ -11,8 +15,21 @@
 
 std::int64_t micros(WallTime Time) { return Time.time_since_epoch().count(); }
 
+/// Returns a whole number from 0 to \p Max; \p Max if it is larger.
+std::int64_t readUpTo(const Json &From, const char *Key, std::int64_t Max) {
+  const auto Found = From.find(Key);
+  if (Found == From.end() || !Found->is_number_integer())
+    return 0;
+  if (!Found->is_number_unsigned())
+    return std::max<std::int64_t>(0, Found->get<std::int64_t>());
+  const auto Limit = static_cast<std::uint64_t>(Max);
+  return static_cast<std::int64_t>(
+      std::min(Found->get<std::uint64_t>(), Limit));
+}
+
 WallTime readWallTime(const Json &From, const char *Key) {
-  return WallTime(Duration(From.value(Key, std::int64_t{0})));
+  constexpr std::int64_t MaxMicros = std::int64_t{1} << 60;
+  return WallTime(Duration(readUpTo(From, Key, MaxMicros)));
 }
 
 RolloutPhase phaseOf(const Json &From) {
@@ -47,8 +64,9 @@
   State.Leader = From.value("leader", std::string());
   State.LeaseUntil = readWallTime(From, "lease_until_us");
   State.FencingToken = From.value("fence", std::uint64_t{0});
-  for (const Json &Step : From.value("history", Json::array()))
-    State.History.push_back(readStep(Step));
+  if (const auto History = From.find("history"); History != From.end())
+    for (const Json &Step : *History)
+      State.History.push_back(readStep(Step));
   return State;
 }
 
@@ -56,7 +74,10 @@
 template <typename Value, typename Function>
 Result<Value> readWith(std::string_view Text, Function Reader) {
   try {
-    return Reader(Json::parse(Text));
+    const auto Root = parseJson<Json>(Text);
+    if (Root.is_discarded())
+      return Error{ErrorKind::BadRequest, "not JSON, or nested too deep"};
+    return Reader(Root);
   } catch (const Json::exception &Caught) {
     return Error{ErrorKind::BadRequest, Caught.what()};
   }
@@ -91,11 +112,12 @@
 
 Result<RolloutRequest> parseRolloutRequest(std::string_view Text) {
   return readWith<RolloutRequest>(Text, [](const Json &From) {
+    constexpr std::int64_t MaxWithinMs = std::int64_t{1} << 50;
     RolloutRequest Request;
     Request.Command = From.at("command").get<std::string>();
     Request.Name = From.value("name", std::string());
     Request.ToVersion = From.value("to_version", std::string());
-    Request.Within = milliseconds(From.value("within_ms", std::int64_t{0}));
+    Request.Within = milliseconds(readUpTo(From, "within_ms", MaxWithinMs));
     Request.Author = From.value("author", std::string());
     return Request;
   });
--- a/packages/state/marjorambay/state/metrics.h
+++ b/packages/state/marjorambay/state/metrics.h
@@ -66,6 +66,7 @@
   StoreRestores,      ///< restores of the platform's store from an older copy
   ZoneRefusals,       ///< requests whose pool has targets in closed zones only
   ZoneGrantsReturned, ///< because the target's zone was closed meanwhile
+  ObjectsSkipped,     ///< objects of the platform that name nothing
 };
 template <>
 inline constexpr std::array
@@ -74,8 +75,8 @@
          "peer_bytes_received", "peer_messages_dropped", "platform_reads",
          "platform_writes", "platform_watches", "connections_refused",
          "callers_cut_off", "control_microseconds", "store_restores",
-         "zone_refusals", "zone_grants_returned"});
-inline constexpr std::size_t HostCounterCount = 14;
+         "zone_refusals", "zone_grants_returned", "objects_skipped"});
+inline constexpr std::size_t HostCounterCount = 15;
 static_assert(NamesOf<HostCounter>.size() == HostCounterCount);
 
 /// Label by which series are split.
--- a/packages/state/src/address.cpp
+++ b/packages/state/src/address.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 bool isIpNumber(const std::string &Ip) {
+  if (Ip.find('\0') != std::string::npos)
+    return false; // inet_pton() reads up to it
   std::array<unsigned char, sizeof(in6_addr)> Bytes{};
   return inet_pton(AF_INET, Ip.c_str(), Bytes.data()) == 1 ||
          inet_pton(AF_INET6, Ip.c_str(), Bytes.data()) == 1;
--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -111,6 +111,31 @@
         self.runner.call(end())
 
 
+class Raw:
+    """JSON text that the store hands out as another writer left it."""
+
+    def __init__(self, text):
+        self.text = text
+
+
+def encode(answer):
+    """The answer as JSON, raw texts as they are."""
+    texts = []
+
+    def mark(value):
+        if isinstance(value, Raw):
+            texts.append(value.text)
+            return f"<raw {len(texts) - 1}>"
+        if isinstance(value, dict):
+            return {name: mark(each) for name, each in value.items()}
+        return [mark(each) for each in value] if isinstance(value, list) else value
+
+    encoded = json.dumps(mark(answer)).encode()
+    for number, text in enumerate(texts):
+        encoded = encoded.replace(b'"<raw %d>"' % number, text)
+    return encoded
+
+
 class Store(Server):
     """The object store. `mode`: up, silent, busy, reset, endless (answers whose
     body never ends), drip (the same, a byte each 50 ms)."""
@@ -241,7 +266,7 @@
             status, answer = await self._answer(*message)
         if status is None:
             return False
-        body = json.dumps(answer).encode()
+        body = encode(answer)
         era = self.era_header()
         named = "" if era is None else f"Store-Era: {era}\r\n"
         writer.write(
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -18,6 +18,7 @@
 from fleet import BIN, wait_until
 from platform_fleet import (HOST, KEY, Daemon, PlatformFleet, config, dump,
                             events_of, pace, route)
+from users_platform import Raw
 
 
 class ForwardingTest(unittest.TestCase):
@@ -1306,6 +1307,93 @@
         self.assertTrue(fleet.hosts[0].lines("reload_asked"))
 
 
+class ForeignObjectTest(ForwardingTest):
+    """Objects that another writer has left in the store, of any bytes. Guards
+    against hosts that end as they read one, or that no longer follow the others
+    of its kind."""
+
+    SOUND = {"service": "desk", "address": "127.0.0.1:9", "zone": "zone-a",
+             "version": "v1", "capacity": 4, "state": "ready", "seq": 1}
+    ODD = (
+        {"models": Raw(b"[" * 100_000 + b"]" * 100_000)},
+        {"models": Raw(b'{"a":' * 60_000 + b"1" + b"}" * 60_000)},
+        {"models": ["x" * 500_000]},
+        {"zone": "zone-\udc9f"},
+        {"zone": Raw(b'"zone-\xff\xfe"')},
+        {"capacity": Raw(b"1e400")},
+        {"capacity": Raw(b"1" * 400)},
+        {"capacity": 2**64},
+        {"born": -(2**63)},
+        {"warmup_left_ms": 1.5e300},
+        {"seq": "four"},
+        {"address": "127.0.0.1:65536"},
+        {"address": "127.0.0.1:0"},
+        {"address": "127.0.0.1:-1"},
+        {"address": "127.0.0.1\0:9"},
+        {"address": ["127.0.0.1:9"]},
+        {"state": "leaving"},
+        {"service": None},
+    )
+
+    def write(self, fleet):
+        """Writes odd objects of each kind. Returns their number among workers."""
+        for number, odd in enumerate(self.ODD):
+            spec = {**self.SOUND, **odd}
+            fleet.store.put("servers", f"foreign-{number}", spec)
+            fleet.store.put("config", f"foreign-{number}", spec)
+            if odd.keys() & {"models", "zone", "address"}:
+                fleet.store.put("entry-hosts", f"foreign-{number}",
+                                {**spec, "region": "r", "strength": 1})
+            fleet.store.put("rollouts", f"foreign-{number}",
+                            {**spec, "target": "v2", "duration_s": 10})
+        fleet.store.put("servers", "foreign \r\n&?/%", self.SOUND)
+        fleet.store.put("entry-hosts", "strong",
+                        {**self.SOUND, "region": "r", "strength": Raw(b"1e400")})
+        fleet.store.put("rollouts", "desk", {"target": "v2", "duration_s": 1e300})
+        return len(self.ODD) + 1
+
+    def assert_holds(self, fleet, leaving, version):
+        """All hosts live, follow the configuration, and serve without a worker
+        that leaves."""
+        fleet.workers[leaving].leave()
+        fleet.configure(version)
+        wait_until(lambda: fleet.in_force(version), f"version {version}", 3)
+        time.sleep(0.5)
+        for place, host in enumerate(fleet.hosts):
+            self.assertIsNone(host.process.poll(), host.name)
+            for _ in range(10):
+                answer = fleet.call("/safe/a", host=place)
+                self.assert_served(answer)
+                (run,) = fleet.runs(answer.attempt)
+                self.assertNotEqual(run["worker"], leaving)
+
+    def test_they_name_nothing_and_the_others_hold(self):
+        fleet = self.fleet(hosts=4, workers=4, page=5)
+        written = self.write(fleet)
+        wait_until(lambda: all(
+            len(host.lines("entry_skipped", kind="servers")) >= written
+            for host in fleet.hosts), "the skipped entries", 5)
+        self.assert_holds(fleet, "desk-0", 6)
+        self.assertIn("marjorambay_objects_skipped_total",
+                      fleet.hosts[0].metrics_text())
+        for host in fleet.hosts:
+            host.kill()
+        for host in fleet.hosts:
+            host.start()
+        wait_until(lambda: all(host.ready() for host in fleet.hosts),
+                   "ready again", 8)
+        self.assert_holds(fleet, "desk-1", 7)
+
+    def test_one_over_a_worker_s_entry_takes_the_worker_out(self):
+        fleet = self.fleet(hosts=2, workers=2)
+        fleet.store.put("servers", "desk-0", {**self.SOUND, **self.ODD[0]})
+        time.sleep(1)
+        for answer in pace(0.5, lambda: fleet.call("/safe/a")):
+            self.assert_served(answer)
+            (run,) = fleet.runs(answer.attempt)
+            self.assertEqual(run["worker"], "desk-1")
+
+
 class OutageTest(ForwardingTest):
     """The store, hosts and the arbiter are away."""
 
--- a/tests/system_tests.cmake
+++ b/tests/system_tests.cmake
@@ -28,7 +28,7 @@
 foreach(Class RequestTest RepeatTest ResponseEndTest EndlessAnswerTest
     SilentTargetTest CrashingSegmentTest CrashingRequestTest TargetNoticeTest
     TargetLimitTest
-    FleetChangeTest OutageTest RestoreTest ExplainTest LimitTest RolloutTest)
+    FleetChangeTest ForeignObjectTest OutageTest RestoreTest ExplainTest LimitTest RolloutTest)
   marjorambay_system_test(forwarding_${Class} forwarding_test.py 150 ${Class})
 endforeach()
 foreach(Class EvacuationTest HomeRegionTest ProductTest)
