Client: a connection carries a request once, so that a refusal belongs to the last sending

What callers saw: unsafe requests that a target had turned away were answered 503, a promise that they had not run, and ran; callers that trusted it cast their ballots a second time. Cause: a response was matched to its request by id, which a request that is sent once more keeps, and the client took the connection that the rejection had just come over. A late copy of the first rejection was taken for the response to the second sending. Evidence: with the new field `connection` and without the fix, second_sending_test logs `attempt=1 connection=1 not_run=yes` and 10 ms later `attempt=2 connection=1 not_run=yes`. Change: the client keeps the ids that its connections have carried until the request's time is over, and a second sending takes another connection. A response without an id counts only as the first thing that arrives on a connection. Why it works: on a connection that has not carried the request, a response with its id can only belong to this sending.

--- a/apps/marjorambayd/forward_dispatch.cpp
+++ b/apps/marjorambayd/forward_dispatch.cpp
@@ -247,6 +247,7 @@
       .with("target", Attempt.TargetName)
       .with("cause", Cause)
       .with("attempt", Call.Attempts)
+      .with("connection", static_cast<std::int64_t>(Attempt.Connection))
       .with("not_run", NotRun ? "yes" : "no")
       .with("events", Call.Events.events())
       .with("framing", nameOf(Attempt.Framing))
@@ -708,6 +709,7 @@
   ++Call.Attempts;
   Attempt.InFlight = ++H.LocalTargets[Target.Id].InFlight;
   Attempt.HttpCall = H.Client.start(std::move(Request));
+  Attempt.Connection = H.Client.connectionOf(Attempt.HttpCall);
   H.CallsByDispatch.emplace(Attempt.HttpCall, Call.Id);
   if (Replaces) {
     Call.Replacement = std::move(Attempt);
--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -107,8 +107,9 @@
 
 /// A dispatch of a call to a target.
 struct TargetAttempt {
-  CallId HttpCall{};      ///< 0 if it has ended
-  SlotReservation Slot{}; ///< held until it ends
+  CallId HttpCall{};            ///< 0 if it has ended
+  std::uint64_t Connection = 0; ///< number of the connection; logged only
+  SlotReservation Slot{};       ///< held until it ends
   TargetId Target{};
   ZoneId TargetZone{};
   std::string TargetName{};
--- a/packages/transport/marjorambay/transport/keep_alive_client.h
+++ b/packages/transport/marjorambay/transport/keep_alive_client.h
@@ -3,7 +3,9 @@
 /// A target may respond twice, respond before the request is fully sent, or
 /// send bytes after a response. A response whose correlation header names
 /// another call is read and discarded; a connection with unexpected bytes is
-/// not reused.
+/// not reused. A request that is sent once more has the id that it had, so it
+/// goes over a connection that has not carried it: there, a late copy of the
+/// earlier response could not be told from the response to this call.
 ///
 /// [SECTION] Index
 ///   1. KeepAliveCall     one call
@@ -12,6 +14,7 @@
 #ifndef MARJORAMBAY_TRANSPORT_KEEP_ALIVE_CLIENT_H
 #define MARJORAMBAY_TRANSPORT_KEEP_ALIVE_CLIENT_H
 
+#include "marjorambay/transport/carried_ids.h"
 #include "marjorambay/transport/http1.h"
 #include "marjorambay/transport/http_client.h"
 #include "marjorambay/transport/retiring_map.h"
@@ -105,17 +108,19 @@
   /// Closes the idle connections to an address that is no longer used.
   void closeIdleConnections(const SocketAddress &Address);
 
+  /// Returns the number of the connection that carries a call; 0 if it has
+  /// ended.
+  std::uint64_t connectionOf(CallId Id) const;
   std::size_t calls() const { return Calls.size(); }
   std::size_t connections() const { return Connections.size(); }
   std::uint64_t connectionsOpened() const { return LastConnection; }
 
 private:
-  enum class ConnectionId : std::uint64_t {};
   struct Connection;
 
   static bool isBodyTooLarge(const Connection &Conn);
   static TimePoint extendedDeadline(const Connection &Conn);
-  Connection *findIdle(const SocketAddress &Address, Duration MaxIdle);
+  Connection *findIdle(const KeepAliveCall &Call);
   Connection &createConnection(const KeepAliveCall &Call);
   void writeRequest(Connection &Conn, const KeepAliveCall &Call);
   void handleBytes(Connection &Conn, std::string_view Bytes);
@@ -132,6 +137,7 @@
   RetiringMap<ConnectionId, Connection> Connections;
   std::unordered_map<CallId, ConnectionId> Calls{};
   std::map<SocketAddress, std::vector<ConnectionId>> Idle{};
+  CarriedIds Carried{};
   std::set<std::pair<TimePoint, ConnectionId>> Expiries{};
 };
 
--- a/packages/transport/src/keep_alive_client.cpp
+++ b/packages/transport/src/keep_alive_client.cpp
@@ -17,6 +17,8 @@
 /// Bytes that a target may send before the head of the response to the call:
 /// interim responses, and responses to other calls, which are discarded.
 constexpr std::size_t MaxBytesBeforeHead = 1 << 20;
+/// Added to the time of a call, after which its request is not sent once more.
+constexpr Duration CarriedMargin = seconds(30);
 
 /// Idle limit of a connection by "timeout=N" of the Keep-Alive header.
 Duration idleLimitOf(const HttpHead &Head) {
@@ -47,6 +49,7 @@
   std::uint64_t Served = 0;
   /// The response that is being read belongs to another call.
   bool DiscardingResponse = false;
+  bool HasDiscarded = false; ///< a response that belonged to no call
   bool HeadReceived = false; ///< the head of the response to the call
   std::size_t BytesBeforeHead = 0;
   std::size_t BodyBytes = 0; ///< of the response to the call
@@ -71,15 +74,22 @@
 
 KeepAliveClient::~KeepAliveClient() = default;
 
+/// Returns the most recently used connection that may carry \p Call: it is the
+/// least likely to be closed by the target.
 KeepAliveClient::Connection *
-KeepAliveClient::findIdle(const SocketAddress &Address, Duration MaxIdle) {
-  const auto Found = Idle.find(Address);
-  if (Found == Idle.end() || Found->second.empty())
+KeepAliveClient::findIdle(const KeepAliveCall &Call) {
+  const auto Found = Idle.find(Call.Address);
+  if (Found == Idle.end())
     return nullptr;
-  // The most recently used connection is the least likely to be closed by the
-  // target.
-  Connection &MostRecent = Connections.at(Found->second.back());
-  return Loop.now() - MostRecent.IdleSince <= MaxIdle ? &MostRecent : nullptr;
+  const std::vector<ConnectionId> &Ids = Found->second;
+  for (auto Id = Ids.rbegin(); Id != Ids.rend(); ++Id) {
+    Connection &Conn = Connections.at(*Id);
+    if (Loop.now() - Conn.IdleSince > Call.MaxIdleTime)
+      return nullptr; // the others are idle for longer
+    if (!Carried.hasCarried(*Id, Call.CorrelationId))
+      return &Conn;
+  }
+  return nullptr;
 }
 
 KeepAliveClient::Connection &
@@ -115,9 +125,8 @@
   // one on the same connection.
   const bool Unidentified =
       !Call.CorrelationHeader.empty() && Call.CorrelationId.empty();
-  Connection *Conn = Call.MaxIdleTime.count() == 0 || Unidentified
-                         ? nullptr
-                         : findIdle(Call.Address, Call.MaxIdleTime);
+  Connection *Conn =
+      Call.MaxIdleTime.count() == 0 || Unidentified ? nullptr : findIdle(Call);
   const bool IsNew = Conn == nullptr;
   if (IsNew)
     Conn = &createConnection(Call);
@@ -129,6 +138,9 @@
                           : Conn->Deadline;
   Expiries.emplace(Conn->ExpiresAt, Conn->Id);
   Calls.emplace(Id, Conn->Id);
+  if (!Call.CorrelationId.empty())
+    Carried.record(Conn->Id, Call.CorrelationId,
+                   Now + Call.HeadTimeout + CarriedMargin);
   writeRequest(*Conn, Call);
   Conn->Call = std::move(Call);
   Conn->Call.Body = {};
@@ -204,11 +216,12 @@
 void KeepAliveClient::handleHead(Connection &Conn, const HttpHead &Head) {
   if (Conn.CurrentCall == CallId{} || Head.Status / 100 == 1)
     return;
-  const std::string_view ReceivedId = Head.header(Conn.Call.CorrelationHeader);
-  const bool Uncorrelated = ReceivedId.empty() && Conn.Served == 0;
-  if (!Conn.Call.CorrelationHeader.empty() && !Uncorrelated &&
-      ReceivedId != Conn.Call.CorrelationId) {
+  const ResponseContext Context{
+      Head.header(Conn.Call.CorrelationHeader), Conn.Call.CorrelationId,
+      /*FirstOnConnection=*/Conn.Served == 0 && !Conn.HasDiscarded};
+  if (!Conn.Call.CorrelationHeader.empty() && !belongsToCall(Context)) {
     Conn.DiscardingResponse = true;
+    Conn.HasDiscarded = true;
     return;
   }
   Conn.HeadReceived = true;
@@ -269,6 +282,11 @@
     Notify(Id, Outcome);
 }
 
+std::uint64_t KeepAliveClient::connectionOf(CallId Id) const {
+  const auto Found = Calls.find(Id);
+  return Found == Calls.end() ? 0 : static_cast<std::uint64_t>(Found->second);
+}
+
 void KeepAliveClient::cancel(CallId Id) {
   const auto Found = Calls.find(Id);
   if (Found != Calls.end())
@@ -276,6 +294,7 @@
 }
 
 void KeepAliveClient::expire(TimePoint Now) {
+  Carried.expire(Now);
   while (!Expiries.empty() && Expiries.begin()->first <= Now) {
     Connection &Due = Connections.at(Expiries.begin()->second);
     Expiries.erase(Expiries.begin());
