Streams: a response goes on with a stream only if it is the rest of it

What callers saw, as other operators report it: a stream had begun and broke off, the next target answered with an error, and the error's text or its whole head stood in the middle of the stream, or the stream ended as if it were complete. Cause: any success with the content type of events, or with none, counted as the rest of the stream; its events without an id were forwarded, and its end was taken for the end of the stream however far it had got. Change: a response continues a stream only with the content type and coding of the first one; an event without an id, where all had numbers, ends the attempt; so do an end before the last event that the caller has, and a close without a length and without an event. Why it works: what the first response has established is asked of each later one before its bytes are forwarded.

--- a/apps/marjorambayd/forward_dispatch.cpp
+++ b/apps/marjorambayd/forward_dispatch.cpp
@@ -4,6 +4,7 @@
 #include "marjorambay/protocol/retry_after.h"
 
 #include <algorithm>
+#include <array>
 #include <cassert>
 #include <utility>
 
@@ -294,6 +295,27 @@
          equalsIgnoringCase(Type.substr(0, EventStream.size()), EventStream);
 }
 
+std::string_view headerIn(const HttpHeaders &Headers, std::string_view Name) {
+  for (const HttpHeader &Header : Headers)
+    if (equalsIgnoringCase(Header.Name, Name))
+      return Header.Value;
+  return {};
+}
+
+/// Whether a response may go on with the stream that the caller is receiving:
+/// its events are in the same form. The caller has the head of the first one.
+bool continuesStream(const ForwardCall &Call, const HttpHead &Head) {
+  constexpr std::array<std::string_view, 2> FormHeaders{"content-type",
+                                                        "content-encoding"};
+  return isEventStream(Head) &&
+         std::all_of(FormHeaders.begin(), FormHeaders.end(),
+                     [&](std::string_view Name) {
+                       return equalsIgnoringCase(
+                           headerIn(Call.ResponseHeaders, Name),
+                           Head.header(Name));
+                     });
+}
+
 bool isReplacement(const ForwardCall &Call, CallId Id) {
   return Call.Replacement && Call.Replacement->HttpCall == Id;
 }
@@ -315,7 +337,9 @@
       !Head.header(H.HeaderNames.NotRun).empty() || Head.Status == 421;
   if (Attempt.Declined)
     return false; // handled when the response is complete
-  Attempt.ReceivingEvents = isStream(Call.Route->Kind) && isEventStream(Head);
+  Attempt.ReceivingEvents = isStream(Call.Route->Kind) &&
+                            (Call.ResponseStarted ? continuesStream(Call, Head)
+                                                  : isEventStream(Head));
   Call.MayHaveRun = true;
   // A stream that has begun can't go on with another kind of response.
   const bool Resumes = !Call.Relaying || Attempt.ReceivingEvents;
@@ -467,10 +491,12 @@
     recordProgress(H, Call);
   Call.Current.Pace.add(Call.Events.events() - Before, H.Loop.now());
   relayBytes(H, Call, Complete, Before);
-  if (!Call.Events.hasOverlongEvent())
+  const bool Foreign = Call.Events.hasForeignEvent();
+  if (!Call.Events.hasOverlongEvent() && !Foreign)
     return observeEvents(H, Call);
   endDispatch(H, Call, DispatchOutcome::Failed, true);
-  retryOrFail(H, Call, false, ErrorKind::AnswerCut, "event too long");
+  retryOrFail(H, Call, false, ErrorKind::AnswerCut,
+              Foreign ? "resumed with another stream" : "event too long");
 }
 
 void handleBytes(ForwardHost &H, CallId Id, std::string_view Bytes) {
@@ -537,20 +563,19 @@
 }
 
 void finishStream(ForwardHost &H, ForwardCall &Call) {
-  // A connection may end an answer without a length, but not without an event.
+  const bool WithinEvent = !Call.Events.partial().empty();
+  const bool NoEvent = Call.Events.events() == Call.EventsBefore;
+  // A connection may end a response without a length, but not without an event:
+  // a target that ends looks the same.
   Call.Current.ConnectionLost =
       Call.Current.Framing == BodyFraming::UntilClose &&
-      (!Call.Events.partial().empty() ||
-       Call.Events.events() == Call.EventsBefore);
-  const bool WithinEvent = !Call.Events.partial().empty();
-  // A resumed stream may have no event left.
-  const bool BeforeEvents = Call.Current.ConnectionLost &&
-                            Call.Events.events() == 0 &&
-                            Call.LastEventId.empty();
-  if (WithinEvent || BeforeEvents) {
+      (WithinEvent || NoEvent);
+  const bool FellShort = Call.Events.fellShort();
+  if (Call.Current.ConnectionLost || WithinEvent || FellShort) {
     endDispatch(H, Call, DispatchOutcome::Failed, false);
     return retryOrFail(H, Call, false, ErrorKind::AnswerCut,
                        WithinEvent ? "stream ended within an event"
+                       : FellShort ? "resumed with an earlier end"
                                    : "connection closed before an event");
   }
   endDispatch(H, Call, DispatchOutcome::Complete, false);
--- a/packages/protocol/src/sse_splitter.cpp
+++ b/packages/protocol/src/sse_splitter.cpp
@@ -1,6 +1,7 @@
 /// Detection of event boundaries and event ids of server-sent events.
 #include "marjorambay/protocol/sse_splitter.h"
 
+#include <algorithm>
 #include <charconv>
 #include <optional>
 
@@ -57,24 +58,32 @@
 
 } // namespace
 
-bool SseSplitter::accept(std::string_view Event) {
+SseSplitter::Verdict SseSplitter::judge(std::string_view Event) {
+  if (!hasField(Event))
+    return Verdict::Forward; // a comment
   const auto Id = idOfEvent(Event);
-  if (!Id)
-    return true;
   std::uint64_t Number = 0;
-  const auto Read =
-      std::from_chars(Id->data(), Id->data() + Id->size(), Number);
-  const bool IsNumber = Read.ec == std::errc();
-  if (Resumed && IsNumber && !LastId.empty() && Number <= LastNumber)
-    return false;
-  LastId = std::string(*Id);
+  const bool IsNumber =
+      Id && std::from_chars(Id->data(), Id->data() + Id->size(), Number).ec ==
+                std::errc();
+  const bool Continues = Resumed && !LastId.empty();
+  if (Continues && AllNumbered && !IsNumber)
+    return Verdict::Stop;
+  if (Continues && IsNumber && Number <= LastNumber) {
+    Repeated = std::max(Repeated, Number);
+    return Verdict::Drop;
+  }
+  Continued = Continued || Resumed;
+  AllNumbered = AllNumbered && IsNumber;
+  if (Id)
+    LastId = std::string(*Id);
   LastNumber = IsNumber ? Number : LastNumber;
-  return true;
+  return Verdict::Forward;
 }
 
 std::string_view SseSplitter::feed(std::string_view Bytes) {
   Complete.clear();
-  if (Overlong)
+  if (Overlong || Foreign)
     return Complete;
   // A boundary is up to three bytes long and may span two pieces.
   const std::size_t SearchFrom = Partial.size() < 3 ? 0 : Partial.size() - 3;
@@ -83,7 +92,12 @@
   std::size_t Length = eventLength(Remaining, SearchFrom);
   while (Length <= MaxEventBytes) {
     Completed += hasField(Remaining.substr(0, Length)) ? 1 : 0;
-    if (accept(Remaining.substr(0, Length))) {
+    const Verdict Next = judge(Remaining.substr(0, Length));
+    if (Next == Verdict::Stop) {
+      Foreign = true;
+      return Complete;
+    }
+    if (Next == Verdict::Forward) {
       Complete.append(Remaining.substr(0, Length));
       ++Events;
     }
@@ -99,6 +113,9 @@
 void SseSplitter::resume() {
   Partial.clear();
   Overlong = false;
+  Foreign = false;
+  Continued = false;
+  Repeated = 0;
   Resumed = true;
 }
 
--- a/packages/protocol/tests/sse_splitter_test.cpp
+++ b/packages/protocol/tests/sse_splitter_test.cpp
@@ -52,6 +52,56 @@
   }
 }
 
+// Guards against the text of an error in the middle of a caller's stream.
+TEST_CASE("a stream that is resumed at another target") {
+  SseSplitter Stream;
+  Stream.feed(event(1) + event(2) + event(3));
+  SUBCASE("goes on after its last event") {
+    Stream.resume();
+    CHECK(Stream.feed(event(2) + event(3) + event(4)) == event(4));
+    CHECK_FALSE(Stream.hasForeignEvent());
+    CHECK_FALSE(Stream.fellShort());
+  }
+  SUBCASE("may have no event left") {
+    Stream.resume();
+    Stream.feed(": ping\n\n" + event(3));
+    CHECK_FALSE(Stream.fellShort());
+  }
+  SUBCASE("has not got as far as before") {
+    Stream.resume();
+    Stream.feed(event(1) + event(2));
+    CHECK(Stream.fellShort());
+  }
+  SUBCASE("ends where something else comes instead") {
+    for (const std::string Other :
+         {"event: error\ndata: {}\n\n", "HTTP/1.1 500 X\r\nA: b\r\n\r\n",
+          "<html>\n\n", "id: x\ndata: a\n\n", "id:\ndata: a\n\n"}) {
+      CAPTURE(Other);
+      SseSplitter Next = Stream;
+      Next.resume();
+      CHECK(Next.feed(event(4) + Other + event(5)) == event(4));
+      CHECK(Next.hasForeignEvent());
+      CHECK(Next.feed(event(6)).empty());
+      SUBCASE("and may be resumed once more") {
+        Next.resume();
+        CHECK(Next.feed(event(5)) == event(5));
+        CHECK_FALSE(Next.hasForeignEvent());
+      }
+    }
+  }
+  SUBCASE("may have events without an id if it had some before") {
+    Stream.feed("data: note\n\n");
+    Stream.resume();
+    CHECK(Stream.feed("data: note\n\n") == "data: note\n\n");
+  }
+  SUBCASE("begins anew if no event had arrived") {
+    SseSplitter Empty;
+    Empty.feed("id: 1\nda");
+    Empty.resume();
+    CHECK(Empty.feed("data: a\n\n") == "data: a\n\n");
+  }
+}
+
 // Guards against a host that runs out of memory because a target sends an event
 // without end.
 TEST_CASE("an event that never ends") {
