Callers that read slowly are not reset while they read

What callers saw: those that read 12 kB/s were reset some 4 s after their streams had been made, at any time and around a SIGTERM alike; the host counted them as served. Cause: callers' connections had the kernel's time-out for unacknowledged data, 2 s, which also runs while a caller's window is closed. Evidence: caller_server_test "a caller that reads a little now and then", whose window is closed for 3.5 s, is reset with a time-out of 2 s and whole with 60 s, with nothing else changed. Change: the time-out is 60 s; each half second the host asks the kernel what was sent again since the last acknowledgement, and a caller that acknowledges nothing for 2 s is unreachable (PeerSilence). One that reads nothing for the idle timeout is closed. What waits for all callers is bounded at 24 MB. Event `caller_dropped` names each of these. Why it works: a closed window is acknowledged, a caller that is gone acknowledges nothing.

--- a/packages/transport/marjorambay/transport/caller_server.h
+++ b/packages/transport/marjorambay/transport/caller_server.h
@@ -107,6 +107,7 @@
   void handleDrained(Connection &Conn);
   void lingerThenClose(Connection &Conn);
   void retire(Connection &Conn);
+  void dropUnresponsive();
   void closeTimedOut();
   bool closesAfterResponse(const Connection &Conn) const;
   Connection *find(ExchangeId Id) const;
--- a/packages/transport/marjorambay/transport/stream_socket.h
+++ b/packages/transport/marjorambay/transport/stream_socket.h
@@ -9,6 +9,7 @@
 
 #include "marjorambay/state/address.h"
 #include "marjorambay/transport/event_loop.h"
+#include "marjorambay/transport/peer_silence.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -27,7 +28,9 @@
 /// Times after which the kernel closes a connection whose peer does not
 /// respond.
 struct SocketTimeouts {
-  Duration Unacknowledged = seconds(2); ///< for sent bytes to be acknowledged
+  /// For sent bytes to be acknowledged. Ends a peer that does not read, too:
+  /// one that may read slowly needs a longer time, and peerSilence().
+  Duration Unacknowledged = seconds(2);
   Duration ProbeAfter{}; ///< idle time before the first keep-alive probe; 0: no
                          ///< probes
   Duration ProbeInterval{}; ///< between probes; two unanswered ones close the
@@ -54,7 +57,11 @@
   void adopt(int Descriptor, const SocketTimeouts &Timeouts);
 
   /// Appends bytes that the next flush() sends.
-  void queue(std::string_view Bytes) { Out.append(Bytes); }
+  void queue(std::string_view Bytes) {
+    if (unsent() == 0)
+      ProgressAt = Loop.now();
+    Out.append(Bytes);
+  }
   /// Sends as many queued bytes as the connection accepts.
   void flush();
 
@@ -70,6 +77,12 @@
   bool open() const { return Descriptor >= 0; }
   bool connected() const { return Descriptor >= 0 && !Connecting; }
   std::size_t unsent() const { return Out.size() - Sent; }
+  /// When the connection last accepted queued bytes, or the first was queued.
+  TimePoint lastProgress() const { return ProgressAt; }
+  /// Returns for how long the peer has acknowledged nothing, as far as the
+  /// calls of this function show; 0 if nothing waits for an acknowledgement, or
+  /// the system does not tell. Must be called every half second or so.
+  Duration peerSilence();
 
 private:
   static void onEvent(int Descriptor, short Events, void *Self);
@@ -89,6 +102,8 @@
   EventPtr WriteEvent{};
   std::string Out{};
   std::size_t Sent = 0; ///< bytes of Out that have been sent
+  TimePoint ProgressAt{};
+  PeerSilence Silence{};
 };
 
 /// Listens at \p Address. Returns the descriptor, or BadSettings.
--- a/packages/transport/src/caller_server.cpp
+++ b/packages/transport/src/caller_server.cpp
@@ -1,6 +1,8 @@
 /// Server side of callers' keep-alive connections.
 #include "marjorambay/transport/caller_server.h"
 
+#include "marjorambay/transport/log.h"
+
 #include <event2/event.h>
 
 #include <algorithm>
@@ -22,6 +24,13 @@
 /// progress.
 constexpr std::size_t MaxPipelinedBytes = 64 << 10;
 constexpr int MaxAcceptsPerTurn = 64;
+/// A caller that acknowledges nothing for this long is unreachable. One that
+/// acknowledges may read as slowly as it likes, as long as it reads.
+constexpr Duration MaxCallerSilence = seconds(2);
+/// Above the idle timeout, after which a caller that reads nothing is closed.
+constexpr SocketTimeouts CallerTimeouts{seconds(60)};
+/// Maximum size of what callers have yet to read, together.
+constexpr std::size_t MaxUnsentBytesInAll = 24 << 20;
 
 enum class ConnectionState : std::uint8_t {
   Idle,      ///< no byte of the next request has arrived
@@ -137,7 +146,7 @@
   Conn.Socket.OnEnd = [this, &Conn](SocketCloseReason) { handleClose(Conn); };
   Conn.Socket.OnDrained = [this, &Conn]() { handleDrained(Conn); };
   Connections.emplace(Conn.Id, std::move(Created));
-  Conn.Socket.adopt(Descriptor, SocketTimeouts{});
+  Conn.Socket.adopt(Descriptor, CallerTimeouts);
 }
 
 void CallerServer::handleBytes(Connection &Conn, std::string_view Bytes) {
@@ -376,7 +385,55 @@
       Conn->State = ConnectionState::Lingering;
 }
 
+/// Ends connections to callers that are unreachable, that read nothing, or that
+/// read more slowly than the memory for all of them allows.
+void CallerServer::dropUnresponsive() {
+  struct Drop {
+    ConnectionId Id{};
+    std::string_view Why{};
+  };
+  const TimePoint Now = Loop.now();
+  std::vector<Drop> Drops;
+  std::vector<Connection *> Slow; // by what they have yet to read
+  std::size_t Unsent = 0;
+  for (const auto &[Id, Conn] : Connections) {
+    const bool Waiting = Conn->Socket.unsent() != 0;
+    if (!Waiting && Conn->State != ConnectionState::Answering)
+      continue;
+    if (Conn->Socket.peerSilence() > MaxCallerSilence) {
+      Drops.push_back({Id, "unreachable"});
+    } else if (Waiting && Now - Conn->Socket.lastProgress() >
+                              std::max(Limits.IdleTimeout, MaxCallerSilence)) {
+      Drops.push_back({Id, "reads nothing"});
+    } else if (Waiting) {
+      Unsent += Conn->Socket.unsent();
+      Slow.push_back(Conn.get());
+    }
+  }
+  std::sort(Slow.begin(), Slow.end(),
+            [](const Connection *Left, const Connection *Right) {
+              return Left->Socket.unsent() > Right->Socket.unsent();
+            });
+  for (const Connection *Conn : Slow) {
+    if (Unsent <= MaxUnsentBytesInAll)
+      break;
+    Unsent -= Conn->Socket.unsent();
+    Drops.push_back({Conn->Id, "reads too slowly"});
+  }
+  for (const Drop &Each : Drops) {
+    Connection *Conn = Connections.find(Each.Id);
+    if (Conn == nullptr)
+      continue; // closed by the end of another exchange
+    LogLine("caller_dropped", LogLevel::Warning)
+        .with("why", Each.Why)
+        .with("unsent", static_cast<std::int64_t>(Conn->Socket.unsent()));
+    Conn->Socket.reset(); // what it has received is not complete
+    handleClose(*Conn);
+  }
+}
+
 void CallerServer::closeTimedOut() {
+  dropUnresponsive();
   const TimePoint Now = Loop.now();
   std::vector<Connection *> TimedOut;
   for (const auto &[Id, Conn] : Connections) {
@@ -387,7 +444,7 @@
         : Conn->State == ConnectionState::Lingering ? LingerTime
         : InBody                                    ? Limits.BodyTimeout
                                                     : Limits.HeaderTimeout;
-    // The kernel ends a connection whose caller has stopped reading.
+    // Ends by dropUnresponsive().
     const bool Sending =
         Conn->State != ConnectionState::Reading && Conn->Socket.unsent() != 0;
     if (Conn->State != ConnectionState::Answering && !Sending && Age > Limit)
--- a/packages/transport/src/stream_socket.cpp
+++ b/packages/transport/src/stream_socket.cpp
@@ -145,12 +145,25 @@
       break;
     }
     Sent += static_cast<std::size_t>(Written);
+    ProgressAt = Loop.now();
   }
   Out.clear();
   Sent = 0;
   setWriteInterest(false);
 }
 
+Duration StreamSocket::peerSilence() {
+  if (!connected())
+    return Duration(0);
+  tcp_info Info{};
+  socklen_t Size = sizeof Info;
+  if (getsockopt(Descriptor, IPPROTO_TCP, TCP_INFO, &Info, &Size) != 0)
+    return Duration(0);
+  return Silence.observe({Info.tcpi_retransmits != 0 || Info.tcpi_probes != 0,
+                          milliseconds(Info.tcpi_last_ack_recv)},
+                         Loop.now());
+}
+
 void StreamSocket::read() {
   static std::array<char, ReadBufferBytes> Buffer;
   const ssize_t Length = ::recv(Descriptor, Buffer.data(), Buffer.size(), 0);
--- a/packages/transport/tests/caller_server_test.cpp
+++ b/packages/transport/tests/caller_server_test.cpp
@@ -233,8 +233,54 @@
   CHECK(Caller.received().ends_with(Body));
 }
 
+// Guards against a response that is cut because its caller's receive window is
+// closed for longer than the kernel waits for an acknowledgement.
+TEST_CASE_FIXTURE(ServerFixture, "a caller that reads a little now and then") {
+  RawConnection Caller(RawConnection::connectTo(Port));
+  Caller.limitReceiveBuffer(16 << 10);
+  Caller.send(SimpleRequest);
+  waitForRequests(1);
+  const std::string Body(12 << 20, 'x');
+  SUBCASE("receives all of a response") {
+    Server.answer(Arrived[0], 200, {}, Body);
+  }
+  SUBCASE("receives all of a response in chunks") {
+    Server.beginResponse(Arrived[0], 200, {});
+    Server.sendChunk(Arrived[0], Body);
+    Server.endResponse(Arrived[0]);
+  }
+  int Pauses = 0;
+  const TimerConnection Pause =
+      Timers.every(milliseconds(3500), [&Pauses]() { ++Pauses; });
+  runUntil([&]() { return Pauses == 1; });
+  Caller.receiveOnce();
+  runUntil([&]() { return Pauses == 2; });
+  runUntil([&]() { return Caller.received().size() > Body.size(); });
+  CHECK(Server.connections() == 1);
+  CHECK_FALSE(Caller.wasReset());
+}
+
+TEST_CASE_FIXTURE(ServerFixture,
+                  "callers that read more slowly than they get") {
+  std::vector<std::unique_ptr<RawConnection>> Callers;
+  for (std::size_t Caller = 0; Caller < 5; ++Caller) {
+    Callers.push_back(
+        std::make_unique<RawConnection>(RawConnection::connectTo(Port)));
+    Callers.back()->limitReceiveBuffer(16 << 10);
+    Callers.back()->send(SimpleRequest);
+    waitForRequests(Caller + 1);
+    Server.answer(Arrived[Caller], 200, {}, std::string(12 << 20, 'x'));
+  }
+  // 24 MiB of all responses may wait, less what the kernel has taken.
+  runUntil([&]() { return Server.connections() <= 2; });
+  CHECK(Server.connections() >= 1);
+}
+
 // Guards against connections that are kept for callers that never read.
 TEST_CASE_FIXTURE(ServerFixture, "a caller that never reads its response") {
+  CallerServerLimits Limits;
+  Limits.IdleTimeout = seconds(3);
+  Server.setLimits(Limits);
   RawConnection Caller(RawConnection::connectTo(Port));
   Caller.limitReceiveBuffer(64 << 10);
   Caller.send(SimpleRequest);
--- a/packages/transport/tests/raw_peer.h
+++ b/packages/transport/tests/raw_peer.h
@@ -52,6 +52,13 @@
         ::send(Descriptor, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
     return Sent < 0 && errno == EAGAIN ? 0 : Sent;
   }
+  /// Receives what fits into one buffer, and no more.
+  void receiveOnce() {
+    std::array<char, 4096> Buffer;
+    const ssize_t Length = recv(Descriptor, Buffer.data(), Buffer.size(), 0);
+    if (Length > 0)
+      Received.append(Buffer.data(), static_cast<std::size_t>(Length));
+  }
   /// Returns all bytes received so far.
   const std::string &received() {
     std::array<char, 65536> Buffer;
