Sockets: buffers of sent bytes are released

Cause: a connection's buffer kept the capacity of the longest bytes that it had sent, 4 MB for each idle connection to a target after a long body, and a response that is read slowly kept what its caller had read already. Change: sent bytes are dropped when they are more than half of the buffer, and an empty buffer keeps 16 KiB at most. Result: transport_tests pass; no figure for memory was taken on its own.

--- a/packages/transport/marjorambay/transport/stream_socket.h
+++ b/packages/transport/marjorambay/transport/stream_socket.h
@@ -90,6 +90,7 @@
   void setWriteInterest(bool Enabled);
   void read();
   void finishConnect();
+  void releaseSent();
   void end(SocketCloseReason Reason);
 
   EventLoop &Loop;
--- a/packages/transport/src/stream_socket.cpp
+++ b/packages/transport/src/stream_socket.cpp
@@ -20,6 +20,8 @@
 /// Bytes read in one call; bounds the time for which one connection keeps the
 /// loop busy.
 constexpr std::size_t ReadBufferBytes = 64 << 10;
+/// Capacity that an empty buffer of bytes to send may keep.
+constexpr std::size_t KeptBufferBytes = 16 << 10;
 constexpr int ListenBacklog = 1024; // connections waiting to be accepted
 constexpr int MaxMissedProbes = 2;
 
@@ -134,8 +136,10 @@
                                    MSG_NOSIGNAL | MSG_DONTWAIT);
     if (Written < 0 && errno == EINTR)
       continue;
-    if (Written < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+    if (Written < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+      releaseSent();
       return setWriteInterest(true);
+    }
     if (Written < 0) {
       // Bytes that the peer sent before it closed are still to be read; the
       // read that finds the end reports it. The failed write has cleared the
@@ -147,11 +151,24 @@
     Sent += static_cast<std::size_t>(Written);
     ProgressAt = Loop.now();
   }
-  Out.clear();
-  Sent = 0;
+  Sent = Out.size();
+  releaseSent();
   setWriteInterest(false);
 }
 
+/// Drops bytes that have been sent. An idle connection keeps a small buffer
+/// only, and one whose peer reads slowly not much more than it has to send.
+void StreamSocket::releaseSent() {
+  const bool Worthwhile = Sent == Out.size() || Sent > unsent();
+  if (!Worthwhile)
+    return;
+  if (Out.capacity() > KeptBufferBytes)
+    Out = std::string(Out, Sent);
+  else
+    Out.erase(0, Sent);
+  Sent = 0;
+}
+
 Duration StreamSocket::peerSilence() {
   if (!connected())
     return Duration(0);
