Settings: a process is told its memory and descriptors

Cause: the platform states both limits for each process, and the template passed neither, so that no part of the process could know what it may hold. Result: the table of docs/CONFIGURATION.md agrees with the rows (state_tests).

--- a/packages/state/marjorambay/state/settings.h
+++ b/packages/state/marjorambay/state/settings.h
@@ -22,12 +22,14 @@
 /// Settings of one daemon, read and checked at start before any port is bound.
 struct HostSettings {
   // [host]
-  std::string HostName{};                 ///< unique in the fleet; required
-  std::string ZoneName{};                 ///< availability zone; required
-  std::string RegionName = "region";      ///< region of the zone
-  std::string Serves = "completions";     ///< or "forwarded_routes"
-  double CpuShare = 1;                    ///< CPU quota of the host, in cores
-  double LinkMbps = 1000;                 ///< bandwidth of its network link
+  std::string HostName{};             ///< unique in the fleet; required
+  std::string ZoneName{};             ///< availability zone; required
+  std::string RegionName = "region";  ///< region of the zone
+  std::string Serves = "completions"; ///< or "forwarded_routes"
+  double CpuShare = 1;                ///< CPU quota of the host, in cores
+  double LinkMbps = 1000;             ///< bandwidth of its network link
+  std::uint64_t MemoryMb = 0;         ///< limit of the process; 0: unknown
+  std::uint64_t MaxOpenFiles = 0;     ///< descriptors; 0: the system's limit
   std::vector<std::string> ZoneRegions{}; ///< "zone:region,..."
   // [caller]
   std::string CallerAddress = "127.0.0.1:8080"; ///< listens for callers
--- a/packages/state/src/settings.cpp
+++ b/packages/state/src/settings.cpp
@@ -41,6 +41,12 @@
      "CPU quota of this host; stronger hosts are preferred as hubs"},
     {"host", "link_mbps", &Host::LinkMbps, Fraction, false, 0, 1000000,
      "Mbit/s", "bandwidth of the host's network link"},
+    {"host", "memory_mb", &Host::MemoryMb, Number, false, 0, 1 << 20, "MB",
+     "memory that the process may use, of 1,000,000 bytes each; 0: unknown"},
+    {"host", "max_open_files", &Host::MaxOpenFiles, Number, false, 0, 1 << 24,
+     "descriptors",
+     "descriptors that the process may have open; 0: the limit that the system "
+     "reports"},
     {"caller", "address", &Host::CallerAddress, Address, false, 0, 0, "ip:port",
      "listens for callers"},
     {"caller", "max_connections", &Host::MaxConnections, Number, false, 1,
