Ports that are taken for a moment are awaited at start

Cause: a listener whose port another process still had ended the new process with 3; two of the four messages had no reason. Hosts serve without the operator port and go on trying. Handlers are connected after the port is bound, so that a start may be repeated.

--- a/apps/marjorambayd/caller_api.cpp
+++ b/apps/marjorambayd/caller_api.cpp
@@ -280,17 +280,17 @@
 } // namespace
 
 Result<Done> startCallerApi(Daemon &D) {
-  D.Callers.RequestArrived.connect(
-      [&D](const HttpRequestView &View) { handleRequest(D, View); });
-  D.Callers.CallerDisconnected.connect(
-      [&D](ExchangeId Id) { handleDisconnect(D, Id); });
-  D.Callers.Drained.connect([&D](ExchangeId Id) { resumeAfterDrain(D, Id); });
   const auto Address = parseAddress(D.Settings.CallerAddress);
   if (!ok(Address))
     return error(Address);
   const auto Port = D.Callers.listen(value(Address).Ip, value(Address).Port);
   if (!ok(Port))
     return error(Port);
+  D.Callers.RequestArrived.connect(
+      [&D](const HttpRequestView &View) { handleRequest(D, View); });
+  D.Callers.CallerDisconnected.connect(
+      [&D](ExchangeId Id) { handleDisconnect(D, Id); });
+  D.Callers.Drained.connect([&D](ExchangeId Id) { resumeAfterDrain(D, Id); });
   return Done{};
 }
 
--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -427,6 +427,7 @@
   TimePoint NoticesSentAt{};
   TimePoint WarmupsTickedAt{};
   TimerConnection NoticeTimer{};
+  TimerConnection OperatorRetry{}; ///< while operators can't be listened for
   std::uint64_t PacedRequests = 0; ///< that waited or went elsewhere
 
   // The fleet.
--- a/apps/marjorambayd/forward_lifecycle.cpp
+++ b/apps/marjorambayd/forward_lifecycle.cpp
@@ -2,9 +2,12 @@
 /// forwarded routes.
 #include "forward_host.h"
 #include "host_identity.h"
+#include "startup.h"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
+#include <functional>
 
 namespace marjorambay {
 
@@ -116,6 +119,44 @@
   return Done{};
 }
 
+/// Listens for operators; while that fails, tries again. Hosts serve callers
+/// without it.
+void listenForOperators(ForwardHost &H) {
+  constexpr Duration RetryInterval = seconds(1);
+  const Result<Done> Bound = listen(H.Operators, H.Settings.OperatorAddress);
+  const bool Retried = H.OperatorRetry.connected();
+  if (ok(Bound) && Retried) {
+    LogLine("address_bound").with("listener", "operators");
+    H.OperatorRetry.disconnect();
+  }
+  if (ok(Bound) || Retried)
+    return;
+  LogLine("address_awaited", LogLevel::Warning)
+      .with("listener", "operators")
+      .with("problem", error(Bound).Message);
+  H.OperatorRetry =
+      H.Timers.every(RetryInterval, [&H]() { listenForOperators(H); });
+}
+
+/// Listens everywhere. Callers come last, as they can connect from then on.
+Result<Done> listenAll(ForwardHost &H) {
+  struct Listener {
+    std::string_view Name;
+    std::function<Result<Done>()> Bind;
+  };
+  const std::array Listeners{
+      Listener{"peers", [&H]() { return startFleet(H); }},
+      Listener{"peer_objects", [&H]() { return startObjects(H); }},
+      Listener{"probes",
+               [&H]() { return listen(H.Probes, H.Settings.ReadyAddress); }},
+      Listener{"callers", [&H]() { return listenForCallers(H); }}};
+  for (const auto &[Name, Bind] : Listeners)
+    if (const Result<Done> Bound = awaitAddress(Name, Bind); !ok(Bound))
+      return Bound;
+  listenForOperators(H);
+  return Done{};
+}
+
 void stop(ForwardHost &H) {
   LogLine("stopped").with("in_progress",
                           static_cast<std::int64_t>(H.Calls.size()));
@@ -173,12 +214,8 @@
       [&H](const HttpRequestView &View) { handleProbe(H, View); });
   H.Operators.RequestArrived.connect(
       [&H](const HttpRequestView &View) { handleOperatorRequest(H, View); });
-  for (const Result<Done> &Started :
-       {startFleet(H), startObjects(H), listenForCallers(H),
-        listen(H.Probes, H.Settings.ReadyAddress),
-        listen(H.Operators, H.Settings.OperatorAddress)})
-    if (!ok(Started))
-      return error(Started);
+  if (const Result<Done> Listening = listenAll(H); !ok(Listening))
+    return Listening;
   readZoneRegions(H);
   startRequests(H);
   const auto AddTimer = [&H](Duration Interval, sigc::slot<void()> Work) {
@@ -202,7 +239,7 @@
   startZones(H);
   H.Loop.onSignal(SIGTERM, [&H]() { startDrain(H); });
   H.Loop.onSignal(SIGINT, [&H]() { startDrain(H); });
-  H.Loop.onSignal(SIGHUP, []() { LogLine("reload_asked"); });
+  H.Loop.onSignal(SIGHUP, []() { LogLine("reload_asked").expendable(); });
   LogLine("started")
       .with("host", H.Settings.HostName)
       .with("zone", H.Settings.ZoneName)
--- a/apps/marjorambayd/forward_objects.cpp
+++ b/apps/marjorambayd/forward_objects.cpp
@@ -163,15 +163,15 @@
   const Result<SocketAddress> Address = parseAddress(H.Settings.PeerAddress);
   if (!ok(Address))
     return error(Address);
+  const auto Port = H.ObjectServer.listen(value(Address));
+  if (!ok(Port))
+    return error(Port);
   H.ObjectServer.RequestArrived.connect(
       [&H](CallerRequest &Request) { handlePullRequest(H, Request); });
   H.ObjectServer.RequestRejected.connect(
       [&H](ExchangeId Exchange, const HttpHead &, ErrorKind Why) {
         H.ObjectServer.answer(Exchange, traitsOf(Why).HttpStatus, {}, "");
       });
-  const auto Port = H.ObjectServer.listen(value(Address));
-  if (!ok(Port))
-    return error(Port);
   return Done{};
 }
 
--- a/apps/marjorambayd/lifecycle.cpp
+++ b/apps/marjorambayd/lifecycle.cpp
@@ -1,6 +1,7 @@
 /// Start, graceful stop, and the ticks of the decision parts.
 #include "components.h"
 #include "rollouts.h"
+#include "startup.h"
 
 #include <csignal>
 
@@ -45,11 +46,16 @@
 } // namespace
 
 Result<Done> startDaemon(Daemon &D) {
-  for (const auto Start :
-       {startPeerMessages, startOperatorApi, startCallerApi}) {
-    const Result<Done> Started = Start(D);
-    if (!ok(Started))
-      return error(Started);
+  struct Listener {
+    std::string_view Name;
+    Result<Done> (*Start)(Daemon &);
+  };
+  for (const auto &[Name, Start] : {Listener{"peers", startPeerMessages},
+                                    Listener{"operators", startOperatorApi},
+                                    Listener{"callers", startCallerApi}}) {
+    const auto Bind = [&D, Start = Start]() { return Start(D); };
+    if (const Result<Done> Started = awaitAddress(Name, Bind); !ok(Started))
+      return Started;
   }
   startArbiters(D);
   startLoadReports(D);
--- a/apps/marjorambayd/main.cpp
+++ b/apps/marjorambayd/main.cpp
@@ -2,11 +2,11 @@
 #include "components.h"
 #include "forward_host.h"
 #include "platform/adapter.h"
+#include "startup.h"
 
 #include <boost/program_options.hpp>
 
 #include <csignal>
-#include <cstdio>
 #include <iostream>
 #include <string>
 #include <vector>
@@ -84,22 +84,17 @@
   return Read;
 }
 
-int reportFailure(const Error &Reason) {
-  std::cerr << "marjorambayd: " << Reason.Message << "\n";
-  return traitsOf(Reason.Kind).ExitCode;
-}
-
 /// Serves forwarded routes on the users' platform.
 int runForwarding(HostSettings Settings) {
   const Result<SocketAddress> Store = parseAddress(Settings.PlatformAddress);
   if (!ok(Store))
-    return reportFailure(error(Store));
+    return reportFailedStart(error(Store));
   ForwardHost Host(std::move(Settings), platformHeaders());
   startStdoutLogging(Host.Timers, Host.Settings.LogLevel);
   PlatformAdapter Adapter(Host, value(Store));
   const Result<Done> Started = startForwarding(Host);
   if (!ok(Started))
-    return reportFailure(error(Started));
+    return reportFailedStart(error(Started));
   Adapter.start();
   Host.Loop.run();
   stopStdoutLogging();
@@ -107,35 +102,46 @@
 }
 
 int run(HostSettings Settings) {
-  startLogging("marjorambayd", Settings.LogLevel);
-  std::signal(SIGPIPE, SIG_IGN);
+  setLogLevel(Settings.LogLevel);
   if (Settings.Serves == "forwarded_routes")
     return runForwarding(std::move(Settings));
   Daemon Context(std::move(Settings));
   const Result<Done> Started = startDaemon(Context);
   if (!ok(Started))
-    return reportFailure(error(Started));
+    return reportFailedStart(error(Started));
   Context.Loop.run();
   return 0;
 }
 
+int checkSettings(const Arguments &Given) {
+  const Result<HostSettings> Settings =
+      readSettings(Given.ConfigPath, Given.Overrides);
+  if (!ok(Settings)) {
+    std::cerr << error(Settings).Message << "\n";
+    return traitsOf(error(Settings).Kind).ExitCode;
+  }
+  std::cout << Given.ConfigPath << ": settings are valid\n";
+  return 0;
+}
+
+int start(const Arguments &Given) {
+  startLogging("marjorambayd");
+  Result<HostSettings> Settings =
+      readSettings(Given.ConfigPath, Given.Overrides);
+  if (!ok(Settings))
+    return reportFailedStart(error(Settings));
+  return run(std::move(value(Settings)));
+}
+
 } // namespace
 
 int main(int Count, char **Values) {
   // Until the loop handles SIGHUP, a reload would terminate the process.
   std::signal(SIGHUP, SIG_IGN);
+  std::signal(SIGPIPE, SIG_IGN);
   const auto Read = readArguments(Count, Values);
   if (const int *Code = std::get_if<int>(&Read))
     return *Code;
   const auto &Given = std::get<Arguments>(Read);
-  Result<HostSettings> Settings =
-      readSettings(Given.ConfigPath, Given.Overrides);
-  if (!ok(Settings)) {
-    std::cerr << error(Settings).Message << "\n";
-    return traitsOf(error(Settings).Kind).ExitCode;
-  }
-  if (!Given.CheckOnly)
-    return run(std::move(value(Settings)));
-  std::cout << Given.ConfigPath << ": settings are valid\n";
-  return 0;
+  return Given.CheckOnly ? checkSettings(Given) : start(Given);
 }
--- a/apps/marjorambayd/operator_api.cpp
+++ b/apps/marjorambayd/operator_api.cpp
@@ -151,14 +151,14 @@
 }
 
 Result<Done> startOperatorApi(Daemon &D) {
-  D.Operators.RequestArrived.connect(
-      [&D](const HttpRequestView &View) { handleOperatorRequest(D, View); });
   const auto Address = parseAddress(D.Settings.OperatorAddress);
   if (!ok(Address))
     return error(Address);
   const auto Port = D.Operators.listen(value(Address).Ip, value(Address).Port);
   if (!ok(Port))
     return error(Port);
+  D.Operators.RequestArrived.connect(
+      [&D](const HttpRequestView &View) { handleOperatorRequest(D, View); });
   return Done{};
 }
 
--- a/apps/marjorambayd/peer_messages.cpp
+++ b/apps/marjorambayd/peer_messages.cpp
@@ -148,11 +148,11 @@
 }
 
 Result<Done> startPeerMessages(Daemon &D) {
-  D.Peers.Received.connect(
-      [&D](std::string_view Bytes) { handleEnvelope(D, Bytes); });
   const Result<std::string> Bound = D.Peers.bind(D.Settings.PeerAddress);
   if (!ok(Bound))
     return error(Bound);
+  D.Peers.Received.connect(
+      [&D](std::string_view Bytes) { handleEnvelope(D, Bytes); });
   D.Subscriptions.push_back(D.Timers.every(MembershipTick, [&D]() {
     post(D, MembershipEvent(MembershipTicked{}));
   }));
--- /dev/null
+++ b/apps/marjorambayd/startup.h
@@ -0,0 +1,23 @@
+/// Start of a process: signals, descriptors and settings, before a host exists.
+#ifndef MARJORAMBAY_APPS_MARJORAMBAYD_STARTUP_H
+#define MARJORAMBAY_APPS_MARJORAMBAYD_STARTUP_H
+
+#include "marjorambay/state/settings.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace marjorambay {
+
+/// Calls \p Bind, and again for a few seconds while it returns
+/// AddressUnavailable. \p Listener names what is bound in the log.
+Result<Done> awaitAddress(std::string_view Listener,
+                          const std::function<Result<Done>()> &Bind);
+
+/// Logs that the process can't start, and returns its exit code.
+int reportFailedStart(const Error &Reason);
+
+} // namespace marjorambay
+
+#endif // MARJORAMBAY_APPS_MARJORAMBAYD_STARTUP_H
--- a/packages/state/marjorambay/state/error.h
+++ b/packages/state/marjorambay/state/error.h
@@ -53,7 +53,8 @@
   Timeout,
   Internal,
   // Later kinds are appended: hosts of other builds know them by their number.
-  CrashingRequest, ///< targets crash under such requests
+  CrashingRequest,    ///< targets crash under such requests
+  AddressUnavailable, ///< taken by another process, or not there yet
 };
 
 template <>
@@ -92,9 +93,10 @@
         "timeout",
         "internal",
         "crashing_request",
+        "address_unavailable",
     });
 inline constexpr std::size_t ErrorKindCount =
-    static_cast<std::size_t>(ErrorKind::CrashingRequest) + 1;
+    static_cast<std::size_t>(ErrorKind::AddressUnavailable) + 1;
 static_assert(NamesOf<ErrorKind>.size() == ErrorKindCount);
 
 /// Whether the request may have been executed by a target.
--- a/packages/transport/marjorambay/transport/log.h
+++ b/packages/transport/marjorambay/transport/log.h
@@ -13,7 +13,9 @@
 
 /// Sends log lines of \p Level ("info", "warning", "error") and above to
 /// standard error.
-void startLogging(const char *ProgramName, std::string_view Level);
+void startLogging(const char *ProgramName, std::string_view Level = "info");
+/// Changes the level of startLogging().
+void setLogLevel(std::string_view Level);
 
 class TimerService;
 
@@ -22,7 +24,9 @@
 /// the buffer is full, lines are dropped, expendable ones first, and a further
 /// line reports how many.
 void startStdoutLogging(TimerService &Timers, std::string_view Level = "info");
-/// Writes the buffered lines as far as the descriptor accepts them, and stops
+/// Writes the buffered lines as far as the descriptor accepts them.
+void flushStdoutLog();
+/// Does so, and stops
 /// logging to standard output.
 void stopStdoutLogging();
 
--- a/packages/transport/marjorambay/transport/stream_socket.h
+++ b/packages/transport/marjorambay/transport/stream_socket.h
@@ -107,7 +107,11 @@
   PeerSilence Silence{};
 };
 
-/// Listens at \p Address. Returns the descriptor, or BadSettings.
+/// Returns the error of a failed bind() or listen() at \p Address:
+/// AddressUnavailable if it may succeed later, else BadSettings.
+Error bindError(const SocketAddress &Address, int Errno);
+
+/// Listens at \p Address. Returns the descriptor, or the error of bindError().
 Result<int> listenAt(const SocketAddress &Address);
 
 /// Port that a listening descriptor is bound to.
--- a/packages/transport/src/datagram_link.cpp
+++ b/packages/transport/src/datagram_link.cpp
@@ -1,6 +1,8 @@
 /// UDP datagrams on the event loop.
 #include "marjorambay/transport/datagram_link.h"
 
+#include "marjorambay/transport/stream_socket.h"
+
 #include <event2/event.h>
 
 #include <algorithm>
@@ -62,10 +64,13 @@
   setsockopt(Descriptor, SOL_SOCKET, SO_TIMESTAMPNS, &Enabled, sizeof Enabled);
   if (Descriptor < 0 ||
       ::bind(Descriptor, reinterpret_cast<const sockaddr *>(&Bound),
-             sizeof Bound) != 0)
-    return Error{ErrorKind::BadSettings, "cannot bind " +
-                                             formatAddress(Address) + ": " +
-                                             std::strerror(errno)};
+             sizeof Bound) != 0) {
+    const int Failure = errno;
+    if (Descriptor >= 0)
+      close(Descriptor);
+    Descriptor = -1;
+    return bindError(Address, Failure);
+  }
   ReadEvent.reset(event_new(Loop.base(), Descriptor, EV_READ | EV_PERSIST,
                             &DatagramLink::onReadable, this));
   event_add(ReadEvent.get(), nullptr);
--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -3,6 +3,8 @@
 
 #include "http_headers.h"
 
+#include "marjorambay/transport/stream_socket.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -12,6 +14,7 @@
 #include <algorithm>
 #include <arpa/inet.h>
 #include <cassert>
+#include <cerrno>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
@@ -139,8 +142,7 @@
                                          std::uint16_t Port) {
   Listener = evhttp_bind_socket_with_handle(Http, Address.c_str(), Port);
   if (!Listener)
-    return Error{ErrorKind::BadSettings,
-                 "cannot listen at " + Address + ":" + std::to_string(Port)};
+    return bindError({Address, Port}, errno);
   sockaddr_storage Bound{};
   socklen_t Length = sizeof(Bound);
   getsockname(evhttp_bound_socket_get_fd(Listener),
--- a/packages/transport/src/log.cpp
+++ b/packages/transport/src/log.cpp
@@ -109,19 +109,29 @@
       Timers.every(LineBuffer::WriteInterval, [&Buffer]() { Buffer.write(); });
 }
 
+void flushStdoutLog() {
+  if (lineBuffer().Active)
+    lineBuffer().write();
+}
+
 void stopStdoutLogging() {
   LineBuffer &Buffer = lineBuffer();
+  if (!Buffer.Active)
+    return;
   Buffer.write();
   Buffer.Active = false;
   Buffer.Timer.disconnect();
 }
 
+void setLogLevel(std::string_view Level) {
+  FLAGS_minloglevel = Level == "error"     ? google::GLOG_ERROR
+                      : Level == "warning" ? google::GLOG_WARNING
+                                           : google::GLOG_INFO;
+}
+
 void startLogging(const char *ProgramName, std::string_view Level) {
   FLAGS_logtostderr = true;
-  if (Level == "warning")
-    FLAGS_minloglevel = google::GLOG_WARNING;
-  if (Level == "error")
-    FLAGS_minloglevel = google::GLOG_ERROR;
+  setLogLevel(Level);
   google::InitGoogleLogging(ProgramName);
 }
 
--- a/packages/transport/src/peer_link.cpp
+++ b/packages/transport/src/peer_link.cpp
@@ -1,11 +1,15 @@
 /// Peer messages on libzmq.
 #include "marjorambay/transport/peer_link.h"
 
+#include "marjorambay/state/address.h"
+#include "marjorambay/transport/stream_socket.h"
+
 #include <event2/event.h>
 #include <zmq.h>
 
 #include <array>
 #include <cassert>
+#include <cerrno>
 #include <utility>
 
 namespace marjorambay {
@@ -85,9 +89,13 @@
   assert(!Router && "bind() called twice on one PeerLink");
   Router = openSocket(ZMQ_ROUTER);
   const std::string Endpoint = "tcp://" + Address;
-  if (zmq_bind(Router, Endpoint.c_str()) != 0)
-    return Error{ErrorKind::BadSettings, "cannot bind peer address " + Address +
-                                             ": " + zmq_strerror(errno)};
+  if (zmq_bind(Router, Endpoint.c_str()) != 0) {
+    const int Failure = errno;
+    zmq_close(Router);
+    Router = nullptr;
+    const auto Parsed = parseAddress(Address);
+    return ok(Parsed) ? bindError(value(Parsed), Failure) : error(Parsed);
+  }
   RouterReadEvent = watchSocket(
       Router,
       [](int, short, void *Self) {
--- a/packages/transport/src/stream_socket.cpp
+++ b/packages/transport/src/stream_socket.cpp
@@ -234,20 +234,29 @@
   close();
 }
 
+Error bindError(const SocketAddress &Address, int Errno) {
+  constexpr std::array Passing{EADDRINUSE, EADDRNOTAVAIL, EMFILE,
+                               ENFILE,     ENOBUFS,       ENOMEM};
+  const bool Passes =
+      std::find(Passing.begin(), Passing.end(), Errno) != Passing.end();
+  return Error{Passes ? ErrorKind::AddressUnavailable : ErrorKind::BadSettings,
+               "cannot listen at " + formatAddress(Address) + ": " +
+                   std::strerror(Errno)};
+}
+
 Result<int> listenAt(const SocketAddress &Address) {
   const int Descriptor =
       socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (Descriptor < 0)
-    return Error{ErrorKind::BadSettings, "cannot create a socket"};
+    return bindError(Address, errno);
   setIntOption(Descriptor, SOL_SOCKET, SO_REUSEADDR, 1);
   const sockaddr_in Bound = socketAddress(Address);
   if (bind(Descriptor, reinterpret_cast<const sockaddr *>(&Bound),
            sizeof Bound) != 0 ||
       listen(Descriptor, ListenBacklog) != 0) {
-    const std::string Reason = std::strerror(errno);
+    const int Failure = errno;
     ::close(Descriptor);
-    return Error{ErrorKind::BadSettings,
-                 "cannot listen at " + formatAddress(Address) + ": " + Reason};
+    return bindError(Address, Failure);
   }
   return Descriptor;
 }
--- a/tests/system/platform_fleet.py
+++ b/tests/system/platform_fleet.py
@@ -38,18 +38,28 @@
 def render(template, fields):
     """Fills a settings template in, as the platform does."""
 
+    def present(value):
+        return value is not None and value is not False and value not in (
+            "", [], {})
+
     def section(match):
-        value = lookup(fields, match.group(1))
+        kind, name, body = match.groups()
+        value = lookup(fields, name)
+        if kind == "^":
+            return "" if present(value) else body
         if isinstance(value, dict):  # once for each entry: {{@}} and {{.}}
             return "".join(
-                match.group(2).replace("{{@}}", key).replace("{{.}}", str(each))
+                body.replace("{{@}}", key).replace("{{.}}", str(each))
                 for key, each in value.items())
-        return match.group(2) if value else ""
+        return body if present(value) else ""
+
+    def text_of(value):
+        return str(value) if present(value) else ""
 
-    text = re.sub(r"\{\{#([\w.]+)\}\}\n(.*?)\{\{/\1\}\}\n", section, template,
-                  flags=re.S)
+    text = re.sub(r"\{\{([#^])([\w.]+)\}\}\n(.*?)\{\{/\2\}\}\n", section,
+                  template, flags=re.S)
     return re.sub(r"\{\{([\w.]+)\}\}",
-                  lambda match: str(lookup(fields, match.group(1)) or ""), text)
+                  lambda match: text_of(lookup(fields, match.group(1))), text)
 
 
 def route(name, prefix, service, kind, **more):
--- /dev/null
+++ b/tests/system/start_test.py
@@ -0,0 +1,139 @@
+"""Starts of a host in surroundings that are not ready, or odd."""
+
+import copy
+import os
+import pathlib
+import random
+import re
+import resource
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+import unittest
+
+from fleet import BIN, ROOT, reserve_ports, wait_until
+from platform_fleet import get, render
+
+TEMPLATE = (ROOT / "deploy/settings.ini").read_text()
+ODD = [None, "", 0, 8.0, 7.5, 0.25, 1e3, 1e30, -1, "many", [], False]
+HELD_S = 0.7  # for which a port or the settings are not to be had
+CLOSED = "127.0.0.1:1"  # no store answers there
+
+
+def fields_of(ports):
+    caller, ready, peer, _ = ports
+    return {
+        "node_name": "entry-0", "zone": "zone-a", "region": "region-a",
+        "ip_address": "127.0.0.1", "internal_port_range": [peer, peer + 15],
+        "listen_addresses": {"frontend": f"127.0.0.1:{caller}",
+                             "readiness": f"127.0.0.1:{ready}"},
+        "platform": {"address": CLOSED}, "zones": {"zone-a": "region-a"},
+        "limits": {"cpu_quota": 0.25, "link_mbps": 1000.0, "memory_mb": 110,
+                   "max_open_files": 4100},
+        "bounds": {"retry_budget_ratio": 0.2, "retry_min_extra": 56,
+                   "quota_window_s": 8, "quota_overrun": 0.1,
+                   "quota_slack": 72000, "canary_share": 0.1,
+                   "canary_slack": 50, "evacuation_ms": 2000,
+                   "warmup_overrun": 1.5, "warmup_slack": 5,
+                   "grace_period_s": 8}}
+
+
+def changed(fields, path, value):
+    result = copy.deepcopy(fields)
+    *outer, last = path.split(".")
+    inside = result
+    for name in outer:
+        inside = inside[name]
+    inside[last] = value
+    return result
+
+
+class Start:
+    """One process, with a settings file that the test writes."""
+
+    def __init__(self, case):
+        folder = tempfile.TemporaryDirectory(prefix="marjorambay-")
+        case.addCleanup(folder.cleanup)
+        self.folder, self.held = pathlib.Path(folder.name), reserve_ports(4)
+        for each in self.held:
+            case.addCleanup(each.close)
+        self.ports = [each.getsockname()[1] for each in self.held]
+        self.settings, self.log = self.folder / "host.ini", self.folder / "log"
+        self.process = None
+        case.addCleanup(self.kill)
+
+    def text(self, fields=None):
+        return render(TEMPLATE, fields or fields_of(self.ports)).replace(
+            ":9464", f":{self.ports[3]}")
+
+    def spawn(self, *arguments, **more):
+        with open(self.log, "ab") as output:
+            self.process = subprocess.Popen(
+                [BIN / "marjorambayd",
+                 *(arguments or ("--config", self.settings))],
+                **{"stdout": output, "stderr": output, **more})
+        return self
+
+    def started(self):
+        return "event=started " in self.log.read_text()
+
+    def ended_or_started(self):
+        """The exit code, or "started"."""
+        code = wait_until(lambda: self.started() and "started" or
+                          self.process.poll() is not None and "ended", "start")
+        return code if code == "started" else self.process.returncode
+
+    def kill(self):
+        if self.process and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+
+
+class PortTest(unittest.TestCase):
+    def taken(self, host, index, kind):
+        blocker = socket.socket(socket.AF_INET, kind)
+        self.addCleanup(blocker.close)
+        host.held[index].close()
+        blocker.bind(("127.0.0.1", host.ports[index]))
+        if kind == socket.SOCK_STREAM:
+            blocker.listen()
+        host.settings.write_text(host.text())
+        host.spawn()
+        return blocker
+
+    # Guards against a host that ends because the process before it still has a
+    # port.
+    def test_a_port_that_is_taken_for_a_moment_is_awaited(self):
+        for index, kind in ((0, socket.SOCK_STREAM), (1, socket.SOCK_STREAM),
+                            (2, socket.SOCK_STREAM), (2, socket.SOCK_DGRAM)):
+            host = Start(self)
+            blocker = self.taken(host, index, kind)
+            time.sleep(HELD_S)
+            self.assertIsNone(host.process.poll(), f"port {index}, {kind}")
+            self.assertFalse(host.started())
+            blocker.close()
+            self.assertEqual(host.ended_or_started(), "started")
+            self.assertRegex(host.log.read_text(),
+                             rf"address_awaited .*:{host.ports[index]}: Address")
+            host.kill()
+
+    def test_a_port_that_stays_taken_is_a_clear_error(self):
+        host = Start(self)
+        self.taken(host, 1, socket.SOCK_STREAM)
+        self.assertEqual(host.process.wait(30), 5)
+        self.assertRegex(host.log.read_text(),
+                         rf"start_failed .*probes: .*:{host.ports[1]}: Address")
+
+    def test_a_host_serves_without_its_operators_port(self):
+        host = Start(self)
+        blocker = self.taken(host, 3, socket.SOCK_STREAM)
+        self.assertEqual(host.ended_or_started(), "started")
+        blocker.close()
+        wait_until(lambda: get(host.ports[3], "/metrics").status == 200,
+                   "metrics")
+
+
+if __name__ == "__main__":
+    unittest.main()
