Settings that a host can do without do not keep it from starting

Cause: times in seconds were joined with "000" as text, and any odd optional figure ended the start with 3: 8.0, 8.5, a missing grace period, an empty region. Change: durations are read in seconds and fractions (..._s) and whole numbers as 110.0 or 1e3. What serving needs stays an error.

--- a/apps/marjorambayd/main.cpp
+++ b/apps/marjorambayd/main.cpp
@@ -127,7 +127,7 @@
 int start(const Arguments &Given) {
   startLogging("marjorambayd");
   Result<HostSettings> Settings =
-      readSettings(Given.ConfigPath, Given.Overrides);
+      awaitSettings(Given.ConfigPath, Given.Overrides);
   if (!ok(Settings))
     return reportFailedStart(error(Settings));
   return run(std::move(value(Settings)));
--- a/apps/marjorambayd/startup.h
+++ b/apps/marjorambayd/startup.h
@@ -10,6 +10,13 @@
 
 namespace marjorambay {
 
+/// Reads the settings file. A file that is missing, or incomplete because it is
+/// still being written, is read again for a few seconds. Logs each setting that
+/// is not used as given.
+Result<HostSettings>
+awaitSettings(const std::string &Path,
+              const std::vector<SettingOverride> &Overrides);
+
 /// Calls \p Bind, and again for a few seconds while it returns
 /// AddressUnavailable. \p Listener names what is bound in the log.
 Result<Done> awaitAddress(std::string_view Listener,
--- a/packages/state/marjorambay/state/settings.h
+++ b/packages/state/marjorambay/state/settings.h
@@ -10,6 +10,7 @@
 #include "marjorambay/state/time.h"
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -135,6 +136,24 @@
 parseSettings(std::string_view Text, std::string_view Source,
               const std::vector<SettingOverride> &Overrides);
 
+/// Settings that a host can serve with, and a line for each one that was not
+/// used as given.
+struct UsableSettings {
+  HostSettings Settings{};
+  std::vector<std::string> Warnings{};
+};
+
+/// As parseSettings(), but an error only if the host couldn't serve: a required
+/// setting or an address for callers, probes or the platform is missing or
+/// invalid. Other invalid values are replaced by the nearest valid one or by
+/// the default.
+Result<UsableSettings>
+parseUsableSettings(std::string_view Text, std::string_view Source,
+                    const std::vector<SettingOverride> &Overrides);
+
+/// Returns the text of the file, or nullopt if it can't be read.
+std::optional<std::string> readSettingsText(const std::string &Path);
+
 /// Returns the table of settings in Markdown, as in docs/CONFIGURATION.md.
 std::string settingsTable();
 
--- a/packages/state/src/settings.cpp
+++ b/packages/state/src/settings.cpp
@@ -2,14 +2,14 @@
 #include "marjorambay/state/settings.h"
 
 #include "marjorambay/state/address.h"
-
-#include <boost/program_options.hpp>
+#include "marjorambay/state/settings_text.h"
 
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <cstdlib>
+#include <cmath>
 #include <fstream>
+#include <iomanip>
 #include <map>
 #include <optional>
 #include <sstream>
@@ -18,7 +18,6 @@
 
 namespace {
 
-namespace options = boost::program_options;
 using enum SettingKind;
 using Host = HostSettings;
 
@@ -128,8 +127,8 @@
     {"forward", "start_ramp", &Host::StartRamp, Flag, false, 0, 0, "",
      "true: limit the requests in flight at targets that have just started or "
      "recovered, by how they answer"},
-    {"drain", "timeout_ms", &Host::DrainTimeout, Millis, false, 1000,
-     24 * HourMs, "ms", "time that a drain waits for requests in flight"},
+    {"drain", "timeout_ms", &Host::DrainTimeout, Millis, false, 0, 24 * HourMs,
+     "ms", "time that a drain waits for requests in flight"},
     {"log", "level", &Host::LogLevel, LogSeverity, false, 0, 0, "",
      "lowest severity logged: info, warning or error"},
     {"log", "success_share", &Host::LogSuccessShare, Fraction, false, 0, 1, "",
@@ -140,29 +139,57 @@
   return std::string(Row.Section) + "." + std::string(Row.Key);
 }
 
-const SettingRow *findRow(std::string_view FullKey) {
-  const auto Found =
-      std::find_if(Rows.begin(), Rows.end(), [&](const SettingRow &Row) {
-        return fullKey(Row) == FullKey;
-      });
-  return Found == Rows.end() ? nullptr : &*Found;
+/// A row, and the factor from the unit of the key to that of the row.
+struct KeyMatch {
+  const SettingRow *Row = nullptr;
+  double Scale = 1;
+};
+
+/// Finds the row of a key. A duration "..._ms" is also found as "..._s".
+KeyMatch findRow(std::string_view FullKey) {
+  constexpr double MsPerSecond = 1000;
+  std::string InMs(FullKey);
+  const bool InSeconds = FullKey.ends_with("_s");
+  if (InSeconds)
+    InMs.insert(InMs.size() - 1, "m");
+  for (const SettingRow &Row : Rows) {
+    if (fullKey(Row) == FullKey)
+      return {&Row, 1};
+    if (InSeconds && Row.Kind == Millis && fullKey(Row) == InMs)
+      return {&Row, MsPerSecond};
+  }
+  return {};
+}
+
+bool isNumeric(const SettingRow &Row) {
+  return Row.Kind == Number || Row.Kind == Millis || Row.Kind == Fraction;
 }
 
-std::optional<std::uint64_t> parseNumber(std::string_view Text) {
-  std::uint64_t Value = 0;
+/// Returns whether serving without this setting, or with its default, would
+/// serve nobody.
+bool isEssential(const SettingRow &Row) {
+  return Row.Required || (Row.Kind == Address &&
+                          Row.Field != SettingField(&Host::PeerAddress) &&
+                          Row.Field != SettingField(&Host::OperatorAddress));
+}
+
+std::optional<double> parseDecimal(std::string_view Text) {
+  double Value = 0;
   const char *End = Text.data() + Text.size();
   const auto Parsed = std::from_chars(Text.data(), End, Value);
-  if (Text.empty() || Parsed.ec != std::errc() || Parsed.ptr != End)
+  if (Text.empty() || Parsed.ec != std::errc() || Parsed.ptr != End ||
+      !std::isfinite(Value))
     return std::nullopt;
   return Value;
 }
 
-std::optional<double> parseFraction(const std::string &Text) {
-  char *End = nullptr;
-  const double Value = std::strtod(Text.c_str(), &End);
-  if (Text.empty() || End != Text.c_str() + Text.size() || !(Value >= 0))
+/// Returns the number that \p Text states, in the unit of the row.
+std::optional<double> parseNumber(const KeyMatch &Key, std::string_view Text) {
+  const std::optional<double> Value = parseDecimal(Text);
+  if (!Value)
     return std::nullopt;
-  return Value;
+  // 8.7 s times 1000 is not quite 8700.
+  return Key.Scale == 1 ? *Value : std::round(*Value * Key.Scale);
 }
 
 bool isName(std::string_view Text) {
@@ -180,8 +207,9 @@
          ok(parseAddress(Address)) && !(Words >> Extra);
 }
 
-/// Returns why \p Text is invalid for \p Row, or "" if it is valid.
-std::string validationError(const SettingRow &Row, const std::string &Text) {
+/// Returns why \p Text is invalid for \p Key, or "" if it is valid.
+std::string validationError(const KeyMatch &Key, const std::string &Text) {
+  const SettingRow &Row = *Key.Row;
   switch (Row.Kind) {
   case Name:
     return isName(Text) ? ""
@@ -200,43 +228,87 @@
     return Text == "info" || Text == "warning" || Text == "error"
                ? ""
                : "must be info, warning or error";
-  case Fraction: {
-    const auto Value = parseFraction(Text);
-    if (Value && *Value >= double(Row.Min) && *Value <= double(Row.Max))
-      return "";
-    return "\"" + Text + "\" is not a number from " + std::to_string(Row.Min) +
-           " to " + std::to_string(Row.Max);
-  }
+  case Fraction:
   case Number:
   case Millis:
     break;
   }
-  const auto Value = parseNumber(Text);
-  if (Value && *Value >= Row.Min && *Value <= Row.Max)
+  const auto Value = parseNumber(Key, Text);
+  const bool MayBeFraction = Row.Kind == Fraction || Key.Scale != 1;
+  if (Value && *Value >= double(Row.Min) && *Value <= double(Row.Max) &&
+      (MayBeFraction || *Value == std::floor(*Value)))
     return "";
-  return "\"" + Text + "\" is not a whole number from " +
-         std::to_string(Row.Min) + " to " + std::to_string(Row.Max) + " " +
-         std::string(Row.Unit);
+  std::ostringstream Range;
+  Range << "\"" << Text << "\" is not a " << (MayBeFraction ? "" : "whole ")
+        << "number from " << double(Row.Min) / Key.Scale << " to " << std::fixed
+        << std::setprecision(0) << double(Row.Max) / Key.Scale;
+  if (Key.Scale != 1)
+    Range << " s";
+  else if (!MayBeFraction)
+    Range << " " << Row.Unit;
+  return Range.str();
+}
+
+/// Returns the nearest number that is in the row's range, if \p Text states one
+/// that isn't negative.
+std::optional<double> nearestNumber(const KeyMatch &Key,
+                                    const std::string &Text) {
+  const SettingRow &Row = *Key.Row;
+  const auto Value = parseNumber(Key, Text);
+  if (!isNumeric(Row) || !Value || *Value < 0)
+    return std::nullopt;
+  const double Nearest = std::clamp(*Value, double(Row.Min), double(Row.Max));
+  return Row.Kind == Fraction ? Nearest : std::floor(Nearest);
+}
+
+/// Returns whether a name that is not one by the rules distinguishes hosts and
+/// zones nevertheless.
+bool isUsableName(const SettingRow &Row, const std::string &Text) {
+  return Row.Kind == Name && !Text.empty() &&
+         std::none_of(Text.begin(), Text.end(),
+                      [](unsigned char C) { return C <= ' ' || C == 127; });
+}
+
+/// Completes an address whose IP or port is missing from \p Default and from
+/// the address for callers.
+std::string completeAddress(const std::string &Text, const std::string &Default,
+                            const std::string &Callers) {
+  constexpr double MaxPort = 65535;
+  const auto PartsOf = [](const std::string &Whole) {
+    const auto Colon = std::min(Whole.rfind(':'), Whole.size());
+    return std::pair(Whole.substr(0, Colon),
+                     Whole.substr(std::min(Colon + 1, Whole.size())));
+  };
+  auto [Ip, Port] = PartsOf(Text);
+  if (!ok(parseAddress(Ip + ":1")))
+    Ip = PartsOf(Callers).first;
+  const auto Stated = parseDecimal(Port);
+  const bool IsPort = Stated && *Stated >= 1 && *Stated <= MaxPort &&
+                      *Stated == std::floor(*Stated);
+  Port = IsPort ? std::to_string(static_cast<int>(*Stated))
+                : PartsOf(Default).second;
+  return Ip + ":" + Port;
 }
 
 struct FieldSetter {
   HostSettings &Settings;
   const std::string &Text;
+  double Value = 0; ///< of numeric rows
 
   void operator()(std::string HostSettings::*Field) const {
     Settings.*Field = Text;
   }
   void operator()(std::uint64_t HostSettings::*Field) const {
-    Settings.*Field = *parseNumber(Text);
+    Settings.*Field = static_cast<std::uint64_t>(Value);
   }
   void operator()(Duration HostSettings::*Field) const {
-    Settings.*Field = milliseconds(*parseNumber(Text));
+    Settings.*Field = milliseconds(static_cast<std::int64_t>(Value));
   }
   void operator()(bool HostSettings::*Field) const {
     Settings.*Field = Text == "true";
   }
   void operator()(double HostSettings::*Field) const {
-    Settings.*Field = *parseFraction(Text);
+    Settings.*Field = Value;
   }
   void operator()(std::vector<std::string> HostSettings::*Field) const {
     (Settings.*Field).push_back(Text);
@@ -269,50 +341,91 @@
   }
 };
 
-/// Settings parsed so far, and the errors found in them.
+/// Settings parsed so far, and the problems found in them.
 struct SettingsParser {
+  bool Strict = true; ///< every problem is an error
   std::string Source{};
   HostSettings Settings{};
-  std::map<std::string, int> TimesGiven{};
+  std::map<const SettingRow *, int> TimesGiven{};
   std::string Errors{};
+  std::vector<std::string> Warnings{};
+  /// Addresses that are completed once the others are known.
+  std::vector<std::pair<const SettingRow *, std::string>> Incomplete{};
 
-  void reportError(std::string_view FullKey, std::string_view Message) {
+  std::string locate(std::string_view FullKey) const {
     const auto Dot = FullKey.find('.');
     const bool HasSection = Dot != std::string_view::npos;
-    Errors += Source + ": [";
-    Errors += HasSection ? FullKey.substr(0, Dot) : "";
-    Errors += "] ";
-    Errors += HasSection ? FullKey.substr(Dot + 1) : FullKey;
-    Errors += ": ";
-    Errors += Message;
-    Errors += "\n";
+    std::string Place = Source + ": [";
+    Place += HasSection ? FullKey.substr(0, Dot) : "";
+    Place += "] ";
+    Place += HasSection ? FullKey.substr(Dot + 1) : FullKey;
+    return Place + ": ";
+  }
+
+  void reportError(std::string_view FullKey, std::string_view Message) {
+    Errors += locate(FullKey) + std::string(Message) + "\n";
+  }
+
+  /// Reports a problem that is an error only if the parser is strict.
+  void report(std::string_view FullKey, const std::string &Message,
+              const std::string &Remedy) {
+    if (Strict)
+      return reportError(FullKey, Message);
+    Warnings.push_back(locate(FullKey) + Message + "; " + Remedy);
+  }
+
+  void set(const KeyMatch &Key, const std::string &Text) {
+    const double Value = parseNumber(Key, Text).value_or(0);
+    std::visit(FieldSetter{Settings, Text, Value}, Key.Row->Field);
   }
 
   void apply(const std::string &FullKey, const std::string &Text) {
-    const SettingRow *Row = findRow(FullKey);
-    if (Row == nullptr)
-      return reportError(FullKey, "unknown setting");
-    const bool IsRepeated = TimesGiven[FullKey]++ > 0;
-    const bool MayRepeat = Row->Kind == SeedList || Row->Kind == RegionList;
+    const KeyMatch Key = findRow(FullKey);
+    if (Key.Row == nullptr)
+      return report(FullKey, "unknown setting", "it is ignored");
+    const SettingRow &Row = *Key.Row;
+    const bool IsRepeated = TimesGiven[&Row]++ > 0;
+    const bool MayRepeat = Row.Kind == SeedList || Row.Kind == RegionList;
     if (IsRepeated && !MayRepeat)
-      return reportError(FullKey, "is set more than once");
-    const std::string Problem = validationError(*Row, Text);
-    if (!Problem.empty())
+      return report(FullKey, "is set more than once", "the first is used");
+    const std::string Problem = validationError(Key, Text);
+    if (Problem.empty())
+      return set(Key, Text);
+    repair(FullKey, Key, Text, Problem);
+  }
+
+  void repair(const std::string &FullKey, const KeyMatch &Key,
+              const std::string &Text, const std::string &Problem) {
+    const SettingRow &Row = *Key.Row;
+    const std::string Default = std::visit(FieldPrinter{Settings}, Row.Field);
+    if (Strict)
       return reportError(FullKey, Problem);
-    std::visit(FieldSetter{Settings, Text}, Row->Field);
+    if (const auto Nearest = nearestNumber(Key, Text)) {
+      std::visit(FieldSetter{Settings, Text, *Nearest}, Row.Field);
+      return report(FullKey, Problem,
+                    std::visit(FieldPrinter{Settings}, Row.Field) + " " +
+                        std::string(Row.Unit) + " is used");
+    }
+    if (isUsableName(Row, Text)) {
+      set(Key, Text);
+      return report(FullKey, Problem, "it is used as given");
+    }
+    if (isEssential(Row))
+      return reportError(FullKey, Problem);
+    if (Row.Kind == Address) {
+      Incomplete.emplace_back(&Row, Text);
+      return;
+    }
+    report(FullKey, Problem, "the default is used: " + Default);
   }
 
   void applyFile(std::string_view Text) {
-    try {
-      std::istringstream Stream{std::string(Text)};
-      const options::options_description None;
-      for (const auto &Option :
-           options::parse_config_file(Stream, None, true).options)
-        apply(Option.string_key,
-              Option.value.empty() ? "" : Option.value.front());
-    } catch (const options::error &Caught) {
-      Errors += Source + ": " + Caught.what() + "\n";
-    }
+    const SettingsText Split = splitSettings(Text);
+    for (const std::string &Line : Split.MalformedLines)
+      report("", "\"" + Line + "\" is not a section or \"key = value\"",
+             "it is ignored");
+    for (const SettingsText::Entry &Entry : Split.Entries)
+      apply(Entry.FullKey, Entry.Value);
   }
 
   void applyOverrides(const std::vector<SettingOverride> &Overrides) {
@@ -322,6 +435,18 @@
       apply(FullKey, Text);
   }
 
+  void completeAddresses() {
+    for (const auto &[Row, Text] : Incomplete) {
+      const std::string Default =
+          std::visit(FieldPrinter{Settings}, Row->Field);
+      const std::string Complete =
+          completeAddress(Text, Default, Settings.CallerAddress);
+      std::visit(FieldSetter{Settings, Complete}, Row->Field);
+      report(fullKey(*Row), validationError({Row}, Text),
+             Complete + " is used");
+    }
+  }
+
   void requireFields() {
     for (const SettingRow &Row : Rows) {
       const std::string Text = std::visit(FieldPrinter{Settings}, Row.Field);
@@ -334,6 +459,20 @@
                     "is required: " + std::string(Row.Description));
     }
   }
+
+  Result<UsableSettings> parse(std::string_view Text, std::string_view Name,
+                               const std::vector<SettingOverride> &Overrides) {
+    Source = std::string(Name);
+    applyFile(Text);
+    applyOverrides(Overrides);
+    Source = std::string(Name);
+    completeAddresses();
+    requireFields();
+    if (Errors.empty())
+      return UsableSettings{std::move(Settings), std::move(Warnings)};
+    Errors.pop_back();
+    return Error{ErrorKind::BadSettings, Errors};
+  }
 };
 
 } // namespace
@@ -344,26 +483,36 @@
 parseSettings(std::string_view Text, std::string_view Source,
               const std::vector<SettingOverride> &Overrides) {
   SettingsParser Parser;
-  Parser.Source = std::string(Source);
-  Parser.applyFile(Text);
-  Parser.applyOverrides(Overrides);
-  Parser.Source = std::string(Source);
-  Parser.requireFields();
-  if (Parser.Errors.empty())
-    return Parser.Settings;
-  Parser.Errors.pop_back();
-  return Error{ErrorKind::BadSettings, Parser.Errors};
+  Result<UsableSettings> Parsed = Parser.parse(Text, Source, Overrides);
+  if (!ok(Parsed))
+    return error(Parsed);
+  return std::move(value(Parsed).Settings);
 }
 
-Result<HostSettings>
-readSettings(const std::string &Path,
-             const std::vector<SettingOverride> &Overrides) {
+Result<UsableSettings>
+parseUsableSettings(std::string_view Text, std::string_view Source,
+                    const std::vector<SettingOverride> &Overrides) {
+  SettingsParser Parser;
+  Parser.Strict = false;
+  return Parser.parse(Text, Source, Overrides);
+}
+
+std::optional<std::string> readSettingsText(const std::string &Path) {
   const std::ifstream File(Path);
   if (!File)
-    return Error{ErrorKind::BadSettings, Path + ": cannot be read"};
+    return std::nullopt;
   std::ostringstream Text;
   Text << File.rdbuf();
-  return parseSettings(Text.str(), Path, Overrides);
+  return Text.str();
+}
+
+Result<HostSettings>
+readSettings(const std::string &Path,
+             const std::vector<SettingOverride> &Overrides) {
+  const auto Text = readSettingsText(Path);
+  if (!Text)
+    return Error{ErrorKind::BadSettings, Path + ": cannot be read"};
+  return parseSettings(*Text, Path, Overrides);
 }
 
 std::string settingsTable() {
--- a/tests/system/start_test.py
+++ b/tests/system/start_test.py
@@ -91,6 +91,32 @@
             self.process.wait()
 
 
+class SettingsTest(unittest.TestCase):
+    # Guards against a host that doesn't start because a figure of its settings
+    # is missing, a fraction, or no figure at all.
+    def test_odd_fields_do_not_keep_a_host_from_starting(self):
+        names = sorted(set(re.findall(r"\{\{#?([a-z_]+[\w.]*)\}\}", TEMPLATE)))
+        essential = {"node_name", "zone", "platform.address",
+                     "listen_addresses.frontend", "listen_addresses.readiness"}
+        names = [name.removesuffix(".0") for name in names]
+        self.assertGreaterEqual(len(names), 20)
+        choice, wrong = random.Random(50), []
+        for name in names:
+            for value in choice.sample(ODD, 3):
+                if name in essential and value not in (None, ""):
+                    continue
+                host = Start(self)
+                host.settings.write_text(
+                    host.text(changed(fields_of(host.ports), name, value)))
+                host.spawn()
+                outcome = host.ended_or_started()
+                if outcome != (3 if name in essential else "started"):
+                    wrong.append((name, value, outcome))
+                if name in essential:
+                    self.assertIn("event=start_failed", host.log.read_text())
+                host.kill()
+        self.assertEqual(wrong, [])
+
 class PortTest(unittest.TestCase):
     def taken(self, host, index, kind):
         blocker = socket.socket(socket.AF_INET, kind)
