--- a/apps/marjorambayd/main.cpp
+++ b/apps/marjorambayd/main.cpp
@@ -2,11 +2,13 @@
 #include "components.h"
 #include "forward_host.h"
 #include "platform/adapter.h"
+#include "platform/environment.h"
 #include "startup.h"
 
 #include <boost/program_options.hpp>
 
 #include <csignal>
+#include <filesystem>
 #include <iostream>
 #include <string>
 #include <vector>
@@ -75,11 +77,16 @@
   Arguments Read;
   Read.CheckOnly = Given.count("check-config") != 0;
   const char *Name = Read.CheckOnly ? "check-config" : "config";
-  if (Given.count(Name) == 0) {
+  const std::string Default = Read.CheckOnly ? "" : platformSettingsPath();
+  if (Given.count(Name) == 0 && Default.empty()) {
     std::cerr << "marjorambayd: --config FILE is missing; see --help\n";
     return ExitUsage;
   }
-  Read.ConfigPath = Given[Name].as<std::string>();
+  Read.ConfigPath =
+      Given.count(Name) == 0 ? Default : Given[Name].as<std::string>();
+  std::error_code Ignored;
+  if (!Default.empty() && !std::filesystem::exists(Read.ConfigPath, Ignored))
+    Read.ConfigPath = Default;
   Read.Overrides = overridesIn(Given);
   return Read;
 }
--- a/tests/system/start_test.py
+++ b/tests/system/start_test.py
@@ -117,6 +117,41 @@
                 host.kill()
         self.assertEqual(wrong, [])
 
+    # Guards against a host that reads settings while they are written.
+    def test_settings_that_are_incomplete_are_awaited(self):
+        choice = random.Random(51)
+        whole = len(Start(self).text())
+        for size in [None, 0, *sorted(choice.sample(range(whole - 1), 6))]:
+            host = Start(self)
+            text = host.text()
+            if size is not None:
+                host.settings.write_text(text[:size])
+            host.spawn()
+            time.sleep(HELD_S)
+            self.assertIsNone(host.process.poll(), f"cut at {size}")
+            self.assertFalse(host.started(), f"cut at {size}")
+            host.settings.write_text(text)
+            self.assertEqual(host.ended_or_started(), "started",
+                             f"cut at {size}")
+            host.kill()
+
+    def test_settings_that_stay_away_are_a_clear_error(self):
+        host = Start(self).spawn()
+        self.assertEqual(host.process.wait(20), 3)
+        self.assertIn("cannot be read", host.log.read_text())
+
+    def test_the_environment_names_settings_that_the_command_does_not(self):
+        host = Start(self)
+        host.settings.write_text(host.text())
+        environment = {**os.environ, "MARJORAMBAY_SETTINGS": str(host.settings)}
+        for arguments in (("--log.level", "info"),
+                          ("--config", host.folder / "elsewhere")):
+            host.log.write_text("")
+            host.spawn(*arguments, env=environment)
+            self.assertEqual(host.ended_or_started(), "started")
+            host.kill()
+
+
 class PortTest(unittest.TestCase):
     def taken(self, host, index, kind):
         blocker = socket.socket(socket.AF_INET, kind)
