Signals that are no stop do not end a process

Cause: SIGUSR1, SIGUSR2 and SIGALRM ended a host that serves (SignalTest on: "-10 is not None"), and SIGHUP one whose libraries were still being started. Result: SignalTest passes.

--- a/apps/marjorambayd/forward_lifecycle.cpp
+++ b/apps/marjorambayd/forward_lifecycle.cpp
@@ -239,6 +239,7 @@
   startZones(H);
   H.Loop.onSignal(SIGTERM, [&H]() { startDrain(H); });
   H.Loop.onSignal(SIGINT, [&H]() { startDrain(H); });
+  H.Loop.onSignal(SIGQUIT, [&H]() { startDrain(H); });
   H.Loop.onSignal(SIGHUP, []() { LogLine("reload_asked").expendable(); });
   LogLine("started")
       .with("host", H.Settings.HostName)
--- a/apps/marjorambayd/lifecycle.cpp
+++ b/apps/marjorambayd/lifecycle.cpp
@@ -71,6 +71,7 @@
       D.Timers.every(seconds(1), [&D]() { coarseTick(D); }));
   D.Loop.onSignal(SIGTERM, [&D]() { startDrain(D); });
   D.Loop.onSignal(SIGINT, [&D]() { startDrain(D); });
+  D.Loop.onSignal(SIGQUIT, [&D]() { startDrain(D); });
   LogLine("started")
       .with("host", D.Settings.HostName)
       .with("zone", D.Settings.ZoneName)
--- a/apps/marjorambayd/main.cpp
+++ b/apps/marjorambayd/main.cpp
@@ -7,7 +7,6 @@
 
 #include <boost/program_options.hpp>
 
-#include <csignal>
 #include <filesystem>
 #include <iostream>
 #include <string>
@@ -143,9 +142,7 @@
 } // namespace
 
 int main(int Count, char **Values) {
-  // Until the loop handles SIGHUP, a reload would terminate the process.
-  std::signal(SIGHUP, SIG_IGN);
-  std::signal(SIGPIPE, SIG_IGN);
+  setStartSignals();
   const auto Read = readArguments(Count, Values);
   if (const int *Code = std::get_if<int>(&Read))
     return *Code;
--- a/apps/marjorambayd/startup.h
+++ b/apps/marjorambayd/startup.h
@@ -10,6 +10,11 @@
 
 namespace marjorambay {
 
+/// Ignores signals whose default action ends the process, and lets those that
+/// stop a host exit with 0, until the event loop handles them. Leaves handlers
+/// that are installed alone.
+void setStartSignals();
+
 /// Reads the settings file. A file that is missing, or incomplete because it is
 /// still being written, is read again for a few seconds. Logs each setting that
 /// is not used as given.
--- a/tests/system/start_test.py
+++ b/tests/system/start_test.py
@@ -196,5 +196,35 @@
                    "metrics")
 
 
+class SignalTest(unittest.TestCase):
+    # Guards against a signal that ends a process before its loop handles it.
+    def test_only_a_stop_ends_a_process_that_waits(self):
+        for stop in (signal.SIGTERM, signal.SIGINT, signal.SIGQUIT):
+            host = Start(self).spawn()
+            wait_until(lambda: "settings_awaited" in host.log.read_text(),
+                       "wait")
+            for number in (signal.SIGHUP, signal.SIGUSR1, signal.SIGUSR2,
+                           signal.SIGALRM, signal.SIGPIPE):
+                host.process.send_signal(number)
+            time.sleep(0.2)
+            self.assertIsNone(host.process.poll())
+            host.process.send_signal(stop)
+            self.assertEqual(host.process.wait(5), 0)
+
+    def test_only_a_stop_ends_a_host_that_serves(self):
+        host = Start(self)
+        host.settings.write_text(host.text())
+        host.spawn()
+        self.assertEqual(host.ended_or_started(), "started")
+        for number in (signal.SIGHUP, signal.SIGUSR1, signal.SIGUSR2,
+                       signal.SIGALRM, signal.SIGPIPE):
+            host.process.send_signal(number)
+        time.sleep(0.5)
+        self.assertIsNone(host.process.poll())
+        host.process.send_signal(signal.SIGQUIT)
+        self.assertEqual(host.process.wait(20), 0)
+        self.assertIn("event=drain_started", host.log.read_text())
+
+
 if __name__ == "__main__":
     unittest.main()
