A start opens missing standard descriptors and raises their soft limit

Cause: with descriptors 0 to 2 closed the event loop and sockets got these numbers, so that log lines could be written into a connection; a soft limit below max_open_files was kept. Evidence: SurroundingsTest on: "'anon_inode:[eventpoll]' != '/dev/null'", "64 != 4100". Result: SurroundingsTest passes; the line without memory has no test.

--- a/apps/marjorambayd/main.cpp
+++ b/apps/marjorambayd/main.cpp
@@ -9,6 +9,7 @@
 
 #include <filesystem>
 #include <iostream>
+#include <new>
 #include <string>
 #include <vector>
 
@@ -109,6 +110,7 @@
 
 int run(HostSettings Settings) {
   setLogLevel(Settings.LogLevel);
+  raiseDescriptorLimit(Settings.MaxOpenFiles);
   if (Settings.Serves == "forwarded_routes")
     return runForwarding(std::move(Settings));
   Daemon Context(std::move(Settings));
@@ -143,6 +145,8 @@
 
 int main(int Count, char **Values) {
   setStartSignals();
+  openStandardStreams();
+  std::set_new_handler(&exitOutOfMemory);
   const auto Read = readArguments(Count, Values);
   if (const int *Code = std::get_if<int>(&Read))
     return *Code;
--- a/apps/marjorambayd/startup.cpp
+++ b/apps/marjorambayd/startup.cpp
@@ -3,8 +3,13 @@
 
 #include "marjorambay/transport/log.h"
 
+#include <algorithm>
+#include <cerrno>
 #include <cstdio>
+#include <fcntl.h>
+#include <sys/resource.h>
 #include <thread>
+#include <unistd.h>
 
 namespace marjorambay {
 
@@ -15,6 +20,29 @@
 
 } // namespace
 
+void openStandardStreams() {
+  for (int Stream = STDIN_FILENO; Stream <= STDERR_FILENO; ++Stream)
+    if (fcntl(Stream, F_GETFD) < 0 && errno == EBADF)
+      open("/dev/null", O_RDWR); // gets the lowest free number
+}
+
+void raiseDescriptorLimit(std::uint64_t Wanted) {
+  rlimit Limit{};
+  if (getrlimit(RLIMIT_NOFILE, &Limit) != 0)
+    return;
+  const rlim_t Target =
+      Wanted == 0 ? Limit.rlim_max : std::min<rlim_t>(Wanted, Limit.rlim_max);
+  if (Target <= Limit.rlim_cur)
+    return;
+  const rlim_t Before = Limit.rlim_cur;
+  Limit.rlim_cur = Target;
+  if (setrlimit(RLIMIT_NOFILE, &Limit) != 0)
+    return;
+  LogLine("descriptor_limit_raised")
+      .with("was", static_cast<std::int64_t>(Before))
+      .with("limit", static_cast<std::int64_t>(Target));
+}
+
 Result<Done> awaitAddress(std::string_view Listener,
                           const std::function<Result<Done>()> &Bind) {
   std::string Logged;
@@ -44,6 +72,12 @@
   return Bound;
 }
 
+void exitOutOfMemory() {
+  constexpr std::string_view Line = "marjorambayd: out of memory\n";
+  const ssize_t Written = write(STDERR_FILENO, Line.data(), Line.size());
+  _exit(Written < 0 ? 1 : traitsOf(ErrorKind::Internal).ExitCode);
+}
+
 int reportFailedStart(const Error &Reason) {
   const int Code = traitsOf(Reason.Kind).ExitCode;
   LogLine("start_failed", LogLevel::Error)
--- a/apps/marjorambayd/startup.h
+++ b/apps/marjorambayd/startup.h
@@ -15,6 +15,14 @@
 /// that are installed alone.
 void setStartSignals();
 
+/// Opens /dev/null for standard descriptors that are closed. Otherwise a socket
+/// gets such a number, and log lines are written to its peer.
+void openStandardStreams();
+
+/// Raises the soft limit of descriptors to \p Wanted, or to the hard limit if
+/// that is lower or \p Wanted is 0.
+void raiseDescriptorLimit(std::uint64_t Wanted);
+
 /// Reads the settings file. A file that is missing, or incomplete because it is
 /// still being written, is read again for a few seconds. Logs each setting that
 /// is not used as given.
@@ -27,6 +35,9 @@
 Result<Done> awaitAddress(std::string_view Listener,
                           const std::function<Result<Done>()> &Bind);
 
+/// Says that there is no memory, and exits. Allocates nothing.
+[[noreturn]] void exitOutOfMemory();
+
 /// Logs that the process can't start, and returns its exit code.
 int reportFailedStart(const Error &Reason);
 
--- a/tests/system/start_test.py
+++ b/tests/system/start_test.py
@@ -226,5 +226,35 @@
         self.assertIn("event=drain_started", host.log.read_text())
 
 
+class SurroundingsTest(unittest.TestCase):
+    # Guards against log lines that are written into a connection.
+    def test_closed_standard_descriptors_are_not_given_to_sockets(self):
+        host = Start(self)
+        host.settings.write_text(host.text())
+        host.spawn(stdin=None, stdout=None, stderr=None,
+                   preexec_fn=lambda: [os.close(each) for each in (0, 1, 2)])
+        wait_until(lambda: get(host.ports[3], "/metrics").status == 200,
+                   "start")
+        for each in (0, 1, 2):
+            target = os.readlink(f"/proc/{host.process.pid}/fd/{each}")
+            self.assertEqual(target, "/dev/null")
+
+    def test_a_low_soft_limit_of_descriptors_is_raised(self):
+        host = Start(self)
+        host.settings.write_text(host.text())
+        _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        host.spawn(preexec_fn=lambda: resource.setrlimit(
+            resource.RLIMIT_NOFILE, (64, hard)))
+        self.assertEqual(host.ended_or_started(), "started")
+        soft, _ = resource.prlimit(host.process.pid, resource.RLIMIT_NOFILE)
+        self.assertEqual(soft, min(4100, hard))
+
+    def test_a_host_starts_with_an_empty_environment(self):
+        host = Start(self)
+        host.settings.write_text(host.text())
+        host.spawn(env={"LANG": "xx_YY.UTF-8"}, cwd="/")
+        self.assertEqual(host.ended_or_started(), "started")
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/system_tests.cmake
+++ b/tests/system_tests.cmake
@@ -35,7 +35,7 @@
   marjorambay_system_test(zone_${Class} zone_test.py 150 ${Class})
 endforeach()
 # Starts in odd surroundings.
-foreach(Class SettingsTest PortTest SignalTest)
+foreach(Class SettingsTest PortTest SignalTest SurroundingsTest)
   marjorambay_system_test(start_${Class} start_test.py 150 ${Class})
 endforeach()
 marjorambay_system_test(zone_arbiters zone_arbiter_test.py 150)
