Memory: one budget, and bodies are admitted before they are read

Cause: nothing bounded the bodies of requests in all. The caller server held up to max_body_bytes for each connection, the call kept its body, and the socket to the target copied it, so that a process exceeded the memory that it is told and was ended with all requests in it. Change: MemoryBudget divides memory_mb into a share for each owner. A body is reserved by its length before it is read (a chunked one as it grows); one that does not fit waits with its connection's reading paused, then gets 503 memory_full with Retry-After, before it is scheduled. Short bodies have a reserve. The bounds of responses are derived from the limit. A body is held once, shared by the call and its connections, and long responses are sent without a copy. Receive buffers are bounded; freed long buffers go back to the system. Waiting requests get 503 when the host stops. A connection that is to close after a 503 goes on discarding what its caller sends, instead of resetting it. Log lines memory_pressure_started and _ended, also in explain; metrics by owner.

--- a/apps/marjorambayctl/explain_verb.cpp
+++ b/apps/marjorambayctl/explain_verb.cpp
@@ -18,7 +18,8 @@
 /// event of each kind before a line of the request is shown with that line.
 constexpr auto ContextEvents = std::to_array<std::string_view>(
     {"config_in_force", "pool_load", "arbiter_changed", "platform_source",
-     "zone_evacuated", "zone_evacuation_ended", "store_lost"});
+     "zone_evacuated", "zone_evacuation_ended", "store_lost",
+     "memory_pressure_started", "memory_pressure_ended"});
 
 /// Events that describe the state of one target. The last one before a line of
 /// the request that names the target is shown with that line.
--- a/apps/marjorambayd/forward_dispatch.cpp
+++ b/apps/marjorambayd/forward_dispatch.cpp
@@ -19,8 +19,6 @@
 constexpr Duration MaxIdleIdempotent = seconds(4);
 /// Maximum size of a buffered response; all but event streams are buffered.
 constexpr std::size_t MaxBufferedBytes = 8 << 20;
-/// Maximum size of the buffers of all responses. A host has about 100 MB.
-constexpr std::size_t MaxBufferedBytesInAll = 24 << 20;
 /// Unread bytes of a stream above which its caller counts as disconnected.
 constexpr std::size_t MaxUnreadBytes = 1 << 20;
 
@@ -461,7 +459,7 @@
     if (Largest == nullptr || Size > Largest->BufferedBody.capacity())
       Largest = &Call;
   }
-  if (Total > MaxBufferedBytesInAll)
+  if (Total > H.Memory.Budget.share(MemoryOwner::BufferedResponses))
     failOversized(H, *Largest, "responses too long in all");
 }
 
@@ -556,8 +554,9 @@
     return failCall(H, Call, ErrorKind::TargetFailed);
   if (Call.FirstEventAt == TimePoint{})
     Call.FirstEventAt = H.Loop.now();
-  H.Callers.answer(Call.Exchange, Call.Current.Status, Call.ResponseHeaders,
-                   Call.BufferedBody);
+  H.Callers.answer(
+      Call.Exchange, Call.Current.Status, Call.ResponseHeaders,
+      std::make_shared<const std::string>(std::move(Call.BufferedBody)));
   H.Stats.add(Failed ? TierCounter::Failed : TierCounter::Goodput, Call.Tier);
   endCall(H, Call, Failed ? "target_status" : ServedOutcome);
 }
@@ -694,7 +693,7 @@
   Request.Method = Call.Method;
   Request.RequestTarget = Call.RequestTarget;
   Request.Headers = headersFor(H, Call, Target);
-  Request.Body = Call.Body;
+  Request.SharedBody = Call.Body;
   Request.CorrelationHeader = H.HeaderNames.RequestId;
   Request.CorrelationId = Call.Name;
   const bool Cold = isCold(H, Target.Id);
--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -12,6 +12,7 @@
 #ifndef MARJORAMBAY_APPS_MARJORAMBAYD_FORWARD_HOST_H
 #define MARJORAMBAY_APPS_MARJORAMBAYD_FORWARD_HOST_H
 
+#include "forward_memory.h"
 #include "peer_codec.h"
 
 #include "marjorambay/coordination.h"
@@ -155,7 +156,8 @@
   std::string Method{};
   std::string RequestTarget{}; ///< path and query
   HttpHeaders Headers{};
-  std::string Body{};
+  /// Never null; shared with the connections that send it.
+  std::shared_ptr<const std::string> Body{};
   std::string LastEventId{}; ///< last event that the caller has; the stream
                              ///< resumes after it
   std::uint32_t PromptTokens = 0;
@@ -381,6 +383,7 @@
   bool RejectingRequests = false; ///< about to stop: rejects new requests
   std::vector<TimerConnection> Subscriptions{};
 
+  BodyMemory Memory; ///< before all that holds bodies
   CallerServer Callers;
   HttpServer Probes;    ///< readiness probes
   HttpServer Operators; ///< metrics for operators
@@ -513,7 +516,16 @@
 RequestKey reservationKey(const ForwardHost &H, RequestId Slot);
 ForwardCall *findCall(ForwardHost &H, RequestId Id);
 
+// forward_memory.cpp
+void startMemory(ForwardHost &H);
+/// Answers the requests that wait for memory, and those that would.
+void stopWaitingForMemory(ForwardHost &H);
+/// Returns the metrics of memory in the Prometheus text format.
+std::string memoryMetrics(const ForwardHost &H);
+
 // forward_requests.cpp
+/// Returns the time that the caller allows, or the default.
+Duration requestedTime(const ForwardHost &H, const HttpHead &Head);
 /// Outcome of requests whose complete response was sent to the caller.
 inline constexpr std::string_view ServedOutcome = "served";
 void startRequests(ForwardHost &H);
--- a/apps/marjorambayd/forward_lifecycle.cpp
+++ b/apps/marjorambayd/forward_lifecycle.cpp
@@ -35,8 +35,10 @@
   return Bounds;
 }
 
-CallerServerLimits limitsOf(const HostSettings &Settings) {
+CallerServerLimits limitsOf(const HostSettings &Settings,
+                            const MemoryBudget &Budget) {
   CallerServerLimits Limits;
+  Limits.MaxUnsentBytes = Budget.share(MemoryOwner::UnsentResponses);
   Limits.MaxHeaderBytes = Settings.MaxHeaderBytes;
   Limits.MaxBodyBytes = Settings.MaxBodyBytes;
   Limits.MaxConnections = Settings.MaxConnections;
@@ -92,7 +94,8 @@
                                   "marjorambay_limited_targets " +
                                   std::to_string(H.Limits.size()) + "\n" +
                                   zoneMetrics(H) + evacuationMetrics(H) +
-                                  rampMetrics(H) + warmupMetrics(H));
+                                  rampMetrics(H) + warmupMetrics(H) +
+                                  memoryMetrics(H));
   H.Operators.answer(View.Id, 404, PlainText, "no such path\n");
 }
 
@@ -144,6 +147,7 @@
   LogLine("drain_started")
       .with("in_progress", static_cast<std::int64_t>(H.Calls.size()));
   H.Callers.disableKeepAlive();
+  stopWaitingForMemory(H);
   H.DeregisterRequested.emit();
   H.Subscriptions.push_back(
       H.Timers.every(DrainCheck, [&H]() { checkDrain(H); }));
@@ -156,7 +160,8 @@
       Bounds(boundsOf(Settings)), Self(hostInfoFrom(Settings)),
       Incarnation(incarnationAt(Loop.wallClockNow())), StartedAt(Loop.now()),
       Random(number(Self.Id) ^ number(Incarnation)),
-      Callers(Loop, Timers, limitsOf(Settings)),
+      Memory(Loop, Settings.MemoryMb),
+      Callers(Loop, Timers, limitsOf(Settings, Memory.Budget)),
       Probes(Loop, Timers, HttpServerLimits{}),
       Operators(Loop, Timers, HttpServerLimits{}), ObjectServer(Loop, Timers),
       HoldOffs(TargetHoldOffSettings{.MaxHoldOff = Settings.MaxHoldOff}) {}
@@ -181,6 +186,7 @@
       return error(Started);
   readZoneRegions(H);
   startRequests(H);
+  startMemory(H);
   const auto AddTimer = [&H](Duration Interval, sigc::slot<void()> Work) {
     H.Subscriptions.push_back(H.Timers.every(Interval, std::move(Work)));
   };
@@ -224,7 +230,7 @@
       .with("was", static_cast<std::int64_t>(Current))
       .with("routes", static_cast<std::int64_t>(Config.Routes.size()))
       .with("accounts", static_cast<std::int64_t>(Config.Accounts.size()));
-  CallerServerLimits Limits = limitsOf(H.Settings);
+  CallerServerLimits Limits = limitsOf(H.Settings, H.Memory.Budget);
   Limits.MaxHeaderBytes = Config.Limits.MaxHeaderBytes;
   Limits.MaxBodyBytes = Config.Limits.MaxBodyBytes;
   Limits.HeaderTimeout = Config.Limits.HeaderTimeout;
--- a/apps/marjorambayd/forward_requests.cpp
+++ b/apps/marjorambayd/forward_requests.cpp
@@ -145,7 +145,7 @@
     Bytes += Part;
     Bytes += '\n';
   }
-  for (const std::uint64_t Part : {number(Call.Account), hash64(Call.Body)})
+  for (const std::uint64_t Part : {number(Call.Account), hash64(*Call.Body)})
     Bytes += std::to_string(Part) + '\n';
   return {CrashKeyKind::Request, hash64(Bytes) >> 1};
 }
@@ -267,16 +267,12 @@
   Call.Name = Head.header(H.HeaderNames.RequestId);
   Call.Method = Head.Method;
   Call.Headers = forwardedHeaders(H, Head);
-  Call.Body = std::move(Request.Body);
+  Call.Body = Request.Body;
   Call.LastEventId = Head.header(H.HeaderNames.LastEventId);
   Call.Pool = selectPool(*Call.Route, drawFraction(H.Random));
-  const Duration Requested = milliseconds(std::min<std::uint64_t>(
-      parseNumber(
-          Head.header(H.HeaderNames.DeadlineMs),
-          std::chrono::duration_cast<milliseconds>(DefaultDeadline).count()),
-      3'600'000));
   Call.CrashKeys.push_back(fingerprintOf(Call, Head.header("host")));
-  Call.Deadline = Call.Arrived + std::min(Requested, Call.Route->Timeout);
+  Call.Deadline =
+      Call.Arrived + std::min(requestedTime(H, Head), Call.Route->Timeout);
   H.Stats.add(TierCounter::Received, Call.Tier);
   H.Pools[Call.Pool].Retries.deposit();
   const RequestId Id = Call.Id;
@@ -288,7 +284,11 @@
                      ErrorKind Kind) {
   const std::string Name(Head.header(H.HeaderNames.RequestId));
   LogLine("request_refused").with("request", Name).with("reason", nameOf(Kind));
-  respondWithError(H, Exchange, {Kind, "the request can't be parsed"}, Name,
+  const std::string_view Message =
+      Kind == ErrorKind::MemoryFull     ? "too many long requests at present"
+      : Kind == ErrorKind::ShuttingDown ? "this host is stopping"
+                                        : "the request can't be parsed";
+  respondWithError(H, Exchange, {Kind, std::string(Message)}, Name,
                    MayHaveRun::No);
 }
 
@@ -349,6 +349,15 @@
 
 } // namespace
 
+Duration requestedTime(const ForwardHost &H, const HttpHead &Head) {
+  constexpr std::uint64_t MaxMs = 3'600'000;
+  return milliseconds(std::min(
+      parseNumber(
+          Head.header(H.HeaderNames.DeadlineMs),
+          std::chrono::duration_cast<milliseconds>(DefaultDeadline).count()),
+      MaxMs));
+}
+
 void startRequests(ForwardHost &H) {
   H.Callers.RequestArrived.connect(
       [&H](CallerRequest &Request) { handleRequest(H, Request); });
--- a/apps/marjorambayd/main.cpp
+++ b/apps/marjorambayd/main.cpp
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <cstdio>
 #include <iostream>
+#include <malloc.h>
 #include <string>
 #include <vector>
 
@@ -89,6 +90,17 @@
   return traitsOf(Reason.Kind).ExitCode;
 }
 
+/// Returns long buffers to the system when they are freed: the allocator would
+/// otherwise raise its threshold and keep them on a fragmented heap.
+void limitAllocator() {
+  constexpr int MappedBytes = 256 << 10; // longer ones are mapped
+  constexpr int TrimBytes = 1 << 20;     // free memory at the end of the heap
+  constexpr int Arenas = 2;              // the loop's and that of the log
+  mallopt(M_MMAP_THRESHOLD, MappedBytes);
+  mallopt(M_TRIM_THRESHOLD, TrimBytes);
+  mallopt(M_ARENA_MAX, Arenas);
+}
+
 /// Serves forwarded routes on the users' platform.
 int runForwarding(HostSettings Settings) {
   const Result<SocketAddress> Store = parseAddress(Settings.PlatformAddress);
@@ -122,6 +134,7 @@
 } // namespace
 
 int main(int Count, char **Values) {
+  limitAllocator();
   // Until the loop handles SIGHUP, a reload would terminate the process.
   std::signal(SIGHUP, SIG_IGN);
   const auto Read = readArguments(Count, Values);
--- a/packages/state/marjorambay/state/error.h
+++ b/packages/state/marjorambay/state/error.h
@@ -54,6 +54,7 @@
   Internal,
   // Later kinds are appended: hosts of other builds know them by their number.
   CrashingRequest, ///< targets crash under such requests
+  MemoryFull,      ///< no memory for the request's body
 };
 
 template <>
@@ -92,9 +93,10 @@
         "timeout",
         "internal",
         "crashing_request",
+        "memory_full",
     });
 inline constexpr std::size_t ErrorKindCount =
-    static_cast<std::size_t>(ErrorKind::CrashingRequest) + 1;
+    static_cast<std::size_t>(ErrorKind::MemoryFull) + 1;
 static_assert(NamesOf<ErrorKind>.size() == ErrorKindCount);
 
 /// Whether the request may have been executed by a target.
--- a/packages/state/src/error.cpp
+++ b/packages/state/src/error.cpp
@@ -47,6 +47,7 @@
     {Timeout, 504, NotRun, AfterWait, 6},
     {Internal, 500, MaybeRun, NewKey, 1},
     {CrashingRequest, 503, NotRun, AfterWait, 5},
+    {MemoryFull, 503, NotRun, AfterWait, 5},
 });
 static_assert(Traits.size() == ErrorKindCount);
 
--- a/packages/transport/marjorambay/transport/caller_server.h
+++ b/packages/transport/marjorambay/transport/caller_server.h
@@ -8,6 +8,7 @@
 #ifndef MARJORAMBAY_TRANSPORT_CALLER_SERVER_H
 #define MARJORAMBAY_TRANSPORT_CALLER_SERVER_H
 
+#include "marjorambay/transport/body_admission.h"
 #include "marjorambay/transport/http1.h"
 #include "marjorambay/transport/retiring_map.h"
 #include "marjorambay/transport/stream_socket.h"
@@ -26,16 +27,21 @@
   std::size_t MaxBodyBytes = 4 << 20;
   std::size_t MaxConnections = 2000;
   Duration HeaderTimeout = seconds(3); ///< first byte to end of the head
-  Duration BodyTimeout = seconds(15);  ///< end of the head to last byte
-  Duration IdleTimeout = seconds(15);  ///< between requests
+  /// End of the head to last byte, without the time for which the body waits to
+  /// be read.
+  Duration BodyTimeout = seconds(15);
+  Duration IdleTimeout = seconds(15); ///< between requests
+  /// What callers have yet to read, together.
+  std::size_t MaxUnsentBytes = 24 << 20;
 };
 
-/// A complete request. Valid only while RequestArrived is emitted; a handler
-/// may move the body out.
+/// A complete request. Valid only while RequestArrived is emitted.
 struct CallerRequest {
   ExchangeId Id{};
   const HttpHead &Head;
-  std::string &Body;
+  /// Never null. Its memory counts as held until the last copy of the pointer
+  /// is gone.
+  std::shared_ptr<const std::string> Body;
 };
 
 /// Receives requests and sends their responses. An exchange ends with answer(),
@@ -54,6 +60,12 @@
   /// Applies to all connections at once, except MaxHeaderBytes, which applies
   /// to new connections.
   void setLimits(const CallerServerLimits &NewLimits) { Limits = NewLimits; }
+  /// Without it, all bodies are admitted.
+  void setBodyAdmission(BodyAdmission &Decider) { Admission = &Decider; }
+  /// Reads a body that waited.
+  void admitBody(CallerBodyId Id);
+  /// Rejects the request of a body that waited.
+  void refuseBody(CallerBodyId Id);
   /// From now on, each connection closes after its next response, or after the
   /// last of the requests that have arrived on it.
   void disableKeepAlive();
@@ -64,6 +76,9 @@
 
   void answer(ExchangeId Id, int Status, const HttpHeaders &Headers,
               std::string_view Body);
+  /// The same, without a copy of a long body.
+  void answer(ExchangeId Id, int Status, const HttpHeaders &Headers,
+              const std::shared_ptr<const std::string> &Body);
   /// Starts a response of unknown length, sent in chunks, or up to the end of
   /// the connection if the caller does not support them.
   void beginResponse(ExchangeId Id, int Status, const HttpHeaders &Headers);
@@ -81,6 +96,8 @@
   std::size_t exchanges() const { return Exchanges.size(); }
   /// Whether part of some response is not yet written to its socket.
   bool sending() const;
+  /// Bytes of responses that are not yet written to their sockets.
+  std::size_t unsentBytes() const;
 
   sigc::signal<void(CallerRequest &)> RequestArrived{};
   /// The request is malformed, exceeds a limit or arrives too slowly. The
@@ -99,6 +116,12 @@
   void addConnection(int Descriptor);
   void handleBytes(Connection &Conn, std::string_view Bytes);
   void parseRequests(Connection &Conn);
+  void handleHead(Connection &Conn, const HttpHead &Head);
+  void handleBody(Connection &Conn, std::string_view Bytes);
+  /// Asks for memory for the body that is being read.
+  void requestMemory(Connection &Conn, std::size_t Bytes);
+  void waitForMemory(Connection &Conn);
+  void releaseBody(Connection &Conn);
   void handleRequest(Connection &Conn);
   void rejectRequest(Connection &Conn, ErrorKind Reason);
   void handleClose(Connection &Conn);
@@ -111,10 +134,17 @@
   void closeTimedOut();
   bool closesAfterResponse(const Connection &Conn) const;
   Connection *find(ExchangeId Id) const;
+  /// Queues the head of a response; returns nullptr if the exchange has ended.
+  Connection *queueHead(ExchangeId Id, int Status, const HttpHeaders &Headers,
+                        std::size_t BodySize);
+  static void continueBody(Connection &Conn);
 
   EventLoop &Loop;
   CallerServerLimits Limits;
   int Listener = -1;
+  BodyAdmission *Admission = nullptr;
+  std::uint64_t LastBody = 0;
+  std::unordered_map<CallerBodyId, ConnectionId> WaitingBodies{};
   EventPtr AcceptEvent{};
   bool KeepAliveDisabled = false;
   std::uint64_t LastConnection = 0;
--- a/packages/transport/marjorambay/transport/keep_alive_client.h
+++ b/packages/transport/marjorambay/transport/keep_alive_client.h
@@ -67,6 +67,8 @@
   std::string RequestTarget{}; ///< path including the query
   HttpHeaders Headers{};       ///< without Content-Length, which is added
   std::string_view Body{};     ///< copied
+  /// Instead of Body: held until it has been sent.
+  std::shared_ptr<const std::string> SharedBody{};
   /// Response header with the id of the request; empty: not checked.
   std::string CorrelationHeader{};
   /// Empty: a new connection is used, if responses are checked.
--- a/packages/transport/marjorambay/transport/stream_socket.h
+++ b/packages/transport/marjorambay/transport/stream_socket.h
@@ -13,8 +13,10 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace marjorambay {
 
@@ -60,14 +62,25 @@
   void queue(std::string_view Bytes) {
     if (unsent() == 0)
       ProgressAt = Loop.now();
-    Out.append(Bytes);
+    if (Shared.empty()) {
+      Out.append(Bytes);
+      return;
+    }
+    Shared.back().After.append(Bytes);
+    SharedUnsent += Bytes.size();
   }
+  /// The same without a copy of long ones, which are held until they have been
+  /// sent.
+  void queueShared(std::shared_ptr<const std::string> Bytes);
   /// Sends as many queued bytes as the connection accepts.
   void flush();
 
   /// Stops or resumes reading; the end of the connection is not detected while
   /// reading is paused.
   void pauseReading(bool Paused);
+  /// Whether the peer has closed the connection or its sending direction, as
+  /// far as that can be told without reading.
+  bool peerClosed() const;
   /// Shuts down the sending direction; reading continues.
   void shutdownWrite();
   void close();
@@ -76,7 +89,7 @@
 
   bool open() const { return Descriptor >= 0; }
   bool connected() const { return Descriptor >= 0 && !Connecting; }
-  std::size_t unsent() const { return Out.size() - Sent; }
+  std::size_t unsent() const { return Out.size() - Sent + SharedUnsent; }
   /// When the connection last accepted queued bytes, or the first was queued.
   TimePoint lastProgress() const { return ProgressAt; }
   /// Returns for how long the peer has acknowledged nothing, as far as the
@@ -90,6 +103,8 @@
   void setWriteInterest(bool Enabled);
   void read();
   void finishConnect();
+  std::string_view nextBytes() const;
+  void recordSent(std::size_t Bytes);
   void releaseSent();
   void end(SocketCloseReason Reason);
 
@@ -101,8 +116,16 @@
   bool ResetSeen = false; ///< a write failed because of a reset
   EventPtr ReadEvent{};
   EventPtr WriteEvent{};
+  /// Bytes that are owned elsewhere as well, and those queued after them.
+  struct SharedBytes {
+    std::shared_ptr<const std::string> Bytes{};
+    std::string After{};
+  };
   std::string Out{};
-  std::size_t Sent = 0; ///< bytes of Out that have been sent
+  std::size_t Sent = 0;              ///< bytes of Out that have been sent
+  std::vector<SharedBytes> Shared{}; ///< to be sent after Out
+  std::size_t SharedSent = 0;        ///< bytes of the first one
+  std::size_t SharedUnsent = 0;      ///< bytes of all, with those after them
   TimePoint ProgressAt{};
   PeerSilence Silence{};
 };
@@ -110,6 +133,10 @@
 /// Listens at \p Address. Returns the descriptor, or BadSettings.
 Result<int> listenAt(const SocketAddress &Address);
 
+/// Bounds what the kernel holds of bytes that have been received and not read.
+/// Connections that a listening socket accepts inherit it.
+void limitReceiveBuffer(int Descriptor, int Bytes);
+
 /// Port that a listening descriptor is bound to.
 std::uint16_t portOf(int Descriptor);
 
--- a/packages/transport/src/caller_server.cpp
+++ b/packages/transport/src/caller_server.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <cstdio>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -29,12 +30,16 @@
 constexpr Duration MaxCallerSilence = seconds(2);
 /// Above the idle timeout, after which a caller that reads nothing is closed.
 constexpr SocketTimeouts CallerTimeouts{seconds(60)};
-/// Maximum size of what callers have yet to read, together.
-constexpr std::size_t MaxUnsentBytesInAll = 24 << 20;
+/// What the kernel may hold of a caller's bytes that are not read. A connection
+/// that waits for memory fills it.
+constexpr int CallerReceiveBuffer = 64 << 10;
+/// Memory that is reserved at first for a body of unknown length.
+constexpr std::size_t FirstBodyBytes = 64 << 10;
 
 enum class ConnectionState : std::uint8_t {
   Idle,      ///< no byte of the next request has arrived
   Reading,   ///< part of a request has arrived
+  Waiting,   ///< the body is not read until there is memory for it
   Answering, ///< an exchange is in progress
   Lingering, ///< the last response was sent
 };
@@ -51,6 +56,26 @@
   }
 }
 
+/// What is decided on the body of a request that is not complete.
+enum class BodyState : std::uint8_t {
+  Admitted, ///< or there is none
+  Waiting,  ///< until there is memory for it
+  Refused,
+  TooLarge,
+};
+
+/// Length that a head announces; 0 if it announces none.
+std::size_t announcedLength(const HttpHead &Head) {
+  const std::string_view Text = Head.header("content-length");
+  std::size_t Length = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Length);
+  return Length;
+}
+
+bool expectsContinue(const HttpHead &Head) {
+  return equalsIgnoringCase(Head.header("expect"), "100-continue");
+}
+
 void appendHead(std::string &Out, int Status, const HttpHeaders &Headers) {
   Out += "HTTP/1.1 ";
   Out += std::to_string(Status);
@@ -76,14 +101,18 @@
   Http1Parser Parser;
   ConnectionState State = ConnectionState::Idle;
   std::string Body{};
+  CallerBodyId BodyId{};         ///< 0 if no memory was asked for
+  std::size_t BodyRequested = 0; ///< bytes
+  BodyState BodyStatus = BodyState::Admitted;
+  bool Complete = false;  ///< the body has arrived, but waits for memory
   std::string Unparsed{}; ///< received bytes that are not parsed yet
-  bool BodyTooLarge = false;
   bool Parsing = false;
   ExchangeId Exchange{};
   bool KeepAlive = true; ///< the connection stays open after this exchange
   bool Http10 = false;   ///< the caller doesn't support chunked encoding
   bool HeadRequest = false;
   TimePoint StateStart{}; ///< start of the state; in a body, end of the head
+  TimePoint LingerStart{};
 };
 
 CallerServer::CallerServer(EventLoop &Loop, TimerService &Timers,
@@ -105,6 +134,7 @@
   if (!ok(Created))
     return error(Created);
   Listener = value(Created);
+  limitReceiveBuffer(Listener, CallerReceiveBuffer);
   AcceptEvent.reset(event_new(Loop.base(), Listener, EV_READ | EV_PERSIST,
                               &CallerServer::onAcceptable, this));
   event_add(AcceptEvent.get(), nullptr);
@@ -133,12 +163,11 @@
   Connection &Conn = *Created;
   Conn.Id = static_cast<ConnectionId>(++LastConnection);
   Conn.StateStart = Loop.now();
-  Conn.Parser.OnHead = [&Conn](const HttpHead &) { Conn.Body.clear(); };
+  Conn.Parser.OnHead = [this, &Conn](const HttpHead &Head) {
+    handleHead(Conn, Head);
+  };
   Conn.Parser.OnBody = [this, &Conn](std::string_view Bytes) {
-    Conn.BodyTooLarge = Conn.BodyTooLarge ||
-                        Conn.Body.size() + Bytes.size() > Limits.MaxBodyBytes;
-    if (!Conn.BodyTooLarge)
-      Conn.Body.append(Bytes);
+    handleBody(Conn, Bytes);
   };
   Conn.Socket.OnBytes = [this, &Conn](std::string_view Bytes) {
     handleBytes(Conn, Bytes);
@@ -149,10 +178,107 @@
   Conn.Socket.adopt(Descriptor, CallerTimeouts);
 }
 
+void CallerServer::handleHead(Connection &Conn, const HttpHead &Head) {
+  Conn.Body.clear();
+  const std::size_t Length = announcedLength(Head);
+  const bool Chunked = Head.Framing == BodyFraming::Chunked;
+  if (Length > Limits.MaxBodyBytes)
+    Conn.BodyStatus = BodyState::TooLarge;
+  else if (Length != 0 || Chunked)
+    requestMemory(Conn, Chunked ? std::min(FirstBodyBytes, Limits.MaxBodyBytes)
+                                : Length);
+}
+
+void CallerServer::requestMemory(Connection &Conn, std::size_t Bytes) {
+  if (Admission == nullptr)
+    return;
+  if (Conn.BodyId == CallerBodyId{})
+    Conn.BodyId = static_cast<CallerBodyId>(++LastBody);
+  Conn.BodyRequested = Bytes;
+  switch (Admission->request(Conn.BodyId, Bytes, Conn.Parser.head())) {
+  case BodyAdmissionResult::Admitted:
+    Conn.Body.reserve(Bytes);
+    return;
+  case BodyAdmissionResult::Waiting:
+    Conn.BodyStatus = BodyState::Waiting;
+    return;
+  case BodyAdmissionResult::Refused:
+    Conn.BodyStatus = BodyState::Refused;
+  }
+}
+
+/// Bytes that were read with the head are kept while the body waits.
+void CallerServer::handleBody(Connection &Conn, std::string_view Bytes) {
+  const std::size_t Size = Conn.Body.size() + Bytes.size();
+  if (Size > Limits.MaxBodyBytes)
+    Conn.BodyStatus = BodyState::TooLarge;
+  if (Size > Conn.BodyRequested && Conn.BodyStatus == BodyState::Admitted)
+    requestMemory(Conn, std::min(std::max(Size, 2 * Conn.BodyRequested),
+                                 Limits.MaxBodyBytes));
+  if (Conn.BodyStatus == BodyState::Admitted ||
+      Conn.BodyStatus == BodyState::Waiting)
+    Conn.Body.append(Bytes);
+}
+
+void CallerServer::waitForMemory(Connection &Conn) {
+  Conn.State = ConnectionState::Waiting;
+  Conn.StateStart = Loop.now();
+  Conn.Socket.pauseReading(true);
+  WaitingBodies.emplace(Conn.BodyId, Conn.Id);
+}
+
+void CallerServer::continueBody(Connection &Conn) {
+  if (!Conn.Body.empty() || !expectsContinue(Conn.Parser.head()))
+    return;
+  Conn.Socket.queue("HTTP/1.1 100 Continue\r\n\r\n");
+  Conn.Socket.flush();
+}
+
+void CallerServer::admitBody(CallerBodyId Id) {
+  const auto Found = WaitingBodies.find(Id);
+  if (Found == WaitingBodies.end())
+    return;
+  Connection &Conn = Connections.at(Found->second);
+  WaitingBodies.erase(Found);
+  if (Conn.Socket.peerClosed())
+    return handleClose(Conn);
+  Conn.Body.reserve(Conn.BodyRequested);
+  Conn.BodyStatus = BodyState::Admitted;
+  Conn.State = ConnectionState::Reading;
+  Conn.StateStart = Loop.now();
+  Conn.Socket.pauseReading(false);
+  if (Conn.Complete)
+    return handleRequest(Conn);
+  continueBody(Conn);
+}
+
+void CallerServer::refuseBody(CallerBodyId Id) {
+  const auto Found = WaitingBodies.find(Id);
+  if (Found != WaitingBodies.end())
+    rejectRequest(Connections.at(Found->second), Admission->refusalReason());
+}
+
+void CallerServer::releaseBody(Connection &Conn) {
+  Conn.Body = {};
+  Conn.BodyRequested = 0;
+  Conn.BodyStatus = BodyState::Admitted;
+  Conn.Complete = false;
+  if (Conn.BodyId == CallerBodyId{})
+    return;
+  WaitingBodies.erase(Conn.BodyId);
+  Admission->release(Conn.BodyId);
+  Conn.BodyId = {};
+}
+
 void CallerServer::handleBytes(Connection &Conn, std::string_view Bytes) {
   switch (Conn.State) {
   case ConnectionState::Lingering:
+    // A caller that is still sending may read its response only afterwards.
+    if (const TimePoint Now = Loop.now();
+        Now - Conn.LingerStart < Limits.BodyTimeout)
+      Conn.StateStart = Now;
     return;
+  case ConnectionState::Waiting: // one read may follow the pause
   case ConnectionState::Answering:
     Conn.Unparsed.append(Bytes);
     if (Conn.Unparsed.size() > MaxPipelinedBytes)
@@ -170,8 +296,8 @@
     return; // answer() was called within RequestArrived; the outer call goes on
   Conn.Parsing = true;
   while (!Conn.Unparsed.empty() && Conn.Socket.open() &&
-         Conn.State != ConnectionState::Answering &&
-         Conn.State != ConnectionState::Lingering) {
+         (Conn.State == ConnectionState::Idle ||
+          Conn.State == ConnectionState::Reading)) {
     const bool HadHead = Conn.Parser.headComplete();
     if (Conn.State == ConnectionState::Idle) {
       Conn.State = ConnectionState::Reading;
@@ -182,21 +308,22 @@
     std::string_view Remaining = Input;
     const ParseOutcome Outcome = Conn.Parser.feed(Remaining);
     Conn.Unparsed = std::string(Remaining);
-    if (Conn.BodyTooLarge)
+    if (Conn.BodyStatus == BodyState::TooLarge)
       rejectRequest(Conn, ErrorKind::TooLarge);
+    else if (Conn.BodyStatus == BodyState::Refused)
+      rejectRequest(Conn, Admission->refusalReason());
     else if (Outcome == ParseOutcome::TooLarge)
       rejectRequest(Conn, ErrorKind::HeadersTooLarge);
     else if (Outcome == ParseOutcome::Invalid)
       rejectRequest(Conn, ErrorKind::BadRequest);
-    else if (Outcome == ParseOutcome::Complete)
+    else if (Conn.BodyStatus == BodyState::Waiting) {
+      Conn.Complete = Outcome == ParseOutcome::Complete;
+      waitForMemory(Conn);
+    } else if (Outcome == ParseOutcome::Complete)
       handleRequest(Conn);
     else if (Conn.Parser.headComplete() && !HadHead) {
       Conn.StateStart = Loop.now();
-      if (equalsIgnoringCase(Conn.Parser.head().header("expect"),
-                             "100-continue")) {
-        Conn.Socket.queue("HTTP/1.1 100 Continue\r\n\r\n");
-        Conn.Socket.flush();
-      }
+      continueBody(Conn);
     }
   }
   Conn.Parsing = false;
@@ -210,7 +337,20 @@
   Conn.Http10 = Head.Http10;
   Conn.HeadRequest = Head.Method == "HEAD";
   Exchanges.emplace(Conn.Exchange, Conn.Id);
-  CallerRequest Request{Conn.Exchange, Head, Conn.Body};
+  static const auto NoBody = std::make_shared<const std::string>();
+  CallerRequest Request{Conn.Exchange, Head, NoBody};
+  if (Conn.BodyId != CallerBodyId{}) {
+    Request.Body = {
+        new std::string(std::move(Conn.Body)),
+        [Id = Conn.BodyId, Owner = Admission](const std::string *Body) {
+          delete Body;
+          Owner->release(Id);
+        }};
+    Conn.BodyId = {};
+  } else if (!Conn.Body.empty()) {
+    Request.Body = std::make_shared<const std::string>(std::move(Conn.Body));
+  }
+  releaseBody(Conn);
   RequestArrived.emit(Request);
 }
 
@@ -219,6 +359,7 @@
   Conn.Exchange = static_cast<ExchangeId>(++LastExchange);
   Conn.KeepAlive = false;
   Exchanges.emplace(Conn.Exchange, Conn.Id);
+  releaseBody(Conn);
   RequestRejected.emit(Conn.Exchange, Conn.Parser.head(), Reason);
 }
 
@@ -241,25 +382,45 @@
   return KeepAliveDisabled && Conn.Unparsed.empty();
 }
 
-void CallerServer::answer(ExchangeId Id, int Status, const HttpHeaders &Headers,
-                          std::string_view Body) {
+CallerServer::Connection *CallerServer::queueHead(ExchangeId Id, int Status,
+                                                  const HttpHeaders &Headers,
+                                                  std::size_t BodySize) {
   Connection *Conn = find(Id);
   if (Conn == nullptr)
-    return;
+    return nullptr;
   Conn->KeepAlive = Conn->KeepAlive && !closesAfterResponse(*Conn);
   std::string Head;
   appendHead(Head, Status, Headers);
-  Head += "Content-Length: " + std::to_string(Body.size()) + "\r\n";
+  Head += "Content-Length: " + std::to_string(BodySize) + "\r\n";
   if (!Conn->KeepAlive)
     Head += "Connection: close\r\n";
   Head += "\r\n";
   Conn->Socket.queue(Head);
+  return Conn;
+}
+
+void CallerServer::answer(ExchangeId Id, int Status, const HttpHeaders &Headers,
+                          std::string_view Body) {
+  Connection *Conn = queueHead(Id, Status, Headers, Body.size());
+  if (Conn == nullptr)
+    return;
   if (!Conn->HeadRequest)
     Conn->Socket.queue(Body);
   Conn->Socket.flush();
   finishExchange(*Conn);
 }
 
+void CallerServer::answer(ExchangeId Id, int Status, const HttpHeaders &Headers,
+                          const std::shared_ptr<const std::string> &Body) {
+  Connection *Conn = queueHead(Id, Status, Headers, Body->size());
+  if (Conn == nullptr)
+    return;
+  if (!Conn->HeadRequest)
+    Conn->Socket.queueShared(Body);
+  Conn->Socket.flush();
+  finishExchange(*Conn);
+}
+
 void CallerServer::beginResponse(ExchangeId Id, int Status,
                                  const HttpHeaders &Headers) {
   Connection *Conn = find(Id);
@@ -327,10 +488,9 @@
   Exchanges.erase(Conn.Exchange);
   Conn.Exchange = {};
   Conn.StateStart = Loop.now();
-  Conn.Body = {};
-  Conn.BodyTooLarge = false;
   if (!Conn.KeepAlive) {
     Conn.State = ConnectionState::Lingering;
+    Conn.LingerStart = Conn.StateStart;
     if (Conn.Socket.unsent() == 0)
       lingerThenClose(Conn);
     return;
@@ -361,6 +521,7 @@
 
 void CallerServer::retire(Connection &Conn) {
   Exchanges.erase(Conn.Exchange);
+  releaseBody(Conn);
   Conn.Socket.close();
   Connections.retire(Conn.Id);
 }
@@ -371,6 +532,13 @@
       [](const auto &Entry) { return Entry.second->Socket.unsent() != 0; });
 }
 
+std::size_t CallerServer::unsentBytes() const {
+  std::size_t Bytes = 0;
+  for (const auto &[Id, Conn] : Connections)
+    Bytes += Conn->Socket.unsent();
+  return Bytes;
+}
+
 void CallerServer::disableKeepAlive() { KeepAliveDisabled = true; }
 
 void CallerServer::closeIdleConnections() {
@@ -415,7 +583,7 @@
               return Left->Socket.unsent() > Right->Socket.unsent();
             });
   for (const Connection *Conn : Slow) {
-    if (Unsent <= MaxUnsentBytesInAll)
+    if (Unsent <= Limits.MaxUnsentBytes)
       break;
     Unsent -= Conn->Socket.unsent();
     Drops.push_back({Conn->Id, "reads too slowly"});
@@ -437,6 +605,11 @@
   const TimePoint Now = Loop.now();
   std::vector<Connection *> TimedOut;
   for (const auto &[Id, Conn] : Connections) {
+    if (Conn->State == ConnectionState::Waiting) {
+      if (Conn->Socket.peerClosed())
+        TimedOut.push_back(Conn.get());
+      continue; // whoever admits it bounds its wait
+    }
     const Duration Age = Now - Conn->StateStart;
     const bool InBody = Conn->Parser.headComplete();
     const Duration Limit =
--- a/packages/transport/src/keep_alive_client.cpp
+++ b/packages/transport/src/keep_alive_client.cpp
@@ -144,6 +144,7 @@
   writeRequest(*Conn, Call);
   Conn->Call = std::move(Call);
   Conn->Call.Body = {};
+  Conn->Call.SharedBody.reset();
   if (IsNew && !Conn->Socket.connect(Conn->Address, Conn->Call.Timeouts))
     Loop.defer([this, Id]() {
       const auto Found = Calls.find(Id);
@@ -164,10 +165,12 @@
     Head += Header.Value;
     Head += "\r\n";
   }
-  const bool HasBody = !Call.Body.empty() || Call.Method == "POST" ||
+  const std::size_t BodySize =
+      Call.SharedBody ? Call.SharedBody->size() : Call.Body.size();
+  const bool HasBody = BodySize != 0 || Call.Method == "POST" ||
                        Call.Method == "PUT" || Call.Method == "PATCH";
   if (HasBody)
-    Head += "Content-Length: " + std::to_string(Call.Body.size()) + "\r\n";
+    Head += "Content-Length: " + std::to_string(BodySize) + "\r\n";
   Head += "\r\n";
   Conn.Parser.reset();
   if (Call.Method == "HEAD")
@@ -177,7 +180,10 @@
   Conn.BytesBeforeHead = 0;
   Conn.BodyBytes = 0;
   Conn.Socket.queue(Head);
-  Conn.Socket.queue(Call.Body);
+  if (Call.SharedBody)
+    Conn.Socket.queueShared(Call.SharedBody);
+  else
+    Conn.Socket.queue(Call.Body);
 }
 
 void KeepAliveClient::handleBytes(Connection &Conn, std::string_view Bytes) {
--- a/packages/transport/src/stream_socket.cpp
+++ b/packages/transport/src/stream_socket.cpp
@@ -10,6 +10,7 @@
 #include <cstring>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -22,6 +23,10 @@
 constexpr std::size_t ReadBufferBytes = 64 << 10;
 /// Capacity that an empty buffer of bytes to send may keep.
 constexpr std::size_t KeptBufferBytes = 16 << 10;
+/// Shorter bytes are copied, so that they go out in one call with their head.
+constexpr std::size_t MinSharedBytes = 16 << 10;
+/// Receive buffer of connections that this process opens.
+constexpr int OutgoingReceiveBuffer = 128 << 10;
 constexpr int ListenBacklog = 1024; // connections waiting to be accepted
 constexpr int MaxMissedProbes = 2;
 
@@ -66,6 +71,7 @@
   if (Descriptor < 0)
     return false;
   configure(Descriptor, Timeouts);
+  limitReceiveBuffer(Descriptor, OutgoingReceiveBuffer);
   const sockaddr_in Address = socketAddress(To);
   const int Status = ::connect(
       Descriptor, reinterpret_cast<const sockaddr *>(&Address), sizeof Address);
@@ -128,11 +134,44 @@
     event_del(WriteEvent.get());
 }
 
+void StreamSocket::queueShared(std::shared_ptr<const std::string> Bytes) {
+  if (Bytes->size() < MinSharedBytes)
+    return queue(*Bytes);
+  if (unsent() == 0)
+    ProgressAt = Loop.now();
+  SharedUnsent += Bytes->size();
+  Shared.push_back({std::move(Bytes), {}});
+}
+
+std::string_view StreamSocket::nextBytes() const {
+  if (Sent < Out.size() || Shared.empty())
+    return std::string_view(Out).substr(Sent);
+  return std::string_view(*Shared.front().Bytes).substr(SharedSent);
+}
+
+void StreamSocket::recordSent(std::size_t Bytes) {
+  ProgressAt = Loop.now();
+  if (Sent < Out.size() || Shared.empty()) {
+    Sent += Bytes;
+    return;
+  }
+  SharedSent += Bytes;
+  SharedUnsent -= Bytes;
+  if (SharedSent < Shared.front().Bytes->size())
+    return;
+  Out = std::move(Shared.front().After);
+  Sent = 0;
+  SharedUnsent -= Out.size();
+  SharedSent = 0;
+  Shared.erase(Shared.begin());
+}
+
 void StreamSocket::flush() {
   if (!open() || Connecting)
     return;
   while (unsent() != 0) {
-    const ssize_t Written = ::send(Descriptor, Out.data() + Sent, unsent(),
+    const std::string_view Next = nextBytes();
+    const ssize_t Written = ::send(Descriptor, Next.data(), Next.size(),
                                    MSG_NOSIGNAL | MSG_DONTWAIT);
     if (Written < 0 && errno == EINTR)
       continue;
@@ -148,10 +187,12 @@
       ResetSeen = ResetSeen || errno != EPIPE;
       break;
     }
-    Sent += static_cast<std::size_t>(Written);
-    ProgressAt = Loop.now();
+    recordSent(static_cast<std::size_t>(Written));
   }
   Sent = Out.size();
+  Shared.clear();
+  SharedSent = 0;
+  SharedUnsent = 0;
   releaseSent();
   setWriteInterest(false);
 }
@@ -159,7 +200,7 @@
 /// Drops bytes that have been sent. An idle connection keeps a small buffer
 /// only, and one whose peer reads slowly not much more than it has to send.
 void StreamSocket::releaseSent() {
-  const bool Worthwhile = Sent == Out.size() || Sent > unsent();
+  const bool Worthwhile = Sent == Out.size() || Sent > Out.size() - Sent;
   if (!Worthwhile)
     return;
   if (Out.capacity() > KeptBufferBytes)
@@ -206,6 +247,12 @@
     event_add(ReadEvent.get(), nullptr);
 }
 
+bool StreamSocket::peerClosed() const {
+  pollfd Poll{Descriptor, POLLRDHUP, 0};
+  return open() && ::poll(&Poll, 1, 0) > 0 &&
+         (Poll.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 void StreamSocket::shutdownWrite() {
   if (open())
     ::shutdown(Descriptor, SHUT_WR);
@@ -225,6 +272,9 @@
   if (Descriptor >= 0)
     ::close(Descriptor);
   Descriptor = -1;
+  Shared.clear();
+  SharedSent = 0;
+  SharedUnsent = 0;
 }
 
 void StreamSocket::reset() {
@@ -252,6 +302,10 @@
   return Descriptor;
 }
 
+void limitReceiveBuffer(int Descriptor, int Bytes) {
+  setIntOption(Descriptor, SOL_SOCKET, SO_RCVBUF, Bytes);
+}
+
 std::uint16_t portOf(int Descriptor) {
   sockaddr_in Bound{};
   socklen_t Size = sizeof Bound;
--- a/packages/transport/tests/caller_server_test.cpp
+++ b/packages/transport/tests/caller_server_test.cpp
@@ -26,7 +26,7 @@
     Server.RequestArrived.connect([this](CallerRequest &Request) {
       Arrived.push_back(Request.Id);
       Targets.push_back(Request.Head.RequestTarget);
-      Bodies.push_back(Request.Body);
+      Bodies.push_back(*Request.Body);
     });
     Server.RequestRejected.connect(
         [this](ExchangeId Id, const HttpHead &, ErrorKind Reason) {
--- a/packages/transport/tests/raw_peer.h
+++ b/packages/transport/tests/raw_peer.h
@@ -41,6 +41,9 @@
   void limitReceiveBuffer(int Bytes) const {
     setsockopt(Descriptor, SOL_SOCKET, SO_RCVBUF, &Bytes, sizeof(Bytes));
   }
+  void limitSendBuffer(int Bytes) const {
+    setsockopt(Descriptor, SOL_SOCKET, SO_SNDBUF, &Bytes, sizeof(Bytes));
+  }
   void send(std::string_view Bytes) const {
     REQUIRE(::send(Descriptor, Bytes.data(), Bytes.size(), MSG_NOSIGNAL) ==
             static_cast<ssize_t>(Bytes.size()));
--- a/tests/system/platform_fleet.py
+++ b/tests/system/platform_fleet.py
@@ -105,7 +105,8 @@
             "listen_addresses": {"frontend": f"127.0.0.1:{self.caller}",
                                  "readiness": f"127.0.0.1:{self.ready_port}"},
             "platform": {"address": self.fleet.store_address(self.name)},
-            "limits": {"cpu_quota": 0.25, "link_mbps": 1000},
+            "limits": {"cpu_quota": 0.25, "link_mbps": 1000,
+                       **self.fleet.limits},
             "bounds": {"retry_budget_ratio": 0.2, "retry_min_extra": 200,
                        "canary_share": 0.1, "canary_slack": 50,
                        "quota_window_s": 8, "quota_overrun": 0.1,
@@ -170,8 +171,9 @@
     """A store, workers of two services, and daemons."""
 
     def __init__(self, hosts=2, bounds=None, workers=2, first=None,
-                 proxied=False, page=500, zones=None):
+                 proxied=False, page=500, zones=None, limits=None):
         self.bounds = bounds or {}
+        self.limits = limits or {}
         self.zones = zones or {}  # the region of each
         self.proxied, self.proxies = proxied, {}
         self.temporary = tempfile.TemporaryDirectory(prefix="marjorambay-")
