--- a/apps/marjorambayd/main.cpp
+++ b/apps/marjorambayd/main.cpp
@@ -9,6 +9,7 @@
 
 #include <filesystem>
 #include <iostream>
+#include <malloc.h>
 #include <new>
 #include <string>
 #include <vector>
@@ -91,6 +92,17 @@
   return Read;
 }
 
+/// Returns long buffers to the system when they are freed: the allocator would
+/// otherwise raise its threshold and keep them on a fragmented heap.
+void limitAllocator() {
+  constexpr int MappedBytes = 256 << 10; // longer ones are mapped
+  constexpr int TrimBytes = 1 << 20;     // free memory at the end of the heap
+  constexpr int Arenas = 2;              // the loop's and that of the log
+  mallopt(M_MMAP_THRESHOLD, MappedBytes);
+  mallopt(M_TRIM_THRESHOLD, TrimBytes);
+  mallopt(M_ARENA_MAX, Arenas);
+}
+
 /// Serves forwarded routes on the users' platform.
 int runForwarding(HostSettings Settings) {
   const Result<SocketAddress> Store = parseAddress(Settings.PlatformAddress);
@@ -146,6 +158,7 @@
 int main(int Count, char **Values) {
   setStartSignals();
   openStandardStreams();
+  limitAllocator();
   std::set_new_handler(&exitOutOfMemory);
   const auto Read = readArguments(Count, Values);
   if (const int *Code = std::get_if<int>(&Read))
--- a/packages/state/marjorambay/state/error.h
+++ b/packages/state/marjorambay/state/error.h
@@ -55,6 +55,8 @@
   // Later kinds are appended: hosts of other builds know them by their number.
   CrashingRequest,    ///< targets crash under such requests
   AddressUnavailable, ///< taken by another process, or not there yet
+  CrashingRequest,    ///< targets crash under such requests
+  MemoryFull,         ///< no memory for the request's body
 };
 
 template <>
@@ -94,9 +96,10 @@
         "internal",
         "crashing_request",
         "address_unavailable",
+        "memory_full",
     });
 inline constexpr std::size_t ErrorKindCount =
-    static_cast<std::size_t>(ErrorKind::AddressUnavailable) + 1;
+    static_cast<std::size_t>(ErrorKind::MemoryFull) + 1;
 static_assert(NamesOf<ErrorKind>.size() == ErrorKindCount);
 
 /// Whether the request may have been executed by a target.
--- a/packages/state/src/error.cpp
+++ b/packages/state/src/error.cpp
@@ -48,6 +48,7 @@
     {Internal, 500, MaybeRun, NewKey, 1},
     {CrashingRequest, 503, NotRun, AfterWait, 5},
     {AddressUnavailable, 503, NotRun, AfterWait, 5},
+    {MemoryFull, 503, NotRun, AfterWait, 5},
 });
 static_assert(Traits.size() == ErrorKindCount);
 
