A stopping host answers what it took, however short its grace

What callers saw: in a planned stop, requests that a host had taken late, or that waited for a slot, ended with a closed connection and no answer (LOST), some of them not to be repeated. Cause: the stages of the stop were fixed times. Requests were taken for 2.5 s, whatever the grace and whatever they take, and 0.3 s before its end every connection was aborted. The process took for granted that its time suffices. Change: DrainPolicy divides the grace into stages. A request is taken only if it may be expected to end in time, by the longest recent ones of its route; before the end, requests that wait or are incomplete get 503, not executed, and those at targets 502. The stop waits for requests that are arriving and for answers that are being read. Event `drain_phase`. Why it works: nothing that has been read is left without an answer when the process ends, but streams that have begun, in the last sixth of the grace. The product's own interface still cuts what is left at its drain timeout.

--- a/apps/marjorambayd/forward_dispatch.cpp
+++ b/apps/marjorambayd/forward_dispatch.cpp
@@ -223,7 +223,8 @@
 
 bool mayRetry(ForwardHost &H, const ForwardCall &Call, bool NotRun) {
   const bool Allowed = NotRun || isRetryable(Call.Route->Kind);
-  if (!Allowed || H.Loop.now() >= Call.Deadline)
+  if (!Allowed || H.Loop.now() >= Call.Deadline ||
+      !mayRepeatWhileDraining(H, Call))
     return false;
   if (Call.Attempts == 0)
     return true; // nothing has been sent yet
--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -17,6 +17,7 @@
 #include "marjorambay/coordination.h"
 #include "marjorambay/coordination/account_ledger.h"
 #include "marjorambay/coordination/crash_suspects.h"
+#include "marjorambay/coordination/drain_policy.h"
 #include "marjorambay/coordination/pace_lease.h"
 #include "marjorambay/coordination/quick_rollout.h"
 #include "marjorambay/coordination/retry_budget.h"
@@ -377,8 +378,10 @@
   SplitMix64 Random;
   Metrics Stats{};
   bool Draining = false;
-  TimePoint DrainSince{};
-  bool RejectingRequests = false; ///< about to stop: rejects new requests
+  DrainPolicy Drain{}; ///< stages of the stop; only if Draining
+  DrainPhase LoggedDrainPhase = DrainPhase::Accepting;
+  std::uint64_t DrainRejections = 0; ///< requests
+  RecentDurations Durations{};       ///< of served requests, by route
   std::vector<TimerConnection> Subscriptions{};
 
   CallerServer Callers;
@@ -525,6 +528,18 @@
 /// Enforces the time limits of calls.
 void checkTimeouts(ForwardHost &H);
 
+// forward_drain.cpp
+/// Retry-After while this host stops: another host accepts the request at once.
+inline constexpr Duration DrainRetryAfter = milliseconds(50);
+/// Completes what can be completed within the drain timeout, then stops the
+/// loop.
+void startDrain(ForwardHost &H);
+/// Returns why a new request is rejected, if this host stops too early for it.
+std::optional<Error> refuseWhileDraining(ForwardHost &H,
+                                         const ForwardCall &Call);
+/// Whether a further dispatch may be expected to end before the host does.
+bool mayRepeatWhileDraining(const ForwardHost &H, const ForwardCall &Call);
+
 // forward_dispatch.cpp
 /// Sends the call to \p Target, as a replacement if it has a dispatch already.
 /// \p Slot: granted for it; without an id in plain pools.
--- a/apps/marjorambayd/forward_lifecycle.cpp
+++ b/apps/marjorambayd/forward_lifecycle.cpp
@@ -1,4 +1,4 @@
-/// Start, graceful stop, timers and configuration of a host that serves
+/// Start, timers and configuration of a host that serves
 /// forwarded routes.
 #include "forward_host.h"
 #include "host_identity.h"
@@ -14,16 +14,10 @@
 constexpr Duration ArbiterTick = milliseconds(50);
 constexpr Duration VersionTick = milliseconds(250);
 constexpr Duration ConfirmInterval = milliseconds(1000);
-/// A load balancer removes a host after two failed probes one second apart; new
-/// requests arrive until then.
-constexpr Duration AcceptWhileDraining = milliseconds(2500);
-constexpr Duration DrainCheck = milliseconds(50);
 /// Fraction of the fleet's permitted retries that the hosts use. The rest
 /// covers hosts that have just started or are not listed yet, whose reserve the
 /// others don't know.
 constexpr double UsedRetryFraction = 0.6;
-/// Safety margin of the drain timeout before SIGKILL.
-constexpr Duration DrainTimeoutMargin = milliseconds(300);
 
 const HttpHeaders PlainText{{"Content-Type", "text/plain; charset=utf-8"}};
 
@@ -116,39 +110,6 @@
   return Done{};
 }
 
-void stop(ForwardHost &H) {
-  LogLine("stopped").with("in_progress",
-                          static_cast<std::int64_t>(H.Calls.size()));
-  H.Callers.abortAll();
-  H.Loop.stop();
-}
-
-void checkDrain(ForwardHost &H) {
-  const Duration Since = H.Loop.now() - H.DrainSince;
-  if (Since >= H.Settings.DrainTimeout - DrainTimeoutMargin)
-    return stop(H);
-  if (Since < AcceptWhileDraining)
-    return;
-  H.RejectingRequests = true;
-  H.Callers.stopListening();
-  H.Callers.closeIdleConnections();
-  if (H.Calls.empty() && !H.Callers.sending())
-    stop(H);
-}
-
-void startDrain(ForwardHost &H) {
-  if (H.Draining)
-    return;
-  H.Draining = true;
-  H.DrainSince = H.Loop.now();
-  LogLine("drain_started")
-      .with("in_progress", static_cast<std::int64_t>(H.Calls.size()));
-  H.Callers.disableKeepAlive();
-  H.DeregisterRequested.emit();
-  H.Subscriptions.push_back(
-      H.Timers.every(DrainCheck, [&H]() { checkDrain(H); }));
-}
-
 } // namespace
 
 ForwardHost::ForwardHost(HostSettings Given, ForwardHeaders Headers)
--- a/apps/marjorambayd/forward_requests.cpp
+++ b/apps/marjorambayd/forward_requests.cpp
@@ -16,8 +16,6 @@
 constexpr Duration DefaultDeadline = seconds(60);
 /// Retry-After of rejections that have none of their own.
 constexpr Duration DefaultRetryAfter = milliseconds(500);
-/// Retry-After while this host stops: another host accepts the request at once.
-constexpr Duration DrainRetryAfter = milliseconds(50);
 /// An unacknowledged reservation is retried after this; a reachable arbiter
 /// responds within a turn of its loop.
 constexpr Duration ReservationRetryInterval = milliseconds(40);
@@ -207,10 +205,8 @@
 /// Finds the route and the account; returns an error if there is none.
 std::optional<Error> identify(ForwardHost &H, const HttpHead &Head,
                               ForwardCall &Call) {
-  if (H.RejectingRequests)
-    return Error{ErrorKind::ShuttingDown,
-                 "this host is stopping; retry on another host",
-                 DrainRetryAfter};
+  if (auto Reason = refuseWhileDraining(H, Call))
+    return Reason;
   if (!H.Table)
     return Error{ErrorKind::NotReady, "no configuration has been received yet",
                  seconds(1)};
@@ -260,6 +256,14 @@
   if (auto Reason = identify(H, Head, Call))
     return rejectOnArrival(H, Request, Call, *Reason);
   readTokens(H, Head, Call);
+  const Duration Requested = milliseconds(std::min<std::uint64_t>(
+      parseNumber(
+          Head.header(H.HeaderNames.DeadlineMs),
+          std::chrono::duration_cast<milliseconds>(DefaultDeadline).count()),
+      3'600'000));
+  Call.Deadline = Call.Arrived + std::min(Requested, Call.Route->Timeout);
+  if (auto Reason = refuseWhileDraining(H, Call))
+    return rejectOnArrival(H, Request, Call, *Reason);
   if (auto Reason = chargeQuota(H, Call))
     return rejectOnArrival(H, Request, Call, *Reason);
   Call.Id = static_cast<RequestId>(++H.LastRequest);
@@ -270,13 +274,7 @@
   Call.Body = std::move(Request.Body);
   Call.LastEventId = Head.header(H.HeaderNames.LastEventId);
   Call.Pool = selectPool(*Call.Route, drawFraction(H.Random));
-  const Duration Requested = milliseconds(std::min<std::uint64_t>(
-      parseNumber(
-          Head.header(H.HeaderNames.DeadlineMs),
-          std::chrono::duration_cast<milliseconds>(DefaultDeadline).count()),
-      3'600'000));
   Call.CrashKeys.push_back(fingerprintOf(Call, Head.header("host")));
-  Call.Deadline = Call.Arrived + std::min(Requested, Call.Route->Timeout);
   H.Stats.add(TierCounter::Received, Call.Tier);
   H.Pools[Call.Pool].Retries.deposit();
   const RequestId Id = Call.Id;
@@ -288,8 +286,11 @@
                      ErrorKind Kind) {
   const std::string Name(Head.header(H.HeaderNames.RequestId));
   LogLine("request_refused").with("request", Name).with("reason", nameOf(Kind));
-  respondWithError(H, Exchange, {Kind, "the request can't be parsed"}, Name,
-                   MayHaveRun::No);
+  const Error Reason =
+      Kind == ErrorKind::ShuttingDown
+          ? Error{Kind, "this host is stopping", DrainRetryAfter}
+          : Error{Kind, "the request can't be parsed"};
+  respondWithError(H, Exchange, Reason, Name, MayHaveRun::No);
 }
 
 void handleDisconnect(ForwardHost &H, ExchangeId Exchange) {
@@ -429,6 +430,8 @@
   const RequestLabels Labels = labelsOf(Call);
   H.Stats.addOutcome(Labels, Outcome);
   H.Stats.observe(LatencyMetric::Total, Labels, Now - Call.Arrived);
+  if (Outcome == ServedOutcome)
+    H.Durations.record(Call.Route->Id, Now - Call.Arrived);
   if (Call.Current.DispatchedAt != TimePoint{})
     H.Stats.observe(LatencyMetric::QueueWait, Labels,
                     Call.Current.DispatchedAt - Call.Arrived);
--- a/packages/transport/marjorambay/transport/caller_server.h
+++ b/packages/transport/marjorambay/transport/caller_server.h
@@ -59,6 +59,8 @@
   void disableKeepAlive();
   /// Connections that still send a response close after it.
   void closeIdleConnections();
+  /// Rejects requests of which only a part has arrived, for \p Reason.
+  void rejectIncompleteRequests(ErrorKind Reason);
   /// Closes the listening socket; established connections stay open.
   void stopListening();
 
@@ -79,8 +81,8 @@
 
   std::size_t connections() const { return Connections.size(); }
   std::size_t exchanges() const { return Exchanges.size(); }
-  /// Whether part of some response is not yet written to its socket.
-  bool sending() const;
+  /// Whether some connection is not idle, or has bytes to send.
+  bool busy() const;
 
   sigc::signal<void(CallerRequest &)> RequestArrived{};
   /// The request is malformed, exceeds a limit or arrives too slowly. The
--- a/packages/transport/src/caller_server.cpp
+++ b/packages/transport/src/caller_server.cpp
@@ -365,10 +365,22 @@
   Connections.retire(Conn.Id);
 }
 
-bool CallerServer::sending() const {
-  return std::any_of(
-      Connections.begin(), Connections.end(),
-      [](const auto &Entry) { return Entry.second->Socket.unsent() != 0; });
+bool CallerServer::busy() const {
+  return std::any_of(Connections.begin(), Connections.end(),
+                     [](const auto &Entry) {
+                       return Entry.second->State != ConnectionState::Idle ||
+                              Entry.second->Socket.unsent() != 0;
+                     });
+}
+
+void CallerServer::rejectIncompleteRequests(ErrorKind Reason) {
+  std::vector<Connection *> Reading;
+  for (const auto &[Id, Conn] : Connections)
+    if (Conn->State == ConnectionState::Reading)
+      Reading.push_back(Conn.get());
+  for (Connection *Conn : Reading)
+    if (Conn->State == ConnectionState::Reading)
+      rejectRequest(*Conn, Reason);
 }
 
 void CallerServer::disableKeepAlive() { KeepAliveDisabled = true; }
