--- a/apps/marjorambayd/forward_requests.cpp
+++ b/apps/marjorambayd/forward_requests.cpp
@@ -16,8 +16,6 @@
 constexpr Duration DefaultDeadline = seconds(60);
 /// Retry-After of rejections that have none of their own.
 constexpr Duration DefaultRetryAfter = milliseconds(500);
-/// Retry-After while this host stops: another host accepts the request at once.
-constexpr Duration DrainRetryAfter = milliseconds(50);
 /// An unacknowledged reservation is retried after this; a reachable arbiter
 /// responds within a turn of its loop.
 constexpr Duration ReservationRetryInterval = milliseconds(40);
@@ -207,10 +205,8 @@
 /// Finds the route and the account; returns an error if there is none.
 std::optional<Error> identify(ForwardHost &H, const HttpHead &Head,
                               ForwardCall &Call) {
-  if (H.RejectingRequests)
-    return Error{ErrorKind::ShuttingDown,
-                 "this host is stopping; retry on another host",
-                 DrainRetryAfter};
+  if (auto Reason = refuseWhileDraining(H, Call))
+    return Reason;
   if (!H.Table)
     return Error{ErrorKind::NotReady, "no configuration has been received yet",
                  seconds(1)};
@@ -260,6 +256,10 @@
   if (auto Reason = identify(H, Head, Call))
     return rejectOnArrival(H, Request, Call, *Reason);
   readTokens(H, Head, Call);
+  Call.Deadline =
+      Call.Arrived + std::min(requestedTime(H, Head), Call.Route->Timeout);
+  if (auto Reason = refuseWhileDraining(H, Call))
+    return rejectOnArrival(H, Request, Call, *Reason);
   if (auto Reason = chargeQuota(H, Call))
     return rejectOnArrival(H, Request, Call, *Reason);
   Call.Id = static_cast<RequestId>(++H.LastRequest);
@@ -271,8 +271,6 @@
   Call.LastEventId = Head.header(H.HeaderNames.LastEventId);
   Call.Pool = selectPool(*Call.Route, drawFraction(H.Random));
   Call.CrashKeys.push_back(fingerprintOf(Call, Head.header("host")));
-  Call.Deadline =
-      Call.Arrived + std::min(requestedTime(H, Head), Call.Route->Timeout);
   H.Stats.add(TierCounter::Received, Call.Tier);
   H.Pools[Call.Pool].Retries.deposit();
   const RequestId Id = Call.Id;
@@ -284,12 +282,12 @@
                      ErrorKind Kind) {
   const std::string Name(Head.header(H.HeaderNames.RequestId));
   LogLine("request_refused").with("request", Name).with("reason", nameOf(Kind));
-  const std::string_view Message =
-      Kind == ErrorKind::MemoryFull     ? "too many long requests at present"
-      : Kind == ErrorKind::ShuttingDown ? "this host is stopping"
-                                        : "the request can't be parsed";
-  respondWithError(H, Exchange, {Kind, std::string(Message)}, Name,
-                   MayHaveRun::No);
+  Error Reason{Kind, "the request can't be parsed"};
+  if (Kind == ErrorKind::MemoryFull)
+    Reason.Message = "too many long requests at present";
+  else if (Kind == ErrorKind::ShuttingDown)
+    Reason = {Kind, "this host is stopping", DrainRetryAfter};
+  respondWithError(H, Exchange, Reason, Name, MayHaveRun::No);
 }
 
 void handleDisconnect(ForwardHost &H, ExchangeId Exchange) {
@@ -438,6 +436,8 @@
   const RequestLabels Labels = labelsOf(Call);
   H.Stats.addOutcome(Labels, Outcome);
   H.Stats.observe(LatencyMetric::Total, Labels, Now - Call.Arrived);
+  if (Outcome == ServedOutcome)
+    H.Durations.record(Call.Route->Id, Now - Call.Arrived);
   if (Call.Current.DispatchedAt != TimePoint{})
     H.Stats.observe(LatencyMetric::QueueWait, Labels,
                     Call.Current.DispatchedAt - Call.Arrived);
