Grants that are returned do not nest

Callers saw nothing of it yet. While 1,400 callers waited for the slots of an engine that then asked to hold off (503 with Retry-After), the stack of the daemon that arbitrates the pool grew from 132 kB to 2,828 kB, 2 KB for each.

Cause: an origin returns a grant that it can't use. On the arbiter's own host this frees the slot within the step that granted it, which grants it to the next request in the queue, and so on to the queue's end. Grants that are outdated by a pause of the process, or whose target is gone, take the same way. A queue of some 4,000 requests would have ended the process; max_connections = 1500 kept the deployed one below that. Builds with larger frames or a smaller stack, and limits above 1500, have no such margin. Change: actions of the arbiters of a host wait in one queue. Those that follow from the action being performed are performed after it. Steps from events are as before: their actions are performed before they return.

--- a/apps/marjorambayd/forward_arbiters.cpp
+++ b/apps/marjorambayd/forward_arbiters.cpp
@@ -171,6 +171,28 @@
   sendTo(H, Key.Origin, Message);
 }
 
+/// Performs the actions of an arbiter of this host. Those that follow from the
+/// action being performed wait for its end: a grant that is returned frees the
+/// slot for the next request, so that calls would nest as deep as the queue is
+/// long.
+void performActions(ForwardHost &H, const ArbiterSource &Source,
+                    const ArbiterActions &Actions) {
+  for (const ArbiterAction &Action : Actions)
+    H.ArbiterResults.push_back({Source, Action});
+  if (H.PerformingActions)
+    return;
+  H.PerformingActions = true;
+  while (!H.ArbiterResults.empty()) {
+    const ArbiterResult Next = H.ArbiterResults.front();
+    H.ArbiterResults.pop_front();
+    if (Next.Source.IsLocalShare)
+      handleArbiterAction(H, Next.Action);
+    else
+      performAction(H, Next.Source.Pool, Next.Source.Zone, Next.Action);
+  }
+  H.PerformingActions = false;
+}
+
 /// Returns the pools and zones whose arbiters run here. Stepping an arbiter may
 /// start another one.
 std::vector<std::pair<PoolId, ZoneId>> hostedArbiters(const ForwardHost &H) {
@@ -258,8 +280,7 @@
   const ArbiterActions Actions = LocalShare.step(Event, H.Loop.now());
   publishCrashDecisions(H, Pool, LocalShare);
   publishRampChanges(H, Pool, LocalShare);
-  for (const ArbiterAction &Action : Actions)
-    handleArbiterAction(H, Action);
+  performActions(H, {Pool, ZoneId{}, /*IsLocalShare=*/true}, Actions);
 }
 
 void stepArbiter(ForwardHost &H, PoolId Pool, ZoneId Zone,
@@ -281,8 +302,7 @@
     shareLostAttempts(H, Pool, Zone, Policy);
   if (number(Target) != 0)
     logIfEjected(H, Policy, *Released, Target, WasUsable);
-  for (const ArbiterAction &Action : Actions)
-    performAction(H, Pool, Zone, Action);
+  performActions(H, {Pool, Zone}, Actions);
   if (Requested != nullptr && Requested->Request.Key.Origin != H.Self.Id &&
       Policy.queued(Requested->Request.Key))
     sendTo(H, Requested->Request.Key.Origin,
--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -37,6 +37,7 @@
 #include "marjorambay/transport/datagram_link.h"
 #include "marjorambay/transport/keep_alive_client.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -360,6 +361,19 @@
   std::optional<VersionStage> Stage{}; ///< stage stored on the platform
 };
 
+/// An arbiter of this host.
+struct ArbiterSource {
+  PoolId Pool{};
+  ZoneId Zone{};
+  bool IsLocalShare = false;
+};
+
+/// An action of an arbiter of this host that is still to be performed.
+struct ArbiterResult {
+  ArbiterSource Source{};
+  ArbiterAction Action{};
+};
+
 // ---- The context ------------------------------------------------------------
 
 struct ForwardHost {
@@ -408,6 +422,8 @@
 
   // Pools.
   std::map<PoolId, PoolState> Pools{};
+  std::deque<ArbiterResult> ArbiterResults{}; ///< in the order to perform them
+  bool PerformingActions = false;
   std::unordered_map<TargetId, LocalTarget> LocalTargets{};
   std::unordered_map<TargetId, TargetHealth> Health{};
   std::unordered_map<TargetId, FirstListing> FirstListings{};
