Tests: answers that stop within their head, in every sending

Cause: operators of another system saw answers that stopped within their head reach clients as a 200, empty or short and framed as complete. Here only first sendings had been tried, and only by calls of forwarded routes. Seen on the way: the client of the product's own interface fails calls whose response has a chunk extension or follows an interim response; the test states it.

--- /dev/null
+++ b/packages/transport/tests/cut_response_test.cpp
@@ -0,0 +1,119 @@
+/// Responses that end at any byte, as both clients see them: the one of
+/// forwarded routes, of the platform's store and of other hosts, and the one of
+/// the product's own interface.
+#include "loop_fixture.h"
+#include "raw_peer.h"
+
+#include "marjorambay/transport/http_client.h"
+#include "marjorambay/transport/keep_alive_client.h"
+
+#include <memory>
+#include <string>
+
+namespace marjorambay {
+
+namespace {
+
+enum class Ending : std::uint8_t { Closed, HalfClosed, Reset };
+
+struct CutFixture : LoopFixture {
+  KeepAliveClient KeepAlive{Loop};
+  HttpClient Plain{Loop};
+  RawListener Listener{};
+
+  /// Whether a response of these bytes completes a call.
+  bool completes(bool UsePlain, std::string_view Bytes, Ending How) {
+    bool Ended = false;
+    bool Complete = false;
+    if (UsePlain) {
+      HttpCall Call;
+      Call.Address = "127.0.0.1";
+      Call.Port = Listener.port();
+      Call.Path = "/a";
+      Plain.fetch(std::move(Call),
+                  [&](int, const HttpResponseView &, const std::string &,
+                      CallOutcome Outcome) {
+                    Ended = true;
+                    Complete = Outcome == CallOutcome::Complete;
+                  });
+    } else {
+      KeepAliveCall Call;
+      Call.Address = {"127.0.0.1", Listener.port()};
+      Call.RequestTarget = "/a";
+      Call.MaxIdleTime = Duration(0);
+      Call.OnEnd = [&](CallId, KeepAliveOutcome Outcome) {
+        Ended = true;
+        Complete = Outcome == KeepAliveOutcome::Complete;
+      };
+      KeepAlive.start(std::move(Call));
+    }
+    int Descriptor = -1;
+    runUntil([&]() {
+      Descriptor = Listener.accept();
+      return Descriptor >= 0;
+    });
+    RawConnection Target(Descriptor);
+    runUntil([&]() {
+      return Target.received().find("\r\n\r\n") != std::string::npos;
+    });
+    if (!Bytes.empty())
+      Target.send(Bytes);
+    if (How == Ending::Reset) { // which would discard what is not read yet
+      const TimePoint Sent = Loop.now();
+      runUntil([&]() { return Loop.now() - Sent > milliseconds(2); });
+      Target.reset();
+    } else if (How == Ending::HalfClosed) {
+      Target.shutdownWrite();
+    } else {
+      Target.close();
+    }
+    runUntil([&]() { return Ended; });
+    return Complete;
+  }
+};
+
+} // namespace
+
+// Guards against a list of objects, or an answer, that is cut and taken as
+// complete: whatever is missing would count as gone.
+TEST_CASE_FIXTURE(CutFixture, "a response that is cut at any byte") {
+  struct Framing {
+    std::string Head;
+    std::string Body;
+    bool UntilClose = false;
+    /// The client of the product's own interface fails calls whose response has
+    /// a chunk extension or comes after an interim one.
+    bool PlainFails = false;
+  };
+  const std::string Line = "HTTP/1.1 200 OK\r\nX-A: b\r\n";
+  for (const Framing &Each :
+       {Framing{Line + "Content-Length: 12\r\n\r\n", "123456789012"},
+        Framing{Line + "Transfer-Encoding: chunked\r\n\r\n",
+                "5;a=b\r\n12345\r\n0\r\nX-T: 1\r\n\r\n", false, true},
+        Framing{Line + "Transfer-Encoding: chunked\r\n\r\n",
+                "5\r\n12345\r\n0\r\nX-T: 1\r\n\r\n"},
+        Framing{"HTTP/1.1 100 Continue\r\n\r\n" + Line +
+                    "Content-Length: 2\r\n\r\n",
+                "12", false, true},
+        Framing{"HTTP/1.1 204 X\r\nX-A: b\r\n\r\n", ""},
+        Framing{Line + "\r\n", "1234", true}})
+    for (const bool UsePlain : {false, true}) {
+      const std::string Bytes = Each.Head + Each.Body;
+      CAPTURE(Bytes);
+      CAPTURE(UsePlain);
+      for (std::size_t Cut = 0; Cut < Bytes.size(); ++Cut)
+        for (const Ending How :
+             {Ending::Closed, Ending::HalfClosed, Ending::Reset}) {
+          CAPTURE(Cut);
+          CAPTURE(static_cast<int>(How));
+          const bool MayEnd = Each.UntilClose && How != Ending::Reset &&
+                              Cut >= Each.Head.size();
+          CHECK(completes(UsePlain, std::string_view(Bytes).substr(0, Cut),
+                          How) == MayEnd);
+        }
+      CHECK(completes(UsePlain, Bytes, Ending::HalfClosed) !=
+            (UsePlain && Each.PlainFails));
+    }
+}
+
+} // namespace marjorambay
--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -412,7 +412,8 @@
     for S seconds after event N of a stream, or before any other answer),
     "late_full:S" (rejected after S seconds), "slow_error:S" (status 500, and its
     body S seconds later), "endless:WHAT" (bytes until the connection closes, see
-    endless()), "crash" (the worker ends as it begins to answer, with all that it
+    endless()), "stop:N" (the connection closes after N bytes of the answer),
+    "crash" (the worker ends as it begins to answer, with all that it
     runs, and is back after `restart_seconds`).
     """
 
@@ -599,6 +600,8 @@
             await asyncio.sleep(float(figure.partition(":")[2]))
         if how in ("half", "halves"):
             return await self._halves(writer, run, how, *figure.split(":"))
+        if how == "stop":
+            return await self._stop_within_answer(writer, run, int(figure))
         if how == "status":
             return await self._say(writer, headers, int(figure), b"", {})
         if how == "slow_error":
@@ -634,6 +637,23 @@
         await writer.drain()
         return framed
 
+    def answer_bytes(self, run):
+        """The answer to a request as it is sent, of events for a stream."""
+        events = run["target"].startswith("/stream")
+        body = b"id: 1\ndata: one\n\n" if events else b"answer to it"
+        kind = "text/event-stream" if events else "text/plain"
+        return (
+            f"HTTP/1.1 200 OK\r\nX-Marjorambay-Attempt-Id: {run['id']}\r\n"
+            f"X-Marjorambay-Server-Signature: sign-{self.name}\r\n"
+            f"Content-Type: {kind}\r\nContent-Length: {len(body)}\r\n\r\n"
+        ).encode() + body
+
+    async def _stop_within_answer(self, writer, run, size):
+        writer.write(self.answer_bytes(run)[:size])
+        await writer.drain()
+        run["done"] = size >= len(self.answer_bytes(run))
+        return False
+
     async def _halves(self, writer, run, how, status, seconds):
         writer.write(
             f"HTTP/1.1 {status} X\r\nX-Marjorambay-Attempt-Id: {run['id']}\r\n"
