Results of listeners at start are moved

Cause: clang-tidy on the start code: constness prevents an automatic move. Change: three results are no longer const. Result: lint of both files; PortTest and SignalTest pass.

--- a/apps/marjorambayd/forward_lifecycle.cpp
+++ b/apps/marjorambayd/forward_lifecycle.cpp
@@ -151,7 +151,7 @@
                [&H]() { return listen(H.Probes, H.Settings.ReadyAddress); }},
       Listener{"callers", [&H]() { return listenForCallers(H); }}};
   for (const auto &[Name, Bind] : Listeners)
-    if (const Result<Done> Bound = awaitAddress(Name, Bind); !ok(Bound))
+    if (Result<Done> Bound = awaitAddress(Name, Bind); !ok(Bound))
       return Bound;
   listenForOperators(H);
   return Done{};
@@ -214,7 +214,7 @@
       [&H](const HttpRequestView &View) { handleProbe(H, View); });
   H.Operators.RequestArrived.connect(
       [&H](const HttpRequestView &View) { handleOperatorRequest(H, View); });
-  if (const Result<Done> Listening = listenAll(H); !ok(Listening))
+  if (Result<Done> Listening = listenAll(H); !ok(Listening))
     return Listening;
   readZoneRegions(H);
   startRequests(H);
--- a/apps/marjorambayd/lifecycle.cpp
+++ b/apps/marjorambayd/lifecycle.cpp
@@ -54,7 +54,7 @@
                                     Listener{"operators", startOperatorApi},
                                     Listener{"callers", startCallerApi}}) {
     const auto Bind = [&D, Start = Start]() { return Start(D); };
-    if (const Result<Done> Started = awaitAddress(Name, Bind); !ok(Started))
+    if (Result<Done> Started = awaitAddress(Name, Bind); !ok(Started))
       return Started;
   }
   startArbiters(D);
