Host: descriptors are divided between callers, targets and the rest

Cause: no part knew how many descriptors the process may open, so callers took those of the probe, the store and targets; a host that lacked one counted its target as lost and refused the request. Change: divideDescriptors() gives callers and targets a share of max_open_files (less what the platform keeps for files) or of the system's limit, and keeps a reserve for the store, other hosts, probes and operators. NoResource blames no target: the request waits for up to a second, then gets 503.

--- a/apps/marjorambayd/forward_dispatch.cpp
+++ b/apps/marjorambayd/forward_dispatch.cpp
@@ -37,6 +37,10 @@
 /// Shorter than MaxOverlap, so that a target that takes no connection does not
 /// take over a request.
 constexpr Duration ReplacementConnectTimeout = milliseconds(150);
+/// How long a call waits for a connection that this host lacks, and the time
+/// between two attempts.
+constexpr Duration MaxLack = seconds(1);
+constexpr Duration LackRetryInterval = milliseconds(200);
 /// Between two replacements of the same dispatch.
 constexpr Duration ReplacementInterval = milliseconds(300);
 
@@ -278,6 +282,8 @@
     dropBufferedBody(Call);
     if (number(Call.Pending.Id) != 0)
       return; // the reservation of a replacement keeps its place
+    if (H.Loop.now() < Call.LackingUntil)
+      return; // checkTimeouts() asks for another slot
     return requestSlot(H, Call);
   }
   failCall(H, Call, Call.MayHaveRun ? Kind : ErrorKind::Overloaded);
@@ -593,8 +599,29 @@
   return Outcome == KeepAliveOutcome::Refused || !Attempt.WasCold;
 }
 
+/// Handles a dispatch for which this host had no connection left. The target
+/// is not to blame; the call waits for a while.
+void handleNoResource(ForwardHost &H, ForwardCall &Call) {
+  const TimePoint Now = H.Loop.now();
+  const std::string_view Cause = nameOf(KeepAliveOutcome::NoResource);
+  Call.Attempts -= std::min(Call.Attempts, 1U);
+  std::erase(Call.TriedTargets, Call.Current.Target);
+  if (Call.LackingSince == TimePoint{})
+    Call.LackingSince = Now;
+  Call.LackingUntil = Now + LackRetryInterval;
+  endDispatch(H, Call, DispatchOutcome::NotRun, false);
+  if (Now - Call.LackingSince < MaxLack || Call.Replacement)
+    return retryOrFail(H, Call, true, ErrorKind::OutcomeUnknown, Cause);
+  logFailedAttempt(H, Call, Call.Current, true, Cause);
+  failCall(H, Call,
+           Call.MayHaveRun ? ErrorKind::OutcomeUnknown : ErrorKind::Overloaded);
+}
+
 void handleFailedCall(ForwardHost &H, ForwardCall &Call,
                       KeepAliveOutcome Outcome) {
+  if (Outcome == KeepAliveOutcome::NoResource)
+    return handleNoResource(H, Call);
+  Call.LackingSince = TimePoint{};
   if (neverSent(Outcome)) {
     Call.Attempts -= std::min(Call.Attempts, 1U);
     H.Health[Call.Current.Target].recordRefusal(H.Loop.now());
@@ -626,18 +653,19 @@
   TargetAttempt &Attempt = *Call.Replacement;
   Attempt.ConnectionLost = Outcome == KeepAliveOutcome::ConnectionLost;
   const bool NotSent = neverSent(Outcome);
+  const bool Lacking = Outcome == KeepAliveOutcome::NoResource;
   const bool NotRun = NotSent || Attempt.Declined;
   logFailedAttempt(H, Call, Attempt, NotRun,
                    NotSent            ? nameOf(Outcome)
                    : Attempt.Declined ? "target rejected the request"
                                       : "replacement failed");
-  if (NotSent) {
+  if (NotSent && !Lacking) {
     H.Health[Attempt.Target].recordRefusal(H.Loop.now());
     if (mayHaveRestarted(Attempt, Outcome))
       recordTargetLost(H, Attempt.Target, Attempt.TargetIncarnation);
     startPlainRamp(H, Attempt.Target, RampStart::BackOff);
   }
-  if (NotRun && !Attempt.HoldsOff)
+  if (NotRun && !Lacking && !Attempt.HoldsOff)
     reportTargetRefusal(H, Call.Pool, Attempt.Target,
                         Outcome == KeepAliveOutcome::Refused);
   if (NotRun)
--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -17,6 +17,7 @@
 #include "marjorambay/coordination.h"
 #include "marjorambay/coordination/account_ledger.h"
 #include "marjorambay/coordination/crash_suspects.h"
+#include "marjorambay/coordination/descriptor_budget.h"
 #include "marjorambay/coordination/pace_lease.h"
 #include "marjorambay/coordination/quick_rollout.h"
 #include "marjorambay/coordination/retry_budget.h"
@@ -175,7 +176,11 @@
   /// A second dispatch, while the current target is silent. The first of the
   /// two that responds goes on.
   std::optional<TargetAttempt> Replacement{};
-  TimePoint ReplaceAfter{};     ///< no replacement is sought earlier
+  TimePoint ReplaceAfter{}; ///< no replacement is sought earlier
+  /// Since when this host has had no connection for the call; 0 if it has not
+  /// lacked one. No slot is reserved before LackingUntil.
+  TimePoint LackingSince{};
+  TimePoint LackingUntil{};
   std::uint32_t Attempts = 0;   ///< dispatches that may have reached a target
   bool VersionSelected = false; ///< by the share of a version under rollout
   VersionId FailedVersion{};    ///< of the last attempt that failed; 0 if none
@@ -381,6 +386,7 @@
   bool RejectingRequests = false; ///< about to stop: rejects new requests
   std::vector<TimerConnection> Subscriptions{};
 
+  DescriptorShares Descriptors;
   CallerServer Callers;
   HttpServer Probes;    ///< readiness probes
   HttpServer Operators; ///< metrics for operators
@@ -513,6 +519,17 @@
 RequestKey reservationKey(const ForwardHost &H, RequestId Slot);
 ForwardCall *findCall(ForwardHost &H, RequestId Id);
 
+// forward_descriptors.cpp
+/// Divides the descriptors that this process may open.
+DescriptorShares descriptorShares(const HostSettings &Settings);
+CallerServerLimits callerLimits(const HostSettings &Settings,
+                                const DescriptorShares &Shares);
+HttpServerLimits probeLimits(const DescriptorShares &Shares);
+CallerServerLimits objectServerLimits(const DescriptorShares &Shares);
+void logDescriptorShares(const ForwardHost &H);
+/// Open connections by share, their limits, and what was refused.
+std::string descriptorMetrics(const ForwardHost &H);
+
 // forward_requests.cpp
 /// Outcome of requests whose complete response was sent to the caller.
 inline constexpr std::string_view ServedOutcome = "served";
--- a/apps/marjorambayd/forward_lifecycle.cpp
+++ b/apps/marjorambayd/forward_lifecycle.cpp
@@ -35,15 +35,6 @@
   return Bounds;
 }
 
-CallerServerLimits limitsOf(const HostSettings &Settings) {
-  CallerServerLimits Limits;
-  Limits.MaxHeaderBytes = Settings.MaxHeaderBytes;
-  Limits.MaxBodyBytes = Settings.MaxBodyBytes;
-  Limits.MaxConnections = Settings.MaxConnections;
-  Limits.IdleTimeout = Settings.IdleTimeout;
-  return Limits;
-}
-
 /// Adds half of the tolerated overrun of a rate to the account's burst. The
 /// other half covers what hosts admit before they know of each other's usage.
 void widenBurst(const HostSettings &Settings, ForwardAccount &Account) {
@@ -92,7 +83,8 @@
                                   "marjorambay_limited_targets " +
                                   std::to_string(H.Limits.size()) + "\n" +
                                   zoneMetrics(H) + evacuationMetrics(H) +
-                                  rampMetrics(H) + warmupMetrics(H));
+                                  rampMetrics(H) + warmupMetrics(H) +
+                                  descriptorMetrics(H));
   H.Operators.answer(View.Id, 404, PlainText, "no such path\n");
 }
 
@@ -156,10 +148,14 @@
       Bounds(boundsOf(Settings)), Self(hostInfoFrom(Settings)),
       Incarnation(incarnationAt(Loop.wallClockNow())), StartedAt(Loop.now()),
       Random(number(Self.Id) ^ number(Incarnation)),
-      Callers(Loop, Timers, limitsOf(Settings)),
-      Probes(Loop, Timers, HttpServerLimits{}),
-      Operators(Loop, Timers, HttpServerLimits{}), ObjectServer(Loop, Timers),
-      HoldOffs(TargetHoldOffSettings{.MaxHoldOff = Settings.MaxHoldOff}) {}
+      Descriptors(descriptorShares(Settings)),
+      Callers(Loop, Timers, callerLimits(Settings, Descriptors)),
+      Probes(Loop, Timers, probeLimits(Descriptors)),
+      Operators(Loop, Timers, probeLimits(Descriptors)),
+      ObjectServer(Loop, Timers, objectServerLimits(Descriptors), "hosts"),
+      HoldOffs(TargetHoldOffSettings{.MaxHoldOff = Settings.MaxHoldOff}) {
+  Client.setMaxConnections(Descriptors.Targets);
+}
 
 ForwardHost::~ForwardHost() = default;
 
@@ -210,6 +206,7 @@
       .with("peers", H.Settings.PeerAddress)
       .with("platform", H.Settings.PlatformAddress)
       .with("version", MARJORAMBAY_VERSION);
+  logDescriptorShares(H);
   return Done{};
 }
 
@@ -224,7 +221,7 @@
       .with("was", static_cast<std::int64_t>(Current))
       .with("routes", static_cast<std::int64_t>(Config.Routes.size()))
       .with("accounts", static_cast<std::int64_t>(Config.Accounts.size()));
-  CallerServerLimits Limits = limitsOf(H.Settings);
+  CallerServerLimits Limits = callerLimits(H.Settings, H.Descriptors);
   Limits.MaxHeaderBytes = Config.Limits.MaxHeaderBytes;
   Limits.MaxBodyBytes = Config.Limits.MaxBodyBytes;
   Limits.HeaderTimeout = Config.Limits.HeaderTimeout;
--- a/apps/marjorambayd/forward_objects.cpp
+++ b/apps/marjorambayd/forward_objects.cpp
@@ -71,6 +71,7 @@
   Pull.Body.clear();
   KeepAliveCall Request;
   Request.Address = Hub.Address;
+  Request.Reserved = true;
   const StorePosition Known = mirrorOf(H, Kind).position();
   Request.RequestTarget = FeedPath + std::string(nameOf(Kind)) +
                           "?since=" + std::to_string(Known.Revision) +
--- a/apps/marjorambayd/forward_requests.cpp
+++ b/apps/marjorambayd/forward_requests.cpp
@@ -288,8 +288,12 @@
                      ErrorKind Kind) {
   const std::string Name(Head.header(H.HeaderNames.RequestId));
   LogLine("request_refused").with("request", Name).with("reason", nameOf(Kind));
-  respondWithError(H, Exchange, {Kind, "the request can't be parsed"}, Name,
-                   MayHaveRun::No);
+  const bool Full = Kind == ErrorKind::TooManyConnections;
+  respondWithError(H, Exchange,
+                   {Kind, Full ? "this host has no connection left; retry on "
+                                 "another host"
+                               : "the request can't be parsed"},
+                   Name, MayHaveRun::No);
 }
 
 void handleDisconnect(ForwardHost &H, ExchangeId Exchange) {
@@ -320,7 +324,7 @@
 
 void checkWaiting(ForwardHost &H, ForwardCall &Call, TimePoint Now) {
   if (number(Call.Pending.Id) == 0)
-    return requestSlot(H, Call);
+    return Now < Call.LackingUntil ? void() : requestSlot(H, Call);
   const Duration Elapsed = Now - Call.Pending.SentAt;
   if (number(Call.Pending.ArbiterHost) == 0)
     return;
--- /dev/null
+++ b/packages/coordination/src/descriptor_budget.cpp
@@ -0,0 +1,43 @@
+/// Division of the descriptors that a process may open.
+#include "marjorambay/coordination/descriptor_budget.h"
+
+#include <algorithm>
+
+namespace marjorambay {
+
+namespace {
+
+/// Of the stated limit, what the platform keeps for files.
+constexpr std::size_t ReservedForFiles = 200;
+/// A smaller limit keeps a quarter for all but callers and targets.
+constexpr std::size_t MaxReserve = 320;
+constexpr std::size_t ReserveDivisor = 4;
+/// Parts of the reserve: callers over the limit, probes, operators, hosts and
+/// others.
+constexpr std::size_t ReserveParts = 5;
+
+} // namespace
+
+DescriptorShares divideDescriptors(const DescriptorLimits &Limits,
+                                   std::size_t MaxCallers) {
+  DescriptorShares Shares;
+  Shares.Limit = Limits.System;
+  if (Limits.Stated != 0) {
+    const std::size_t ForFiles =
+        std::min(ReservedForFiles, Limits.Stated / ReserveDivisor);
+    Shares.Limit = std::min(Limits.System, Limits.Stated - ForFiles);
+  }
+  const std::size_t Reserve =
+      std::min(MaxReserve, Shares.Limit / ReserveDivisor);
+  const std::size_t Part = Reserve / ReserveParts;
+  Shares.CallersOverLimit = Part;
+  Shares.Probes = Part;
+  Shares.Hosts = Part;
+  Shares.Others = Reserve - 4 * Part;
+  const std::size_t Shared = Shares.Limit - Reserve;
+  Shares.Callers = std::min(MaxCallers, Shared / 2);
+  Shares.Targets = Shared - Shares.Callers;
+  return Shares;
+}
+
+} // namespace marjorambay
--- a/packages/state/src/settings.cpp
+++ b/packages/state/src/settings.cpp
@@ -45,13 +45,15 @@
      "memory that the process may use, of 1,000,000 bytes each; 0: unknown"},
     {"host", "max_open_files", &Host::MaxOpenFiles, Number, false, 0, 1 << 24,
      "descriptors",
-     "descriptors that the process may have open; 0: the limit that the system "
-     "reports"},
+     "descriptors that the process may have open, of which the platform keeps "
+     "up to 200 for files; 0: the limit that the system reports"},
     {"caller", "address", &Host::CallerAddress, Address, false, 0, 0, "ip:port",
      "listens for callers"},
     {"caller", "max_connections", &Host::MaxConnections, Number, false, 1,
      100000, "connections",
-     "maximum open caller connections; further ones get 503 and are closed"},
+     "maximum open caller connections, see max_open_files; idle ones are "
+     "closed "
+     "for new ones, and a few above get 503"},
     {"caller", "max_header_bytes", &Host::MaxHeaderBytes, Number, false, 512,
      Mebibyte, "bytes", "maximum size of request line and headers"},
     {"caller", "max_body_bytes", &Host::MaxBodyBytes, Number, false, 1024,
