--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -18,6 +18,7 @@
 #include "marjorambay/coordination.h"
 #include "marjorambay/coordination/account_ledger.h"
 #include "marjorambay/coordination/crash_suspects.h"
+#include "marjorambay/coordination/descriptor_budget.h"
 #include "marjorambay/coordination/drain_policy.h"
 #include "marjorambay/coordination/pace_lease.h"
 #include "marjorambay/coordination/quick_rollout.h"
@@ -179,7 +180,11 @@
   /// A second dispatch, while the current target is silent. The first of the
   /// two that responds goes on.
   std::optional<TargetAttempt> Replacement{};
-  TimePoint ReplaceAfter{};     ///< no replacement is sought earlier
+  TimePoint ReplaceAfter{}; ///< no replacement is sought earlier
+  /// Since when this host has had no connection for the call; 0 if it has not
+  /// lacked one. No slot is reserved before LackingUntil.
+  TimePoint LackingSince{};
+  TimePoint LackingUntil{};
   std::uint32_t Attempts = 0;   ///< dispatches that may have reached a target
   bool VersionSelected = false; ///< by the share of a version under rollout
   VersionId FailedVersion{};    ///< of the last attempt that failed; 0 if none
@@ -401,6 +406,7 @@
   std::vector<TimerConnection> Subscriptions{};
 
   BodyMemory Memory; ///< before all that holds bodies
+  DescriptorShares Descriptors;
   CallerServer Callers;
   HttpServer Probes;    ///< readiness probes
   HttpServer Operators; ///< metrics for operators
@@ -542,6 +548,17 @@
 void stopWaitingForMemory(ForwardHost &H);
 /// Returns the metrics of memory in the Prometheus text format.
 std::string memoryMetrics(const ForwardHost &H);
+// forward_descriptors.cpp
+/// Divides the descriptors that this process may open.
+DescriptorShares descriptorShares(const HostSettings &Settings);
+CallerServerLimits callerLimits(const HostSettings &Settings,
+                                const DescriptorShares &Shares,
+                                const MemoryBudget &Budget);
+HttpServerLimits probeLimits(const DescriptorShares &Shares);
+CallerServerLimits objectServerLimits(const DescriptorShares &Shares);
+void logDescriptorShares(const ForwardHost &H);
+/// Open connections by share, their limits, and what was refused.
+std::string descriptorMetrics(const ForwardHost &H);
 
 // forward_requests.cpp
 /// Returns the time that the caller allows, or the default.
--- a/apps/marjorambayd/forward_lifecycle.cpp
+++ b/apps/marjorambayd/forward_lifecycle.cpp
@@ -32,17 +32,6 @@
   return Bounds;
 }
 
-CallerServerLimits limitsOf(const HostSettings &Settings,
-                            const MemoryBudget &Budget) {
-  CallerServerLimits Limits;
-  Limits.MaxUnsentBytes = Budget.share(MemoryOwner::UnsentResponses);
-  Limits.MaxHeaderBytes = Settings.MaxHeaderBytes;
-  Limits.MaxBodyBytes = Settings.MaxBodyBytes;
-  Limits.MaxConnections = Settings.MaxConnections;
-  Limits.IdleTimeout = Settings.IdleTimeout;
-  return Limits;
-}
-
 /// Adds half of the tolerated overrun of a rate to the account's burst. The
 /// other half covers what hosts admit before they know of each other's usage.
 void widenBurst(const HostSettings &Settings, ForwardAccount &Account) {
@@ -92,7 +81,7 @@
                                   std::to_string(H.Limits.size()) + "\n" +
                                   zoneMetrics(H) + evacuationMetrics(H) +
                                   rampMetrics(H) + warmupMetrics(H) +
-                                  memoryMetrics(H));
+                                  memoryMetrics(H) + descriptorMetrics(H));
   H.Operators.answer(View.Id, 404, PlainText, "no such path\n");
 }
 
@@ -161,11 +150,14 @@
       Bounds(boundsOf(Settings)), Self(hostInfoFrom(Settings)),
       Incarnation(incarnationAt(Loop.wallClockNow())), StartedAt(Loop.now()),
       Random(number(Self.Id) ^ number(Incarnation)),
-      Memory(Loop, Settings.MemoryMb),
-      Callers(Loop, Timers, limitsOf(Settings, Memory.Budget)),
-      Probes(Loop, Timers, HttpServerLimits{}),
-      Operators(Loop, Timers, HttpServerLimits{}), ObjectServer(Loop, Timers),
-      HoldOffs(TargetHoldOffSettings{.MaxHoldOff = Settings.MaxHoldOff}) {}
+      Memory(Loop, Settings.MemoryMb), Descriptors(descriptorShares(Settings)),
+      Callers(Loop, Timers, callerLimits(Settings, Descriptors, Memory.Budget)),
+      Probes(Loop, Timers, probeLimits(Descriptors)),
+      Operators(Loop, Timers, probeLimits(Descriptors)),
+      ObjectServer(Loop, Timers, objectServerLimits(Descriptors), "hosts"),
+      HoldOffs(TargetHoldOffSettings{.MaxHoldOff = Settings.MaxHoldOff}) {
+  Client.setMaxConnections(Descriptors.Targets);
+}
 
 ForwardHost::~ForwardHost() = default;
 
@@ -214,6 +206,7 @@
       .with("peers", H.Settings.PeerAddress)
       .with("platform", H.Settings.PlatformAddress)
       .with("version", MARJORAMBAY_VERSION);
+  logDescriptorShares(H);
   return Done{};
 }
 
@@ -228,7 +221,8 @@
       .with("was", static_cast<std::int64_t>(Current))
       .with("routes", static_cast<std::int64_t>(Config.Routes.size()))
       .with("accounts", static_cast<std::int64_t>(Config.Accounts.size()));
-  CallerServerLimits Limits = limitsOf(H.Settings, H.Memory.Budget);
+  CallerServerLimits Limits =
+      callerLimits(H.Settings, H.Descriptors, H.Memory.Budget);
   Limits.MaxHeaderBytes = Config.Limits.MaxHeaderBytes;
   Limits.MaxBodyBytes = Config.Limits.MaxBodyBytes;
   Limits.HeaderTimeout = Config.Limits.HeaderTimeout;
--- a/apps/marjorambayd/forward_requests.cpp
+++ b/apps/marjorambayd/forward_requests.cpp
@@ -285,6 +285,8 @@
   Error Reason{Kind, "the request can't be parsed"};
   if (Kind == ErrorKind::MemoryFull)
     Reason.Message = "too many long requests at present";
+  else if (Kind == ErrorKind::TooManyConnections)
+    Reason.Message = "this host has no connection left; retry on another host";
   else if (Kind == ErrorKind::ShuttingDown)
     Reason = {Kind, "this host is stopping", DrainRetryAfter};
   respondWithError(H, Exchange, Reason, Name, MayHaveRun::No);
@@ -318,7 +320,7 @@
 
 void checkWaiting(ForwardHost &H, ForwardCall &Call, TimePoint Now) {
   if (number(Call.Pending.Id) == 0)
-    return requestSlot(H, Call);
+    return Now < Call.LackingUntil ? void() : requestSlot(H, Call);
   const Duration Elapsed = Now - Call.Pending.SentAt;
   if (number(Call.Pending.ArbiterHost) == 0)
     return;
--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -10,6 +10,7 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -24,9 +25,17 @@
 namespace {
 
 constexpr Duration SweepInterval = seconds(1);
-/// Connections above the limit that still get an error response.
+/// Connections above the limit that still get an error response; at most as
+/// many as the limit.
 constexpr std::size_t MaxConnectionsOverLimit = 64;
 
+/// Servers by listener: evhttp owns the callback argument of its listeners.
+std::unordered_map<evconnlistener *, HttpServer *> &serversByListener() {
+  static thread_local std::unordered_map<evconnlistener *, HttpServer *>
+      Servers;
+  return Servers;
+}
+
 /// Returns the inode of an open socket, or 0.
 std::uint64_t inodeOf(int Fd) {
   struct stat Status {};
@@ -91,7 +100,7 @@
 
 HttpServer::HttpServer(EventLoop &Loop, TimerService &Timers,
                        HttpServerLimits Limits)
-    : Loop(Loop), Limits(Limits), Http(evhttp_new(Loop.base())),
+    : Loop(Loop), Timers(Timers), Limits(Limits), Http(evhttp_new(Loop.base())),
       Scratch(evbuffer_new()) {
   const timeval Idle = toTimeval(Limits.IdleTimeout);
   evhttp_set_timeout_tv(Http, &Idle);
@@ -134,6 +143,7 @@
   for (auto &[Id, Current] : Exchanges)
     evhttp_connection_set_closecb(Current->Conn, nullptr, nullptr);
   Exchanges.clear();
+  stopListening();
   evhttp_free(Http);
   evbuffer_free(Scratch);
 }
@@ -143,6 +153,12 @@
   Listener = evhttp_bind_socket_with_handle(Http, Address.c_str(), Port);
   if (!Listener)
     return bindError({Address, Port}, errno);
+  evconnlistener *Accepting = evhttp_bound_socket_get_listener(Listener);
+  serversByListener()[Accepting] = this;
+  evconnlistener_set_error_cb(Accepting, [](evconnlistener *Failed, void *) {
+    const int Errno = EVUTIL_SOCKET_ERROR();
+    serversByListener().at(Failed)->handleAcceptError(Errno);
+  });
   sockaddr_storage Bound{};
   socklen_t Length = sizeof(Bound);
   getsockname(evhttp_bound_socket_get_fd(Listener),
@@ -155,10 +171,27 @@
 void HttpServer::stopListening() {
   if (!Listener)
     return;
+  serversByListener().erase(evhttp_bound_socket_get_listener(Listener));
   evhttp_del_accept_socket(Http, Listener);
   Listener = nullptr;
 }
 
+void HttpServer::handleAcceptError(int Errno) {
+  const AcceptFailure Failure = classifyAcceptError(Errno);
+  if (Failure == AcceptFailure::ConnectionLost) {
+    ++AcceptCounters.Lost;
+    return;
+  }
+  AcceptCounters.Shortages += Failure == AcceptFailure::Shortage ? 1 : 0;
+  ++AcceptCounters.Pauses;
+  FailureLog.report(Loop.now(), "http", Errno, Connections.size());
+  evconnlistener_disable(evhttp_bound_socket_get_listener(Listener));
+  ResumeTimer = Timers.once(Acceptor::RetryInterval, [this]() {
+    if (Listener)
+      evconnlistener_enable(evhttp_bound_socket_get_listener(Listener));
+  });
+}
+
 void HttpServer::registerConnection(int Fd) {
   if (Fd < 0)
     return;
@@ -172,7 +205,9 @@
   if (Connections.size() <= Limits.MaxConnections)
     return;
   Connections[Fd].OverLimit = true;
-  if (Connections.size() > Limits.MaxConnections + MaxConnectionsOverLimit)
+  if (Connections.size() >
+      Limits.MaxConnections +
+          std::min(Limits.MaxConnections, MaxConnectionsOverLimit))
     shutdown(Fd, SHUT_RDWR);
 }
 
