Memory: the terms of a body are looked up only if it waits

Cause: each body, short ones too, cost one more lookup of its route and account and a read of the clock before it was read. Change: MemoryBudget::tryAdmit() admits what fits without them.

--- a/apps/marjorambayd/forward_memory.cpp
+++ b/apps/marjorambayd/forward_memory.cpp
@@ -73,18 +73,19 @@
 
 BodyAdmissionResult BodyMemory::request(CallerBodyId Id, std::size_t Bytes,
                                         const HttpHead &Head) {
-  const TimePoint Now = Loop.now();
   BodyRequest Request;
   Request.Id = static_cast<BodyId>(Id);
   Request.Bytes = Bytes;
+  // Most bodies fit. Their routes are looked up once they have been read.
+  if (Budget.tryAdmit(Request.Id, Bytes))
+    return BodyAdmissionResult::Admitted;
   if (TermsOf) {
     const Terms Given = TermsOf(Head);
     Request.Tier = Given.Tier;
     Request.TimeLeft = Given.TimeLeft;
   }
+  const TimePoint Now = Loop.now();
   const BodyDecision Decision = Budget.request(Request, Now);
-  if (Decision == BodyDecision::Admitted)
-    return BodyAdmissionResult::Admitted;
   recordPressure(Decision, Request, Now);
   return Decision == BodyDecision::Waiting ? BodyAdmissionResult::Waiting
                                            : BodyAdmissionResult::Refused;
--- a/packages/coordination/marjorambay/coordination/memory_budget.h
+++ b/packages/coordination/marjorambay/coordination/memory_budget.h
@@ -91,6 +91,8 @@
       : Settings(Given), LimitBytes(LimitBytes),
         Shares(divideMemory(LimitBytes)) {}
 
+  /// Admits a body if there is room and no other one waits for it.
+  bool tryAdmit(BodyId Id, std::uint64_t Bytes);
   /// Decides on a body, or on more memory for an admitted one. A waiting body
   /// is decided on by a later review().
   BodyDecision request(const BodyRequest &Request, TimePoint Now);
--- a/packages/coordination/src/memory_budget.cpp
+++ b/packages/coordination/src/memory_budget.cpp
@@ -73,13 +73,17 @@
   Waiting.erase(Found);
 }
 
+bool MemoryBudget::tryAdmit(BodyId Id, std::uint64_t Bytes) {
+  const bool Queued = isShort(Bytes) ? !ShortQueue.empty() : !LongQueue.empty();
+  if (Queued || !fits(Id, Bytes))
+    return false;
+  reserve(Id, Bytes);
+  return true;
+}
+
 BodyDecision MemoryBudget::request(const BodyRequest &Request, TimePoint Now) {
-  const bool QueueEmpty =
-      isShort(Request.Bytes) ? ShortQueue.empty() : LongQueue.empty();
-  if (QueueEmpty && fits(Request.Id, Request.Bytes)) {
-    reserve(Request.Id, Request.Bytes);
+  if (tryAdmit(Request.Id, Request.Bytes))
     return BodyDecision::Admitted;
-  }
   const Duration Delay =
       Settings.DelayPerTier * number(Request.Tier) +
       Settings.DelayPerMebibyte *
