Memory: a process that is not told its limit assumes 128 MB

Cause: without memory_mb 256 MB were assumed, more than most hosts of the deployments have, so that a host whose settings lack the limit could exceed it. Change: 128 MB are assumed; the test of the default states it.

--- a/packages/coordination/src/memory_budget.cpp
+++ b/packages/coordination/src/memory_budget.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// Assumed for a process that is not told its limit.
-constexpr std::uint64_t DefaultLimitBytes = 256'000'000;
+constexpr std::uint64_t DefaultLimitBytes = 128'000'000;
 /// What the program needs with all its connections and a large fleet's objects.
 constexpr std::uint64_t ProgramBytes = 26'000'000;
 /// Part of the limit that stays free: buffers that grow are held twice for a
--- a/packages/coordination/tests/memory_budget_test.cpp
+++ b/packages/coordination/tests/memory_budget_test.cpp
@@ -41,7 +41,7 @@
     for (const std::uint64_t Share : Shares)
       CHECK(Share > 0);
   }
-  CHECK(divideMemory(0) == divideMemory(256'000'000));
+  CHECK(divideMemory(0) == divideMemory(128'000'000));
 }
 
 // Guards against bodies that are read without a bound on all of them.
