Descriptors: a hub has connections for all its followers

Cause: found by review of the new shares: other hosts had a fifth of the reserve, 32 connections and as many that are rejected with 503, while a hub of a fleet of 195 hosts has about 64 followers with up to one connection for each kind of object. Besides, a stated limit below 800 left the platform less than its 200 descriptors for files, and an error while descriptors are counted would have ended the process by an exception. The soft limit is raised in one place, at start.

--- a/apps/marjorambayd/forward_descriptors.cpp
+++ b/apps/marjorambayd/forward_descriptors.cpp
@@ -36,9 +36,8 @@
 } // namespace
 
 DescriptorShares descriptorShares(const HostSettings &Settings) {
-  return divideDescriptors(
-      {Settings.MaxOpenFiles, descriptorLimit(Settings.MaxOpenFiles)},
-      Settings.MaxConnections);
+  return divideDescriptors({Settings.MaxOpenFiles, descriptorLimit()},
+                           Settings.MaxConnections);
 }
 
 CallerServerLimits callerLimits(const HostSettings &Settings,
@@ -62,8 +61,9 @@
 
 CallerServerLimits objectServerLimits(const DescriptorShares &Shares) {
   CallerServerLimits Limits;
-  Limits.MaxConnections = (Shares.Hosts + 1) / OverLimitDivisor;
-  Limits.MaxConnectionsOverLimit = Shares.Hosts - Limits.MaxConnections;
+  Limits.MaxConnections = Shares.Hosts;
+  Limits.MaxConnectionsOverLimit = 0; // hosts wait to be accepted
+  Limits.MaxBodyBytes = 0;            // their requests have none
   return Limits;
 }
 
--- a/packages/transport/marjorambay/transport/descriptors.h
+++ b/packages/transport/marjorambay/transport/descriptors.h
@@ -6,9 +6,9 @@
 
 namespace marjorambay {
 
-/// Returns how many descriptors the system lets this process open; raises its
-/// soft limit to \p Wanted before, as far as the system permits.
-std::size_t descriptorLimit(std::size_t Wanted = 0);
+/// Returns how many descriptors the system lets this process open; 0 if it does
+/// not tell.
+std::size_t descriptorLimit();
 /// Returns the number of open descriptors; 0 if the system does not tell.
 std::size_t openDescriptors();
 
