Transport: what is queued survives a connect that fails at once

Cause: found by review: a connection that fails for lack of local ports or memory dropped the queued body, so that the next attempt sent the head alone, and the target waited for the rest. A datagram link without a descriptor reported EBADF of a later call, which is not awaited at start. Change: only the descriptor is closed; the link reports the first error. Result: full_client_test, "a connect that fails at once loses no bytes" and "a datagram link without descriptors".

--- a/packages/transport/src/datagram_link.cpp
+++ b/packages/transport/src/datagram_link.cpp
@@ -54,6 +54,8 @@
 
 Result<Done> DatagramLink::bind(const SocketAddress &Address) {
   Descriptor = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (Descriptor < 0)
+    return bindError(Address, errno);
   sockaddr_in Bound{};
   Bound.sin_family = AF_INET;
   Bound.sin_port = htons(Address.Port);
@@ -62,12 +64,10 @@
              sizeof ReceiveBufferBytes);
   const int Enabled = 1;
   setsockopt(Descriptor, SOL_SOCKET, SO_TIMESTAMPNS, &Enabled, sizeof Enabled);
-  if (Descriptor < 0 ||
-      ::bind(Descriptor, reinterpret_cast<const sockaddr *>(&Bound),
+  if (::bind(Descriptor, reinterpret_cast<const sockaddr *>(&Bound),
              sizeof Bound) != 0) {
     const int Failure = errno;
-    if (Descriptor >= 0)
-      close(Descriptor);
+    close(Descriptor);
     Descriptor = -1;
     return bindError(Address, Failure);
   }
--- a/packages/transport/src/stream_socket.cpp
+++ b/packages/transport/src/stream_socket.cpp
@@ -94,7 +94,8 @@
       Descriptor, reinterpret_cast<const sockaddr *>(&Address), sizeof Address);
   if (Status != 0 && errno != EINPROGRESS) {
     const bool Shortage = isLocalShortage(errno);
-    close();
+    ::close(Descriptor); // close() would drop what is queued for another try
+    Descriptor = -1;
     return Shortage ? ConnectStart::NoResource : ConnectStart::Failed;
   }
   Connecting = true;
--- a/packages/transport/tests/full_client_test.cpp
+++ b/packages/transport/tests/full_client_test.cpp
@@ -3,6 +3,7 @@
 #include "loop_fixture.h"
 #include "raw_peer.h"
 
+#include "marjorambay/transport/datagram_link.h"
 #include "marjorambay/transport/keep_alive_client.h"
 
 #include <memory>
@@ -39,6 +40,38 @@
   CHECK(neverSent(**Outcome));
 }
 
+// Guards against a start that ends at once because it lacks a descriptor.
+TEST_CASE_FIXTURE(LoopFixture, "a datagram link without descriptors") {
+  DatagramLink Link(Loop);
+  auto Shortage = std::make_unique<DescriptorShortage>();
+  const Result<Done> Bound = Link.bind({"127.0.0.1", 0});
+  Shortage.reset();
+  REQUIRE_FALSE(ok(Bound));
+  CHECK(error(Bound).Kind == ErrorKind::AddressUnavailable);
+  CHECK(ok(Link.bind({"127.0.0.1", 0})));
+}
+
+// Guards against a request that is sent without its body once a second attempt
+// to connect succeeds.
+TEST_CASE_FIXTURE(LoopFixture, "a connect that fails at once loses no bytes") {
+  const RawListener Target;
+  StreamSocket Socket(Loop);
+  const std::string Head = "POST /a HTTP/1.1\r\n\r\n";
+  const auto Body = std::make_shared<const std::string>(100'000, 'x');
+  Socket.queue(Head);
+  Socket.queueShared(Body);
+  REQUIRE(Socket.connect({"255.255.255.255", 9}, {}) != ConnectStart::Started);
+  REQUIRE(Socket.connect({"127.0.0.1", Target.port()}, {}) ==
+          ConnectStart::Started);
+  int Accepted = -1;
+  runUntil([&]() { return (Accepted = Target.accept()) >= 0; });
+  RawConnection Receiver(Accepted);
+  runUntil([&]() {
+    return Receiver.received().size() == Head.size() + Body->size();
+  });
+  CHECK(Receiver.received() == Head + *Body);
+}
+
 // Guards against connections to targets that leave none for the store.
 TEST_CASE_FIXTURE(FullClientFixture, "a client with all connections in use") {
   Client.setMaxConnections(1);
