Memory: a body that can never fit is refused at once

Cause: found by review: a body longer than the share of bodies waited 3 s at the head of the queue, and all long ones behind it, and was told to come back. Change: it is refused without a wait. Result: memory_budget_test, "a body longer than the share of bodies".

--- a/packages/coordination/marjorambay/coordination/memory_budget.h
+++ b/packages/coordination/marjorambay/coordination/memory_budget.h
@@ -135,6 +135,8 @@
     return Bytes <= Settings.ShortBody;
   }
   std::uint64_t heldBy(BodyId Id) const;
+  /// Part of the share that a body of this size may use.
+  std::uint64_t usableBy(std::uint64_t Bytes) const;
   bool fits(BodyId Id, std::uint64_t Bytes) const;
   void reserve(BodyId Id, std::uint64_t Bytes);
   std::set<QueueKey> &queueOf(const Wait &Entry);
--- a/packages/coordination/src/memory_budget.cpp
+++ b/packages/coordination/src/memory_budget.cpp
@@ -48,11 +48,14 @@
   return Found == Reserved.end() ? 0 : Found->second;
 }
 
-bool MemoryBudget::fits(BodyId Id, std::uint64_t Bytes) const {
+std::uint64_t MemoryBudget::usableBy(std::uint64_t Bytes) const {
   const std::uint64_t Share = share(MemoryOwner::RequestBodies);
-  const std::uint64_t Usable =
-      isShort(Bytes) ? Share : Share - fractionOf(Share, Settings.ShortReserve);
-  return Held - heldBy(Id) + Bytes <= Usable;
+  return isShort(Bytes) ? Share
+                        : Share - fractionOf(Share, Settings.ShortReserve);
+}
+
+bool MemoryBudget::fits(BodyId Id, std::uint64_t Bytes) const {
+  return Held - heldBy(Id) + Bytes <= usableBy(Bytes);
 }
 
 void MemoryBudget::reserve(BodyId Id, std::uint64_t Bytes) {
@@ -97,7 +100,9 @@
   const bool DisplacesLast =
       Full && !LongQueue.empty() &&
       (isShort(Request.Bytes) || Entry.Order < LongQueue.rbegin()->first);
-  if (!MayWait || MaxWait <= Duration(0) || (Full && !DisplacesLast)) {
+  const bool NeverFits = Request.Bytes > usableBy(Request.Bytes);
+  if (!MayWait || NeverFits || MaxWait <= Duration(0) ||
+      (Full && !DisplacesLast)) {
     ++Refused;
     return BodyDecision::Refused;
   }
--- a/packages/coordination/tests/memory_budget_test.cpp
+++ b/packages/coordination/tests/memory_budget_test.cpp
@@ -44,6 +44,13 @@
   CHECK(divideMemory(0) == divideMemory(128'000'000));
 }
 
+// Guards against long bodies that wait behind one that can never be read.
+TEST_CASE_FIXTURE(BudgetFixture, "a body longer than the share of bodies") {
+  const std::uint64_t TooLong = Budget.share(MemoryOwner::RequestBodies) + 1;
+  CHECK(request(TooLong) == BodyDecision::Refused);
+  CHECK(request(Long) == BodyDecision::Admitted);
+}
+
 // Guards against bodies that are read without a bound on all of them.
 TEST_CASE_FIXTURE(BudgetFixture, "long bodies beyond their share") {
   const std::uint64_t Admitted = fillWithLong();
