Callers above the limit are rejected before their bodies are read

Cause: found by review where connections above the limit meet the admission of bodies: such a request reserved up to 4 MiB, got 100 Continue and was rejected only once it was complete; one that had waited for memory was served. Change: it is rejected as soon as its head is complete. Result: full_server_test, "rejects a request before its body is sent".

--- a/packages/transport/marjorambay/transport/caller_server.h
+++ b/packages/transport/marjorambay/transport/caller_server.h
@@ -128,7 +128,7 @@
   bool hasRoom();
   bool makeRoom();
   bool closeLongestIdle();
-  bool isOverLimit(Connection &Conn) const;
+  void updateOverLimit(Connection &Conn) const;
   void addConnection(int Descriptor);
   void handleBytes(Connection &Conn, std::string_view Bytes);
   void parseRequests(Connection &Conn);
--- a/packages/transport/src/caller_server.cpp
+++ b/packages/transport/src/caller_server.cpp
@@ -109,8 +109,8 @@
   CallerBodyId BodyId{};         ///< 0 if no memory was asked for
   std::size_t BodyRequested = 0; ///< bytes
   BodyState BodyStatus = BodyState::Admitted;
-  bool Complete = false;  ///< the body has arrived, but waits for memory
-  std::string Unparsed{}; ///< received bytes that are not parsed yet
+  bool BodyComplete = false; ///< the body has arrived, but waits for memory
+  std::string Unparsed{};    ///< received bytes that are not parsed yet
   bool Parsing = false;
   ExchangeId Exchange{};
   bool KeepAlive = true; ///< the connection stays open after this exchange
@@ -201,10 +201,10 @@
   return Closed != 0;
 }
 
-/// Whether there is no room for \p Conn, which was accepted above the limit.
-bool CallerServer::isOverLimit(Connection &Conn) const {
+/// Counts \p Conn, which was accepted above the limit, as within it if others
+/// have closed.
+void CallerServer::updateOverLimit(Connection &Conn) const {
   Conn.OverLimit = Conn.OverLimit && Connections.size() > Limits.MaxConnections;
-  return Conn.OverLimit;
 }
 
 void CallerServer::addConnection(int Descriptor) {
@@ -231,6 +231,9 @@
 
 void CallerServer::handleHead(Connection &Conn, const HttpHead &Head) {
   Conn.Body.clear();
+  updateOverLimit(Conn);
+  if (Conn.OverLimit)
+    return; // rejected before its body is read
   const std::size_t Length = announcedLength(Head);
   const bool Chunked = Head.Framing == BodyFraming::Chunked;
   if (Length > Limits.MaxBodyBytes)
@@ -298,7 +301,7 @@
   Conn.State = ConnectionState::Reading;
   Conn.StateStart = Loop.now();
   Conn.Socket.pauseReading(false);
-  if (Conn.Complete)
+  if (Conn.BodyComplete)
     return handleRequest(Conn);
   continueBody(Conn);
 }
@@ -313,7 +316,7 @@
   Conn.Body = {};
   Conn.BodyRequested = 0;
   Conn.BodyStatus = BodyState::Admitted;
-  Conn.Complete = false;
+  Conn.BodyComplete = false;
   if (Conn.BodyId == CallerBodyId{})
     return;
   WaitingBodies.erase(Conn.BodyId);
@@ -359,7 +362,9 @@
     std::string_view Remaining = Input;
     const ParseOutcome Outcome = Conn.Parser.feed(Remaining);
     Conn.Unparsed = std::string(Remaining);
-    if (Conn.BodyStatus == BodyState::TooLarge)
+    if (Conn.OverLimit && Conn.Parser.headComplete())
+      rejectRequest(Conn, ErrorKind::TooManyConnections);
+    else if (Conn.BodyStatus == BodyState::TooLarge)
       rejectRequest(Conn, ErrorKind::TooLarge);
     else if (Conn.BodyStatus == BodyState::Refused)
       rejectRequest(Conn, Admission->refusalReason());
@@ -368,11 +373,10 @@
     else if (Outcome == ParseOutcome::Invalid)
       rejectRequest(Conn, ErrorKind::BadRequest);
     else if (Conn.BodyStatus == BodyState::Waiting) {
-      Conn.Complete = Outcome == ParseOutcome::Complete;
+      Conn.BodyComplete = Outcome == ParseOutcome::Complete;
       waitForMemory(Conn);
     } else if (Outcome == ParseOutcome::Complete)
-      isOverLimit(Conn) ? rejectRequest(Conn, ErrorKind::TooManyConnections)
-                        : handleRequest(Conn);
+      handleRequest(Conn);
     else if (Conn.Parser.headComplete() && !HadHead) {
       Conn.StateStart = Loop.now();
       continueBody(Conn);
--- a/packages/transport/tests/full_server_test.cpp
+++ b/packages/transport/tests/full_server_test.cpp
@@ -123,6 +123,12 @@
     CHECK(New.received().starts_with("HTTP/1.1 503 "));
     CHECK(Arrived.size() == 4);
   }
+  SUBCASE("rejects a request before its body is sent") {
+    New.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n"
+             "Expect: 100-continue\r\n\r\n");
+    runUntil([&]() { return New.ended(); });
+    CHECK(New.received().starts_with("HTTP/1.1 503 "));
+  }
   SUBCASE("takes the request if a connection has ended meanwhile") {
     runUntil([&]() { return Server.connections() == 5; });
     Callers[0]->close();
