A log that reaches the limit of file sizes does not end a process

Cause: found by review: a write beyond the limit on the size of files raises SIGXFSZ, which ends a process by default; the platform sets that limit. Change: it is ignored, as are SIGXCPU, SIGPWR and SIGSTKFLT; the write fails, which the log copes with. Result: start_test.py SurroundingsTest, test_a_log_at_the_limit_of_its_size_does_not_end_a_host.

--- a/apps/marjorambayd/start_signals.cpp
+++ b/apps/marjorambayd/start_signals.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-constexpr std::array IgnoredSignals{SIGHUP,  SIGUSR1,   SIGUSR2, SIGPIPE,
-                                    SIGALRM, SIGVTALRM, SIGPROF, SIGIO};
+constexpr std::array IgnoredSignals{SIGHUP,    SIGUSR1, SIGUSR2, SIGPIPE,
+                                    SIGALRM,   SIGPROF, SIGIO,   SIGVTALRM,
+                                    SIGSTKFLT, SIGPWR,  SIGXCPU, SIGXFSZ};
 constexpr std::array StopSignals{SIGTERM, SIGINT, SIGQUIT};
 
 void exitBeforeStart(int) { _exit(0); }
--- a/tests/system/start_test.py
+++ b/tests/system/start_test.py
@@ -239,6 +239,19 @@
             target = os.readlink(f"/proc/{host.process.pid}/fd/{each}")
             self.assertEqual(target, "/dev/null")
 
+    # Guards against a host that ends once its log has reached the limit of the
+    # size of files.
+    def test_a_log_at_the_limit_of_its_size_does_not_end_a_host(self):
+        host = Start(self)
+        host.settings.write_text(host.text())
+        host.spawn(preexec_fn=lambda: resource.setrlimit(
+            resource.RLIMIT_FSIZE, (100, 100)))
+        wait_until(lambda: get(host.ports[3], "/metrics").status == 200,
+                   "start")
+        host.process.send_signal(signal.SIGHUP)  # is logged
+        time.sleep(0.5)
+        self.assertIsNone(host.process.poll())
+
     def test_a_low_soft_limit_of_descriptors_is_raised(self):
         host = Start(self)
         host.settings.write_text(host.text())
