Host: streams that have begun are not cut before the end, and times begin right

Cause: found by review: a stream that has begun and waits for another target was cut in the phase that rejects what waits, before the last sixth of a short grace; the time since the start included the wait for ports, so that a host counted as having heard the others; a call that had once lacked a connection did not wait for the next one. Change: such streams go on until the last phase; the start counts from when all ports are bound; the wait begins anew after a response. Names of these fields say what lacks. Result: no test of its own; stop_test.py and the forwarding tests cover the paths.

--- a/apps/marjorambayd/forward_dispatch.cpp
+++ b/apps/marjorambayd/forward_dispatch.cpp
@@ -37,8 +37,8 @@
 constexpr Duration ReplacementConnectTimeout = milliseconds(150);
 /// How long a call waits for a connection that this host lacks, and the time
 /// between two attempts.
-constexpr Duration MaxLack = seconds(1);
-constexpr Duration LackRetryInterval = milliseconds(200);
+constexpr Duration MaxConnectionWait = seconds(1);
+constexpr Duration ConnectionRetryInterval = milliseconds(200);
 /// Between two replacements of the same dispatch.
 constexpr Duration ReplacementInterval = milliseconds(300);
 
@@ -281,7 +281,7 @@
     dropBufferedBody(Call);
     if (number(Call.Pending.Id) != 0)
       return; // the reservation of a replacement keeps its place
-    if (H.Loop.now() < Call.LackingUntil)
+    if (H.Loop.now() < Call.NoConnectionUntil)
       return; // checkTimeouts() asks for another slot
     return requestSlot(H, Call);
   }
@@ -336,6 +336,7 @@
   TargetAttempt &Attempt = attemptOf(Call, Id);
   Attempt.LastBytesAt = H.Loop.now();
   Attempt.ProgressAt = Attempt.LastBytesAt;
+  Call.NoConnectionSince = TimePoint{};
   Attempt.Status = Head.Status;
   Attempt.Framing = Head.Framing;
   Attempt.Declined =
@@ -606,11 +607,11 @@
   const std::string_view Cause = nameOf(KeepAliveOutcome::NoResource);
   Call.Attempts -= std::min(Call.Attempts, 1U);
   std::erase(Call.TriedTargets, Call.Current.Target);
-  if (Call.LackingSince == TimePoint{})
-    Call.LackingSince = Now;
-  Call.LackingUntil = Now + LackRetryInterval;
+  if (Call.NoConnectionSince == TimePoint{})
+    Call.NoConnectionSince = Now;
+  Call.NoConnectionUntil = Now + ConnectionRetryInterval;
   endDispatch(H, Call, DispatchOutcome::NotRun, false);
-  if (Now - Call.LackingSince < MaxLack || Call.Replacement)
+  if (Now - Call.NoConnectionSince < MaxConnectionWait || Call.Replacement)
     return retryOrFail(H, Call, true, ErrorKind::OutcomeUnknown, Cause);
   logFailedAttempt(H, Call, Call.Current, true, Cause);
   failCall(H, Call,
@@ -621,7 +622,7 @@
                       KeepAliveOutcome Outcome) {
   if (Outcome == KeepAliveOutcome::NoResource)
     return handleNoResource(H, Call);
-  Call.LackingSince = TimePoint{};
+  Call.NoConnectionSince = TimePoint{};
   if (neverSent(Outcome)) {
     Call.Attempts -= std::min(Call.Attempts, 1U);
     H.Health[Call.Current.Target].recordRefusal(H.Loop.now());
@@ -653,19 +654,19 @@
   TargetAttempt &Attempt = *Call.Replacement;
   Attempt.ConnectionLost = Outcome == KeepAliveOutcome::ConnectionLost;
   const bool NotSent = neverSent(Outcome);
-  const bool Lacking = Outcome == KeepAliveOutcome::NoResource;
+  const bool NoResource = Outcome == KeepAliveOutcome::NoResource;
   const bool NotRun = NotSent || Attempt.Declined;
   logFailedAttempt(H, Call, Attempt, NotRun,
                    NotSent            ? nameOf(Outcome)
                    : Attempt.Declined ? "target rejected the request"
                                       : "replacement failed");
-  if (NotSent && !Lacking) {
+  if (NotSent && !NoResource) {
     H.Health[Attempt.Target].recordRefusal(H.Loop.now());
     if (mayHaveRestarted(Attempt, Outcome))
       recordTargetLost(H, Attempt.Target, Attempt.TargetIncarnation);
     startPlainRamp(H, Attempt.Target, RampStart::BackOff);
   }
-  if (NotRun && !Lacking && !Attempt.HoldsOff)
+  if (NotRun && !NoResource && !Attempt.HoldsOff)
     reportTargetRefusal(H, Call.Pool, Attempt.Target,
                         Outcome == KeepAliveOutcome::Refused);
   if (NotRun)
--- a/apps/marjorambayd/forward_drain.cpp
+++ b/apps/marjorambayd/forward_drain.cpp
@@ -42,6 +42,7 @@
   for (const RequestId Id : callsAt(H, CallStage::Waiting)) {
     ForwardCall *Call = findCall(H, Id);
     if (Call == nullptr || Call->Stage != CallStage::Waiting ||
+        (Call->ResponseStarted && Phase < DrainPhase::Ending) ||
         (Phase < DrainPhase::Rejecting &&
          (isRetryable(Call->Route->Kind) || endsInTime(H, *Call))))
       continue;
--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -182,9 +182,9 @@
   std::optional<TargetAttempt> Replacement{};
   TimePoint ReplaceAfter{}; ///< no replacement is sought earlier
   /// Since when this host has had no connection for the call; 0 if it has not
-  /// lacked one. No slot is reserved before LackingUntil.
-  TimePoint LackingSince{};
-  TimePoint LackingUntil{};
+  /// lacked one. No slot is reserved before NoConnectionUntil.
+  TimePoint NoConnectionSince{};
+  TimePoint NoConnectionUntil{};
   std::uint32_t Attempts = 0;   ///< dispatches that may have reached a target
   bool VersionSelected = false; ///< by the share of a version under rollout
   VersionId FailedVersion{};    ///< of the last attempt that failed; 0 if none
--- a/apps/marjorambayd/forward_lifecycle.cpp
+++ b/apps/marjorambayd/forward_lifecycle.cpp
@@ -173,6 +173,7 @@
       [&H](const HttpRequestView &View) { handleOperatorRequest(H, View); });
   if (Result<Done> Listening = listenAll(H); !ok(Listening))
     return Listening;
+  H.StartedAt = H.Loop.now(); // no peer was heard while addresses were awaited
   readZoneRegions(H);
   startRequests(H);
   startMemory(H);
--- a/apps/marjorambayd/forward_requests.cpp
+++ b/apps/marjorambayd/forward_requests.cpp
@@ -320,7 +320,7 @@
 
 void checkWaiting(ForwardHost &H, ForwardCall &Call, TimePoint Now) {
   if (number(Call.Pending.Id) == 0)
-    return Now < Call.LackingUntil ? void() : requestSlot(H, Call);
+    return Now < Call.NoConnectionUntil ? void() : requestSlot(H, Call);
   const Duration Elapsed = Now - Call.Pending.SentAt;
   if (number(Call.Pending.ArbiterHost) == 0)
     return;
--- a/packages/transport/marjorambay/transport/log.h
+++ b/packages/transport/marjorambay/transport/log.h
@@ -26,8 +26,8 @@
 void startStdoutLogging(TimerService &Timers, std::string_view Level = "info");
 /// Writes the buffered lines as far as the descriptor accepts them.
 void flushStdoutLog();
-/// Does so, and stops
-/// logging to standard output.
+/// Writes the buffered lines in the same way and stops logging to standard
+/// output.
 void stopStdoutLogging();
 
 /// One log line, written when the object goes out of scope.
