--- a/tests/system/descriptor_test.py
+++ b/tests/system/descriptor_test.py
@@ -89,22 +89,6 @@
                 wait_until(lambda: self.fleet.call("/safe/a").status == 200,
                            "serves again")
 
-    # Guards against callers that keep a host from its store, its targets, its
-    # probes or its operators.
-    def test_a_flood_of_callers_leaves_the_others_their_descriptors(self):
-        restart_limited(self.host, 400)
-        self.connect(1300)
-        for _ in range(5):
-            self.assertTrue(self.host.ready())
-            answer = self.fleet.call("/safe/a")
-            self.assertEqual(answer.status, 200, dump(answer))
-        self.fleet.configure(4)
-        wait_until(lambda: self.fleet.in_force(4), "a new configuration")
-        metrics = self.host.metrics_text()
-        self.assertIn('marjorambay_descriptors_limit{share="callers"}', metrics)
-        self.assertTrue(self.host.lines("callers_full"))
-        self.assertFalse(self.host.lines("accept_failed"))
-
     # Guards against callers that are reset without an answer.
     def test_callers_above_the_limit_get_an_answer(self):
         self.host.settings.write_text(self.host.settings.read_text().replace(
@@ -127,6 +111,24 @@
             self.assertIn(b"Retry-After: ", each)
 
 
+class FloodTest(DescriptorCase):
+    # Guards against callers that keep a host from its store, its targets, its
+    # probes or its operators.
+    def test_a_flood_of_callers_leaves_the_others_their_descriptors(self):
+        restart_limited(self.host, 400)
+        self.connect(1300)
+        for _ in range(5):
+            self.assertTrue(self.host.ready())
+            answer = self.fleet.call("/safe/a")
+            self.assertEqual(answer.status, 200, dump(answer))
+        self.fleet.configure(4)
+        wait_until(lambda: self.fleet.in_force(4), "a new configuration")
+        metrics = self.host.metrics_text()
+        self.assertIn('marjorambay_descriptors_limit{share="callers"}', metrics)
+        self.assertTrue(self.host.lines("callers_full"))
+        self.assertFalse(self.host.lines("accept_failed"))
+
+
 class TargetTest(DescriptorCase):
     # Guards against a target that is left out, and a request that fails,
     # because the host had no descriptor for a connection for a moment.
