Review: scripts take ports that no connection can have taken

Cause: ports were found in the range that systems give to connections, and one of another process could have such a port before a daemon listened there; the script of review/8 ended with status 2 once (edge-4 not ready within 15 s, beside three other scripts). Change: free_ports() in kit2.py picks ports below that range, free for TCP and UDP; links.py uses it.

--- a/review/8/run.py
+++ b/review/8/run.py
@@ -10,8 +10,8 @@
 sys.path.insert(0, str(HERE.parent))
 import kit2  # noqa: E402
 from kit2 import (BOUNDS, HOST, KEY, TROUBLE, Daemon, Loop, Record, Store,  # noqa: E402
-                  Worker, wait_until)
-from links import Links, free_ports_of_both_kinds  # noqa: E402
+                  Worker, free_ports, wait_until)
+from links import Links  # noqa: E402
 
 HOSTS = 6
 CUT_HOSTS = 2
@@ -186,7 +186,7 @@
     zones = ("kirtipur", "lalitpur")
     service = Service(runner, store, record)
     names = [f"edge-{number + 1}" for number in range(HOSTS)]
-    peers = dict(zip(names, free_ports_of_both_kinds(HOSTS)))
+    peers = dict(zip(names, free_ports(HOSTS)))
     links = Links(runner, store.port, peers, asks_again=(1, 3, 7))
     ids = itertools.count(1)
     daemons, clients, rounds = [], [], []
--- a/review/kit2.py
+++ b/review/kit2.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import signal
 import socket
@@ -48,12 +49,28 @@
             self.file.flush()
 
 
+TAKEN = set()
+
+
 def free_ports(count):
-    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [each.getsockname()[1] for each in held]
-    for each in held:
-        each.close()
-    return ports
+    """Ports that are free for both kinds of sockets, all of five digits. They lie
+    below those that systems give to connections, so that none is taken by
+    another's connection before it is used."""
+    found = []
+    while len(found) < count:
+        port = random.SystemRandom().randrange(12000, 32000)
+        if port in TAKEN:
+            continue
+        try:
+            with socket.socket() as tcp, socket.socket(
+                    socket.AF_INET, socket.SOCK_DGRAM) as udp:
+                tcp.bind(("127.0.0.1", port))
+                udp.bind(("127.0.0.1", port))
+        except OSError:
+            continue
+        TAKEN.add(port)
+        found.append(port)
+    return found
 
 
 class Daemon:
--- a/review/links.py
+++ b/review/links.py
@@ -5,34 +5,15 @@
 leads to i and is used by j alone. As bytes pass, the addresses in them are
 replaced by those that the receiver uses; all are of one length."""
 import asyncio
-import socket
 import time
 
+from kit2 import free_ports
+
 
 def text(port):
     return f"127.0.0.1:{port}".encode()
 
 
-def free_ports_of_both_kinds(count):
-    """Ports of five digits that are free for both kinds of sockets."""
-    found = []
-    while len(found) < count:
-        tcp = socket.socket()
-        tcp.bind(("127.0.0.1", 0))
-        port = tcp.getsockname()[1]
-        udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        try:
-            udp.bind(("127.0.0.1", port))
-            if port >= 10000 and port not in found:
-                found.append(port)
-        except OSError:
-            pass
-        finally:
-            udp.close()
-            tcp.close()
-    return found
-
-
 class Replacer:
     """Replaces byte strings of one length in a stream that comes in pieces."""
 
@@ -64,7 +45,7 @@
         self.servers, self.transports = [], []
         self.writers = set()
         names = list(peers)
-        ports = iter(free_ports_of_both_kinds(len(names) * len(names)))
+        ports = iter(free_ports(len(names) * len(names)))
         self.known = {(of, to): next(ports)  # of is known to `to` by this port
                       for of in names for to in names if of != to}
         self.store_ports = {}
