Review: scripts end their daemons when they are told to end; ports of their own

Cause: a script that got SIGTERM left its daemons running; and of four scripts begun together one met a port that another had picked ("Address already in use"). Change: kit2.py turns SIGTERM and SIGHUP into an end with status 2; each process picks ports from a place of its own.

--- a/review/kit2.py
+++ b/review/kit2.py
@@ -2,10 +2,10 @@
 command of the deploy file, on loopback, before the project's stand-ins of the
 users' store and workers."""
 import asyncio
+import itertools
 import json
 import os
 import pathlib
-import random
 import re
 import signal
 import socket
@@ -49,7 +49,9 @@
             self.file.flush()
 
 
-TAKEN = set()
+LOWEST, RANGE = 12000, 20000
+# Scripts that run at the same time begin at different ports.
+next_port = itertools.count(os.getpid() * 200)
 
 
 def free_ports(count):
@@ -58,9 +60,7 @@
     another's connection before it is used."""
     found = []
     while len(found) < count:
-        port = random.SystemRandom().randrange(12000, 32000)
-        if port in TAKEN:
-            continue
+        port = LOWEST + next(next_port) % RANGE
         try:
             with socket.socket() as tcp, socket.socket(
                     socket.AF_INET, socket.SOCK_DGRAM) as udp:
@@ -68,7 +68,6 @@
                 udp.bind(("127.0.0.1", port))
         except OSError:
             continue
-        TAKEN.add(port)
         found.append(port)
     return found
 
@@ -135,3 +134,8 @@
 def cannot_run(reason):
     print(f"could not run: {reason}")
     sys.exit(2)
+
+
+# A script that is told to end, or whose terminal is closed, ends its daemons.
+for each_signal in (signal.SIGTERM, signal.SIGHUP):
+    signal.signal(each_signal, lambda *_: cannot_run("told to end"))
