Review: the script of case 6 shows both rules that the fault breaks

Cause: the script showed lost workers (Gate) only; two machines that act as the one arbiter of a pool (LIMIT), by the same fault, stood in a script that nothing started.

--- a/review/6/two_arbiters.py
+++ b/review/6/two_arbiters.py
@@ -194,7 +194,7 @@
 
 if __name__ == "__main__":
     with tempfile.TemporaryDirectory(prefix="review-6-") as temporary:
-        record = Record(HERE)
+        record = Record(HERE, "two arbiters: " if "beside" in sys.argv else "")
         try:
             status = run(pathlib.Path(temporary), record)
         except (RuntimeError, OSError, AssertionError) as failure:
--- a/review/kit2.py
+++ b/review/kit2.py
@@ -37,15 +37,21 @@
 
 
 class Record:
-    def __init__(self, folder):
-        self.file = open(folder / "record.txt", "w")
+    """`part`: a name before each line, of a script that writes into the record
+    of another one."""
+
+    def __init__(self, folder, part=""):
+        if not part:
+            (folder / "record.txt").write_text("")
+        self.file = open(folder / "record.txt", "a")
+        self.part = part
         self.began = time.monotonic()
         self.lock = threading.Lock()
 
     def note(self, text, at=None):
         at = (at if at is not None else time.monotonic()) - self.began
         with self.lock:
-            self.file.write(f"{at:9.3f} s  {text}\n")
+            self.file.write(f"{self.part}{at:9.3f} s  {text}\n")
             self.file.flush()
 
 
