A response whose status is none reaches no caller

Callers got answers with the status 000 of a target in trouble as answers, with its signature and body; on routes that may be repeated, no other target was asked. Cause: http_parser takes one digit or more up to 999, and ignores leading zeros (0200 became a 200); Http1Parser asked no more, and statuses below 500 count as answers. Change: Http1Parser reads the status line of responses itself, too: three digits from 100 to 599, then a blank or the end of the line. All that read with it hold by it: forwarded routes, the store, objects of other hosts. The call ends as garbled, so that its target has failed; safe requests go to another target, others get a 502.

--- a/packages/transport/marjorambay/transport/http1.h
+++ b/packages/transport/marjorambay/transport/http1.h
@@ -9,6 +9,7 @@
 
 #include "marjorambay/state/enum_names.h"
 #include "marjorambay/transport/http_server.h"
+#include "marjorambay/transport/response_head_check.h"
 
 #include <array>
 #include <cstddef>
@@ -55,7 +56,7 @@
   Incomplete, ///< all bytes were consumed; the message is not complete
   Complete,   ///< the message is complete; bytes may be left over
   TooLarge,   ///< the headers exceed the limit
-  Invalid,    ///< not HTTP/1.x, or ambiguous framing
+  Invalid,    ///< not HTTP/1.x, a status that is none, or ambiguous framing
 };
 
 enum class HttpMessageType : std::uint8_t { Request, Response };
@@ -102,6 +103,7 @@
   HttpMessageType Type;
   std::size_t MaxHeaderBytes;
   http_parser Parser{};
+  ResponseHeadCheck HeadCheck{}; ///< responses only
   HttpHead Head{};
   std::size_t HeaderBytes = 0;
   bool Started = false;
--- /dev/null
+++ b/packages/transport/marjorambay/transport/response_head_check.h
@@ -0,0 +1,27 @@
+/// Checks that http_parser does not make of a response's head.
+#ifndef MARJORAMBAY_TRANSPORT_RESPONSE_HEAD_CHECK_H
+#define MARJORAMBAY_TRANSPORT_RESPONSE_HEAD_CHECK_H
+
+#include <string>
+#include <string_view>
+
+namespace marjorambay {
+
+/// Follows the head of one response beside http_parser, which accepts any
+/// status up to 999 and ignores leading zeros.
+class ResponseHeadCheck {
+public:
+  /// Takes the next bytes of the response; those after its head are ignored.
+  /// Returns false as soon as the head is malformed.
+  bool feed(std::string_view Bytes);
+
+private:
+  bool endLine();
+
+  std::string StatusLine{}; ///< its first bytes
+  bool StatusLineComplete = false;
+};
+
+} // namespace marjorambay
+
+#endif // MARJORAMBAY_TRANSPORT_RESPONSE_HEAD_CHECK_H
--- a/packages/transport/src/http1.cpp
+++ b/packages/transport/src/http1.cpp
@@ -61,6 +61,7 @@
   http_parser_init(&Parser, Type == HttpMessageType::Request ? HTTP_REQUEST
                                                              : HTTP_RESPONSE);
   Parser.data = this;
+  HeadCheck = {};
   Head = HttpHead{};
   HeaderBytes = 0;
   Started = HeadComplete = MessageComplete = NoBody = InValue =
@@ -86,6 +87,8 @@
 ParseOutcome Http1Parser::feed(std::string_view &Bytes) {
   if (MessageComplete)
     return ParseOutcome::Complete;
+  if (Type == HttpMessageType::Response && !HeadCheck.feed(Bytes))
+    return ParseOutcome::Invalid;
   const std::size_t Consumed =
       http_parser_execute(&Parser, &callbacks(), Bytes.data(), Bytes.size());
   if (MessageComplete) { // onComplete() pauses before the next message
--- /dev/null
+++ b/packages/transport/src/response_head_check.cpp
@@ -0,0 +1,52 @@
+/// Checks that http_parser does not make of a response's head.
+#include "marjorambay/transport/response_head_check.h"
+
+#include <cctype>
+
+namespace marjorambay {
+
+namespace {
+
+/// Of "HTTP/1.1 200 ", which a reason may follow.
+constexpr std::size_t StatusOffset = 9;
+constexpr std::size_t StatusDigits = 3;
+constexpr std::size_t CheckedBytes = StatusOffset + StatusDigits + 1;
+
+bool isDigit(char C) {
+  return std::isdigit(static_cast<unsigned char>(C)) != 0;
+}
+
+/// Whether a status line, of which \p Line is the start, has a status from 100
+/// to 599 (RFC 9110, 15).
+bool hasValidStatus(std::string_view Line) {
+  if (Line.size() < StatusOffset + StatusDigits ||
+      Line[StatusOffset - 1] != ' ')
+    return false;
+  const std::string_view Status = Line.substr(StatusOffset, StatusDigits);
+  return Status[0] >= '1' && Status[0] <= '5' && isDigit(Status[1]) &&
+         isDigit(Status[2]) &&
+         (Line.size() < CheckedBytes || Line[CheckedBytes - 1] == ' ');
+}
+
+} // namespace
+
+bool ResponseHeadCheck::feed(std::string_view Bytes) {
+  for (const char C : Bytes) {
+    if (StatusLineComplete)
+      return true;
+    if (C == '\n' && !endLine())
+      return false;
+    if (C != '\n' && C != '\r' && StatusLine.size() < CheckedBytes)
+      StatusLine += C;
+  }
+  return true;
+}
+
+bool ResponseHeadCheck::endLine() {
+  if (StatusLine.empty())
+    return true; // a blank line before the response
+  StatusLineComplete = true;
+  return hasValidStatus(StatusLine);
+}
+
+} // namespace marjorambay
--- a/packages/transport/tests/cut_response_test.cpp
+++ b/packages/transport/tests/cut_response_test.cpp
@@ -1,4 +1,4 @@
-/// Responses that end at any byte, as both clients see them: the one of
+/// Responses that are cut or malformed, as both clients see them: the one of
 /// forwarded routes, of the platform's store and of other hosts, and the one of
 /// the product's own interface.
 #include "loop_fixture.h"
@@ -116,4 +116,27 @@
     }
 }
 
+// Guards against callers that get a response whose status is none.
+TEST_CASE_FIXTURE(CutFixture, "a response with a malformed status line") {
+  const std::string Rest = "\r\nContent-Length: 2\r\n\r\nok";
+  for (const bool UsePlain : {false}) {
+    CAPTURE(UsePlain);
+    for (const std::string_view Status :
+         {"000",  "0",    "00",         "001", "7",     "42",
+          "099",  "2 0",  "600",        "666", "700",   "999",
+          "0200", "1000", "2000",       "-20", "+200",  "20x",
+          "20",   "",     "4294967496", "101", "\t200", "200\t"}) {
+      CAPTURE(Status);
+      for (const std::string_view Reason : {" X", " ", ""}) {
+        std::string Bytes = "HTTP/1.1 ";
+        Bytes.append(Status).append(Reason).append(Rest);
+        CHECK_FALSE(completes(UsePlain, Bytes, Ending::HalfClosed));
+      }
+    }
+    for (const std::string Line : {"HTTP/1.1 200 X", "HTTP/1.1 200 ",
+                                   "HTTP/1.1 200", "HTTP/1.0 599 X Y\tZ"})
+      CHECK(completes(UsePlain, Line + Rest, Ending::HalfClosed));
+  }
+}
+
 } // namespace marjorambay
--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -414,7 +414,8 @@
     body S seconds later), "endless:WHAT" (bytes until the connection closes, see
     endless()), "stop:N" (the connection closes after N bytes of the answer),
     "crash" (the worker ends as it begins to answer, with all that it
-    runs, and is back after `restart_seconds`).
+    runs, and is back after `restart_seconds`), bytes (sent as they are in place
+    of an answer, after which the connection ends in an orderly way).
     """
 
     def __init__(self, runner, store, service, name, version="v1", slots=4,
@@ -559,6 +560,11 @@
         if self.accepts is not None and self.declares:
             self.notices = {"X-Marjorambay-Warmup-Ms": str(self.warmup_left_ms())}
         trouble = run["trouble"] = self.trouble(run) or ""
+        if isinstance(trouble, bytes):
+            self.runs.append(run)
+            writer.write(trouble)
+            await writer.drain()
+            return False
         if trouble == "full":
             return await self._say(
                 writer, headers, 503, b"", {"X-Marjorambay-Not-Executed": "1"}
--- /dev/null
+++ b/tests/system/broken_answer_test.py
@@ -0,0 +1,68 @@
+"""Workers whose answers are malformed, and what callers get of them."""
+import itertools
+import unittest
+
+from platform_fleet import PlatformFleet, dump
+
+PATHS = ("/safe/a", "/once/a", "/stream/a", "/streamonce/a")
+
+
+def identity(run):
+    """Headers that name the request and its worker."""
+    return (f"X-Marjorambay-Attempt-Id: {run['id']}\r\n"
+            f"X-Marjorambay-Server-Signature: sign-{run['worker']}\r\n").encode()
+
+
+def body_of(run):
+    """A framing header, the end of the head, and a body."""
+    if run["target"].startswith("/stream"):
+        return (b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+                b"\r\n11\r\nid: 1\ndata: one\n\n\r\n0\r\n\r\n")
+    return b"Content-Length: 9\r\n\r\nmalformed"
+
+
+class BrokenAnswerTest(unittest.TestCase):
+    """Each request meets one malformed answer; workers are sound otherwise."""
+
+    def setUp(self):
+        self.fleet = PlatformFleet(hosts=1, workers=2)
+        self.addCleanup(self.fleet.close)
+
+    def break_answers(self, answer):
+        """Sends answer(run) to the first run of a request that asks for it."""
+        for worker in self.fleet.workers.values():
+            worker.trouble = lambda run: (
+                answer(run) if "x-break" in run["headers"]
+                and len(self.fleet.runs(run["id"])) == 0 else None)
+
+    def call(self, path):
+        """Sends a request until a worker has broken its answer."""
+        for _ in range(20):
+            answer = self.fleet.call(path, headers={"X-Break": "1"})
+            if self.fleet.runs(answer.attempt):
+                return answer
+            self.fleet.call(path)  # a sound one, which lets the worker in
+        return self.fail(f"no worker got {path}")
+
+    def assert_nothing_passed_on(self, what, answer):
+        """Safe requests are served by another worker, others fail."""
+        self.break_answers(answer)
+        for path in PATHS:
+            with self.subTest(what=what, path=path):
+                got = self.call(path)
+                repeats = path in ("/safe/a", "/stream/a")
+                runs = len(self.fleet.runs(got.attempt))
+                self.assertEqual(got.status, 200 if repeats else 502, dump(got))
+                self.assertEqual(runs, 2 if repeats else 1, dump(got))
+                self.assertNotIn(b"malformed", got.body)
+
+    # Guards against a status that is none and that reaches callers.
+    def test_an_answer_without_a_valid_status_is_not_passed_on(self):
+        for status in (b"000", b"0", b"001", b"42", b"099", b"600", b"999",
+                       b"0200", b"1000", b"101"):
+            self.assert_nothing_passed_on(status, lambda run: (
+                b"HTTP/1.1 " + status + b" X\r\n" + identity(run) + body_of(run)))
+
+
+if __name__ == "__main__":
+    unittest.main()
