A control byte in the head of a response ends it as malformed

Callers got a 200 whose body began in the middle of the target's head, where a header line began with a carriage return; the next header was missing where the reason phrase held one. Control bytes in header values were passed on. Cause: http_parser is built without its strict mode. It takes a carriage return with any byte after it for the end of a line, at the start of a line for the end of the head, and drops that byte. Names were checked after it had split the head. Change: ResponseHeadCheck follows the bytes up to the blank line: a carriage return is followed by a line feed, and no other control byte but a tab stands in a line. http_parser gets no byte of a head that breaks this, so that all readers of Http1Parser agree with the target on where a head ends.

--- a/packages/transport/marjorambay/transport/response_head_check.h
+++ b/packages/transport/marjorambay/transport/response_head_check.h
@@ -8,7 +8,8 @@
 namespace marjorambay {
 
 /// Follows the head of one response beside http_parser, which accepts any
-/// status up to 999 and ignores leading zeros.
+/// status up to 999, ignores leading zeros, and takes a carriage return with
+/// any byte after it for the end of a line.
 class ResponseHeadCheck {
 public:
   /// Takes the next bytes of the response; those after its head are ignored.
@@ -16,10 +17,14 @@
   bool feed(std::string_view Bytes);
 
 private:
+  bool addByte(char C);
   bool endLine();
 
   std::string StatusLine{}; ///< its first bytes
   bool StatusLineComplete = false;
+  bool LineEmpty = true; ///< the line that is being read
+  bool AfterReturn = false;
+  bool Complete = false;
 };
 
 } // namespace marjorambay
--- a/packages/transport/src/response_head_check.cpp
+++ b/packages/transport/src/response_head_check.cpp
@@ -28,25 +28,49 @@
          (Line.size() < CheckedBytes || Line[CheckedBytes - 1] == ' ');
 }
 
+/// Whether a head may have \p C within a line (RFC 9110, 5.5).
+bool isLineByte(char C) {
+  constexpr unsigned char FirstPrintable = 0x20;
+  constexpr unsigned char Delete = 0x7f;
+  const auto Byte = static_cast<unsigned char>(C);
+  return C == '\t' || (Byte >= FirstPrintable && Byte != Delete);
+}
+
 } // namespace
 
 bool ResponseHeadCheck::feed(std::string_view Bytes) {
   for (const char C : Bytes) {
-    if (StatusLineComplete)
+    if (Complete)
       return true;
-    if (C == '\n' && !endLine())
+    if (!(C == '\n' ? endLine() : addByte(C)))
       return false;
-    if (C != '\n' && C != '\r' && StatusLine.size() < CheckedBytes)
-      StatusLine += C;
   }
   return true;
 }
 
+bool ResponseHeadCheck::addByte(char C) {
+  const bool IsReturn = C == '\r';
+  if (AfterReturn || (!IsReturn && !isLineByte(C)))
+    return false;
+  AfterReturn = IsReturn;
+  if (IsReturn)
+    return true;
+  LineEmpty = false;
+  if (!StatusLineComplete && StatusLine.size() < CheckedBytes)
+    StatusLine += C;
+  return true;
+}
+
 bool ResponseHeadCheck::endLine() {
-  if (StatusLine.empty())
-    return true; // a blank line before the response
+  AfterReturn = false;
+  if (LineEmpty) { // or a blank line before the response
+    Complete = StatusLineComplete;
+    return true;
+  }
+  LineEmpty = true;
+  const bool IsStatusLine = !StatusLineComplete;
   StatusLineComplete = true;
-  return hasValidStatus(StatusLine);
+  return !IsStatusLine || hasValidStatus(StatusLine);
 }
 
 } // namespace marjorambay
--- a/packages/transport/tests/cut_response_test.cpp
+++ b/packages/transport/tests/cut_response_test.cpp
@@ -139,4 +139,55 @@
   }
 }
 
+// Guards against callers that get a header line that is none, or a body that
+// begins elsewhere than the target's.
+TEST_CASE_FIXTURE(CutFixture, "a response with a malformed header") {
+  using namespace std::string_view_literals;
+  const auto CompletesWith = [this](bool UsePlain, std::string_view Reason,
+                                    std::string_view Line) {
+    std::string Bytes = "HTTP/1.1 200 ";
+    Bytes.append(Reason).append("\r\nX-A: b\r\n").append(Line);
+    Bytes += "\r\nContent-Length: 2\r\n\r\nok";
+    return completes(UsePlain, Bytes, Ending::HalfClosed);
+  };
+  for (const bool UsePlain : {false}) {
+    CAPTURE(UsePlain);
+    for (const std::string_view Line : {"X B: 1"sv,
+                                        "X-B : 1"sv,
+                                        "X-B\t: 1"sv,
+                                        "X\x01-B: 1"sv,
+                                        "X\0-B: 1"sv,
+                                        "X\r-B: 1"sv,
+                                        "\rX-B: 1"sv,
+                                        "\r\rX-B: 1"sv,
+                                        "X-B\r: 1"sv,
+                                        "X\x7f-B: 1"sv,
+                                        "X\x80-B: 1"sv,
+                                        "X(B: 1"sv,
+                                        ": 1"sv,
+                                        "X-B"sv,
+                                        "\x0bX-B: 1"sv,
+                                        "X-B: \x01"sv,
+                                        "X-B: 1\r"sv,
+                                        "X-B: \r1"sv,
+                                        "X-B: 1\r2"sv,
+                                        "X-B: \0"sv,
+                                        "X-B: \x7f"sv,
+                                        "Content-Length : 2"sv,
+                                        "Content-Length: 2\r"sv}) {
+      CAPTURE(Line);
+      CHECK_FALSE(CompletesWith(UsePlain, "OK", Line));
+    }
+    for (const std::string_view Reason :
+         {"a\rb"sv, "\r"sv, "a\0"sv, "a\x01"sv, "a\rX-B: 1"sv, "\x7f"sv}) {
+      CAPTURE(Reason);
+      CHECK_FALSE(CompletesWith(UsePlain, Reason, "X-B: 1"));
+    }
+    CHECK(CompletesWith(UsePlain, "O\tK \xe9", "X-B: \t1 \xe9\t"));
+    CHECK(completes(UsePlain,
+                    "HTTP/1.1 200 OK\nX-A: b\nContent-Length: 2\n\nok",
+                    Ending::HalfClosed));
+  }
+}
+
 } // namespace marjorambay
--- a/tests/system/broken_answer_test.py
+++ b/tests/system/broken_answer_test.py
@@ -63,6 +63,24 @@
             self.assert_nothing_passed_on(status, lambda run: (
                 b"HTTP/1.1 " + status + b" X\r\n" + identity(run) + body_of(run)))
 
+    # Guards against a head that ends at a control byte: callers get a body that
+    # is not the worker's, or an answer without one of its headers.
+    def test_a_head_with_control_bytes_is_not_passed_on(self):
+        for line in (b"\rX-More: 1", b"X-\rMore: 1", b"\x01X-More: 1",
+                     b"X-More\x00: 1", b"X-More\t: 1", b"X-More: \x01"):
+            self.assert_nothing_passed_on(line, lambda run: (
+                b"HTTP/1.1 200 X\r\n" + identity(run) + line + b"\r\n"
+                + body_of(run)))
+        self.assert_nothing_passed_on("reason", lambda run: (
+            b"HTTP/1.1 200 X\rY\r\n" + identity(run) + body_of(run)))
+
+    # Guards against a name that holds a blank.
+    def test_a_head_with_a_blank_in_a_name_is_not_passed_on(self):
+        for line in (b"X More: 1", b"X-More : 1", b"Content-Length : 9"):
+            self.assert_nothing_passed_on(line, lambda run: (
+                b"HTTP/1.1 200 X\r\n" + identity(run) + line + b"\r\n"
+                + body_of(run)))
+
 
 if __name__ == "__main__":
     unittest.main()
