A header line that begins with a blank is no part of the line before it

Callers got the answer of a target whose header name began with a blank, with that line appended to the value of the header before it: a signature with " X-More: 1" in it. Cause: http_parser takes such a line for a continuation (folding, which RFC 9112, 5.2, has removed) and joins the texts. Change: ResponseHeadCheck rejects the response, as that section lets a gateway do; no value is changed on its way to a caller.

--- a/packages/transport/marjorambay/transport/response_head_check.h
+++ b/packages/transport/marjorambay/transport/response_head_check.h
@@ -8,8 +8,9 @@
 namespace marjorambay {
 
 /// Follows the head of one response beside http_parser, which accepts any
-/// status up to 999, ignores leading zeros, and takes a carriage return with
-/// any byte after it for the end of a line.
+/// status up to 999, ignores leading zeros, takes a carriage return with any
+/// byte after it for the end of a line, and appends a line that begins with a
+/// blank to the header before it (RFC 9112, 5.2, lets a gateway reject that).
 class ResponseHeadCheck {
 public:
   /// Takes the next bytes of the response; those after its head are ignored.
--- a/packages/transport/src/response_head_check.cpp
+++ b/packages/transport/src/response_head_check.cpp
@@ -55,6 +55,8 @@
   AfterReturn = IsReturn;
   if (IsReturn)
     return true;
+  if (LineEmpty && StatusLineComplete && (C == ' ' || C == '\t'))
+    return false;
   LineEmpty = false;
   if (!StatusLineComplete && StatusLine.size() < CheckedBytes)
     StatusLine += C;
--- a/packages/transport/tests/cut_response_test.cpp
+++ b/packages/transport/tests/cut_response_test.cpp
@@ -155,6 +155,8 @@
     for (const std::string_view Line : {"X B: 1"sv,
                                         "X-B : 1"sv,
                                         "X-B\t: 1"sv,
+                                        " X-B: 1"sv,
+                                        "\tX-B: 1"sv,
                                         "X\x01-B: 1"sv,
                                         "X\0-B: 1"sv,
                                         "X\r-B: 1"sv,
@@ -174,7 +176,8 @@
                                         "X-B: \0"sv,
                                         "X-B: \x7f"sv,
                                         "Content-Length : 2"sv,
-                                        "Content-Length: 2\r"sv}) {
+                                        "Content-Length: 2\r"sv,
+                                        "X-B: 1\r\n folded"sv}) {
       CAPTURE(Line);
       CHECK_FALSE(CompletesWith(UsePlain, "OK", Line));
     }
--- a/tests/system/broken_answer_test.py
+++ b/tests/system/broken_answer_test.py
@@ -76,7 +76,8 @@
 
     # Guards against a name that holds a blank.
     def test_a_head_with_a_blank_in_a_name_is_not_passed_on(self):
-        for line in (b"X More: 1", b"X-More : 1", b"Content-Length : 9"):
+        for line in (b"X More: 1", b"X-More : 1", b"Content-Length : 9",
+                     b" X-More: 1", b"\tX-More: 1"):
             self.assert_nothing_passed_on(line, lambda run: (
                 b"HTTP/1.1 200 X\r\n" + identity(run) + line + b"\r\n"
                 + body_of(run)))
