OutageTest: callers that do not all pause at once

Cause: loaded() expects a host that arbitrates streams to write pool_load twice within 2.8 s. Its callers, one a host, begin together with calls of the same length: every 0.336 s all of them pause for 0.02 s. pool_load is written once a second, if there is load: three calls last 1.008 s, so that each line can fall into a pause. Change: the callers begin 0.05 s apart, so that some are always served. Each makes as many calls as before, every answer is checked as before, and the same number of lines is expected within the same time.

--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -33,14 +33,21 @@
         (place,) = self.loaded(fleet)
         return place
 
+    @staticmethod
+    def pace_late(delay, *pacing):
+        """pace() after a delay, so that callers do not all pause at once."""
+        time.sleep(delay)
+        return pace(*pacing)
+
     def loaded(self, fleet):
         """Places of the hosts that arbitrate streams of all hosts."""
         before = [len(host.lines("pool_load")) for host in fleet.hosts]
         for worker in fleet.of("pool"):
             worker.events = 30
         with concurrent.futures.ThreadPoolExecutor(10) as pool:
-            work = [pool.submit(pace, 2.5, lambda at=place: fleet.call(
-                "/stream/a", host=at)) for place in range(len(fleet.hosts))]
+            work = [pool.submit(self.pace_late, 0.05 * place, 2.5,
+                                lambda at=place: fleet.call("/stream/a", host=at))
+                    for place in range(len(fleet.hosts))]
             for one in work:
                 for answer in one.result():
                     self.assert_served(answer)
