Responses that have no body end with their head

Callers got a 200 whose body began with the body of an interim response (102 with a length, then the answer), and a 204 or 304 with a body, which a caller on a kept connection takes for its next answer. Cause: http_parser reads a body by its length or chunks whatever the status, and KeepAliveClient passes on the body bytes of any response but those to other calls. Change: Http1Parser lets 1xx, 204 and 304 end at the blank line (RFC 9112, 6.3). What follows is the next response, so that a body after an interim one is malformed, and bytes after a 204 or 304 close the connection. 101 is malformed, as no request asks for it.

--- a/packages/transport/src/http1.cpp
+++ b/packages/transport/src/http1.cpp
@@ -30,6 +30,13 @@
          });
 }
 
+/// Whether responses of this status end with their head, whatever length or
+/// transfer coding it has (RFC 9112, 6.3). http_parser reads a body of theirs.
+bool neverHasBody(int Status) {
+  return Status / 100 == 1 || Status == HTTP_STATUS_NO_CONTENT ||
+         Status == HTTP_STATUS_NOT_MODIFIED;
+}
+
 } // namespace
 
 bool equalsIgnoringCase(std::string_view Left, std::string_view Right) {
@@ -172,10 +179,11 @@
 }
 
 BodyFraming Http1Parser::framing() const {
+  if (NoBody)
+    return BodyFraming::Length;
   if ((Parser.flags & F_CHUNKED) != 0)
     return BodyFraming::Chunked;
-  const bool HasLength = !Head.header("content-length").empty() || NoBody ||
-                         Head.Status == 204 || Head.Status == 304 ||
+  const bool HasLength = !Head.header("content-length").empty() ||
                          Type == HttpMessageType::Request;
   return HasLength ? BodyFraming::Length : BodyFraming::UntilClose;
 }
@@ -194,6 +202,9 @@
     Self.Head.Method =
         http_method_str(static_cast<http_method>(Parser->method));
   Self.Head.Status = Parser->status_code;
+  if (Self.Head.Status == HTTP_STATUS_SWITCHING_PROTOCOLS)
+    return -1; // no request asks for another protocol
+  Self.NoBody = Self.NoBody || neverHasBody(Self.Head.Status);
   Self.Head.Framing = Self.framing();
   Self.Head.Http10 = Parser->http_major < 1 ||
                      (Parser->http_major == 1 && Parser->http_minor == 0);
--- a/packages/transport/tests/keep_alive_client_test.cpp
+++ b/packages/transport/tests/keep_alive_client_test.cpp
@@ -182,6 +182,44 @@
   }
 }
 
+// Guards against bytes that reach callers as part of the response that follows,
+// or after a response that ends with its head.
+TEST_CASE_FIXTURE(ClientFixture, "responses that have no body") {
+  std::unique_ptr<RawConnection> Target;
+  const auto Respond = [&](std::string_view Status, std::string_view Framing) {
+    KeepAliveCall Call;
+    Call.MaxIdleTime = Duration(0);
+    auto Record = start("1", std::move(Call));
+    Target = accept();
+    waitForBytes(*Target, "/1");
+    std::string Bytes = "HTTP/1.1 ";
+    Bytes.append(Status).append(" X\r\nX-Name: 1\r\n").append(Framing);
+    Target->send(Bytes);
+    waitForEnd(*Record);
+    return Record;
+  };
+  const std::string Final = response("1", "one");
+  for (const std::string Framing :
+       {"Content-Length: 4\r\n\r\nbody",
+        "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"}) {
+    CAPTURE(Framing);
+    for (const std::string_view Status : {"100", "102", "150", "199"}) {
+      const auto Record = Respond(Status, Framing + Final);
+      CHECK(*Record->Outcome == KeepAliveOutcome::InvalidResponse);
+      CHECK(Record->Body.empty());
+    }
+    for (const std::string_view Status : {"204", "304"}) {
+      const auto Record = Respond(Status, Framing);
+      CHECK(*Record->Outcome == KeepAliveOutcome::Complete);
+      CHECK(Record->Body.empty());
+      CHECK(Client.connections() == 0);
+    }
+  }
+  const auto Record = Respond("102", "Content-Length: 0\r\n\r\n" + Final);
+  CHECK(*Record->Outcome == KeepAliveOutcome::Complete);
+  CHECK(Record->Body == "one");
+}
+
 // Guards against a response that was reset and counts as complete: the write of
 // the remaining request takes the socket's error, after which a read returns 0.
 TEST_CASE_FIXTURE(ClientFixture,
--- a/tests/system/broken_answer_test.py
+++ b/tests/system/broken_answer_test.py
@@ -82,6 +82,24 @@
                 b"HTTP/1.1 200 X\r\n" + identity(run) + line + b"\r\n"
                 + body_of(run)))
 
+    # Guards against the body of an interim answer before that of the answer.
+    def test_an_interim_answer_with_a_body_is_not_passed_on(self):
+        for status in (b"100", b"102", b"150"):
+            self.assert_nothing_passed_on(status, lambda run: (
+                b"HTTP/1.1 " + status + b" X\r\nContent-Length: 9\r\n\r\nmalformed"
+                b"HTTP/1.1 200 X\r\n" + identity(run) + body_of(run)))
+
+    # Guards against bytes of a body that callers take for their next answer.
+    def test_an_answer_that_has_no_body_is_passed_on_without_one(self):
+        for status in (204, 304):
+            self.break_answers(lambda run: (
+                b"HTTP/1.1 %d X\r\n" % status + identity(run)
+                + b"Content-Length: 9\r\n\r\nmalformed"))
+            for path in ("/safe/a", "/once/a"):
+                got = self.call(path)
+                self.assertEqual(got.status, status, dump(got))
+                self.assertNotEqual(got.headers.get("Content-Length"), "9")
+
 
 if __name__ == "__main__":
     unittest.main()
