Buffered responses of the own interface have a limit in all

A host grew by 1.37 GB under 20 answers without end at the product's own interface, and by 0.69 GB where they were one chunk: of a target that sends 640 MB, in 32 MB each. The system would end it, with all requests on it. Cause: each buffered response might take 64 MB, and nothing limited all of them together; evhttp kept each chunk until it was complete, of up to 1 GB. Change: above 128 MB in all, the longest buffered response is abandoned and its target has failed, with a line response_too_long.

--- a/apps/marjorambayd/target_dispatch.cpp
+++ b/apps/marjorambayd/target_dispatch.cpp
@@ -15,6 +15,11 @@
 
 /// Maximum size of a response that is buffered before it is relayed.
 constexpr std::size_t MaxBufferedBytes = 64 << 20;
+/// Maximum size of all buffered responses together.
+constexpr std::size_t MaxBufferedBytesInAll = 128 << 20;
+/// A buffered response is compared with the others each time it has grown by
+/// this much.
+constexpr std::size_t BufferCheckBytes = 256 << 10;
 /// Maximum size of a stream; only a faulty target sends this much.
 constexpr std::size_t MaxStreamBytes = 1024 << 20;
 /// Above the longest deadline that can be configured.
@@ -87,6 +92,36 @@
   Call->BufferedBody.reset(evbuffer_new());
 }
 
+std::size_t bufferedBytes(const CallerCall &Call) {
+  return Call.BufferedBody ? evbuffer_get_length(Call.BufferedBody.get()) : 0;
+}
+
+/// Ends a dispatch whose response is too long.
+void abandonResponse(Daemon &D, CallerCall &Call) {
+  LogLine("response_too_long", LogLevel::Warning)
+      .with("request", Call.Name)
+      .with("target", Call.TargetName)
+      .with("bytes", static_cast<std::int64_t>(bufferedBytes(Call)));
+  Call.BufferedBody.reset();
+  D.Client.cancel(*Call.Call);
+  postEnd(D, Call.Id, AnswerInterrupted{Call.Id, Call.Attempt});
+}
+
+/// Abandons the longest buffered response if all of them together exceed their
+/// limit.
+void limitBuffers(Daemon &D) {
+  std::size_t Total = 0;
+  CallerCall *Longest = nullptr;
+  for (auto &[Id, Call] : D.Calls) {
+    Total += bufferedBytes(Call);
+    if (Call.Call &&
+        (Longest == nullptr || bufferedBytes(Call) > bufferedBytes(*Longest)))
+      Longest = &Call;
+  }
+  if (Total > MaxBufferedBytesInAll && Longest != nullptr)
+    abandonResponse(D, *Longest);
+}
+
 void handleBytes(Daemon &D, RequestId Id, std::uint32_t Attempt,
                  std::string_view Bytes) {
   CallerCall *Call = findCall(D, Id, Attempt);
@@ -96,11 +131,13 @@
     relayStream(D, *Call, Bytes);
     return;
   }
+  const std::size_t Before = bufferedBytes(*Call);
   evbuffer_add(Call->BufferedBody.get(), Bytes.data(), Bytes.size());
-  if (evbuffer_get_length(Call->BufferedBody.get()) <= MaxBufferedBytes)
-    return;
-  D.Client.cancel(*Call->Call);
-  postEnd(D, Id, AnswerInterrupted{Id, Attempt});
+  const std::size_t After = bufferedBytes(*Call);
+  if (After > MaxBufferedBytes)
+    return abandonResponse(D, *Call);
+  if (After / BufferCheckBytes != Before / BufferCheckBytes)
+    limitBuffers(D);
 }
 
 /// Reads the token counts of a response; empty if the response is incomplete.
--- a/tests/system/broken_answer_test.py
+++ b/tests/system/broken_answer_test.py
@@ -14,6 +14,10 @@
 from fleet import Fleet, call, wait_until
 
 EVENT = b'data: {"choices": [{"text": "one"}]}\n\n'
+COMPLETION = json.dumps({"model": "small", "prompt": "one", "max_tokens": 8,
+                         "stream": True})
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+FILLER = b"x" * 16384
 PATHS = ("/safe/a", "/once/a", "/stream/a", "/streamonce/a")
 
 
@@ -192,6 +196,8 @@
 class OwnInterfaceTest(unittest.TestCase):
     """The same at the product's own interface."""
 
+    # All buffered answers, and what is on its way to one caller or another.
+    GROWTH_KB = (128 + 32) * 1024
     PLAIN_PATHS = ("/sheets/a", "/orders/a")
 
     def setUp(self):
@@ -240,6 +246,41 @@
             self.assertGreater(self.service.runs, before, dump(got))
             self.assertIn(got.status, (502, 504), dump(got))
 
+    # Guards against a host that runs out of memory over answers that never end:
+    # 20 of them at once, of which the stand-in sends 640 MB.
+    def test_bodies_without_end_stay_within_the_memory_of_a_host(self):
+        self.assert_memory(self.service, b"\r\n", FILLER)
+
+    # Guards against the same in a head.
+    def test_heads_without_end_stay_within_the_memory_of_a_host(self):
+        self.assert_memory(self.service, b"", b"X-More: more\r\n" * 1000)
+
+    # Guards against a chunk that is kept until it is complete.
+    def test_chunks_without_end_stay_within_the_memory_of_a_host(self):
+        self.assert_memory(self.service, CHUNKED + b"3fffffff\r\n", FILLER)
+
+    # Guards against the same in a stream.
+    def test_events_without_end_stay_within_the_memory_of_a_host(self):
+        self.assert_memory(
+            self.engine, b"Content-Type: text/event-stream\r\n" + CHUNKED
+            + b"3fffffff\r\ndata: ", FILLER)
+
+    def assert_memory(self, target, head, piece):
+        path, body = "/sheets/a", b"payload"
+        if target is self.engine:
+            path, body = "/v1/completions", COMPLETION
+        target.answer, target.endless = b"HTTP/1.1 200 X\r\n" + head, piece
+        before = self.fleet.peak_kb()
+        with concurrent.futures.ThreadPoolExecutor(20) as pool:
+            for got in pool.map(lambda _: self.fleet.call(path, body), range(20)):
+                self.assertNotIn(b"[DONE]", got.body)
+                if target is self.service:
+                    self.assertNotEqual(got.status, 200)
+        grown = self.fleet.peak_kb() - before
+        print(f"{target.runs} runs, {before} KB, {grown:+} KB")
+        self.assertGreaterEqual(target.runs, 20)
+        self.assertLess(grown, self.GROWTH_KB)
+
     # Guards against the same of a stream, whose end is marked.
     def test_a_stream_that_is_reset_is_not_complete(self):
         self.engine.resets = True
@@ -249,9 +290,7 @@
             self.engine.answer = (
                 b"HTTP/1.1 200 X\r\nContent-Type: text/event-stream\r\n"
                 + framing + b"\r\n" + event)
-            got = self.fleet.call("/v1/completions", json.dumps(
-                {"model": "small", "prompt": "one", "max_tokens": 8,
-                 "stream": True}))
+            got = self.fleet.call("/v1/completions", COMPLETION)
             self.assertIn(EVENT, got.body, dump(got))
             self.assertIn(b'"answer_cut"', got.body, dump(got))
 
--- a/tests/system/forwarding_test.py
+++ b/tests/system/forwarding_test.py
@@ -602,6 +602,10 @@
     def test_many_endless_bodies_stay_within_the_memory_of_a_host(self):
         self.assert_memory("/once/a", "chunks")
 
+    # Guards against the same over heads.
+    def test_many_endless_heads_stay_within_the_memory_of_a_host(self):
+        self.assert_memory("/once/a", "head")
+
     # Guards against the same over events.
     def test_many_endless_events_stay_within_the_memory_of_a_host(self):
         self.assert_memory("/streamonce/a", "event")
