A response with malformed chunks is not complete

Callers got a 200 framed as complete whose target had sent chunks that end with other bytes than a line break, so that its data and its sizes did not agree. Cause: http_parser is built without its strict mode. It takes any two bytes after the data of a chunk, and any byte for the line feed of a size line. Change: ChunkCheck follows the chunks and the trailers of a response beside it; http_parser gets no byte of a part that breaks their syntax (RFC 9112, 7.1). The call ends as garbled on all that read with Http1Parser.

--- a/packages/transport/marjorambay/transport/http1.h
+++ b/packages/transport/marjorambay/transport/http1.h
@@ -8,6 +8,7 @@
 #define MARJORAMBAY_TRANSPORT_HTTP1_H
 
 #include "marjorambay/state/enum_names.h"
+#include "marjorambay/transport/chunk_check.h"
 #include "marjorambay/transport/http_server.h"
 #include "marjorambay/transport/response_head_check.h"
 
@@ -100,6 +101,8 @@
   static int onBody(http_parser *Parser, const char *At, std::size_t Size);
   static int onComplete(http_parser *Parser);
   static const http_parser_settings &callbacks();
+  ParseOutcome feedHead(std::string_view &Bytes);
+  ParseOutcome parse(std::string_view &Bytes);
   bool addHeaderBytes(std::size_t Size);
   bool hasAmbiguousFraming() const;
   BodyFraming framing() const;
@@ -108,6 +111,7 @@
   std::size_t MaxHeaderBytes;
   http_parser Parser{};
   ResponseHeadCheck HeadCheck{}; ///< responses only
+  ChunkCheck Chunks{};           ///< responses only
   HttpHead Head{};
   std::size_t HeaderBytes = 0;
   bool Started = false;
--- a/packages/transport/marjorambay/transport/response_head_check.h
+++ b/packages/transport/marjorambay/transport/response_head_check.h
@@ -7,15 +7,21 @@
 
 namespace marjorambay {
 
+/// Whether a head may have \p C within a line (RFC 9110, 5.5).
+bool isLineByte(char C);
+
 /// Follows the head of one response beside http_parser, which accepts any
 /// status up to 999, ignores leading zeros, takes a carriage return with any
 /// byte after it for the end of a line, and appends a line that begins with a
 /// blank to the header before it (RFC 9112, 5.2, lets a gateway reject that).
 class ResponseHeadCheck {
 public:
-  /// Takes the next bytes of the response; those after its head are ignored.
-  /// Returns false as soon as the head is malformed.
-  bool feed(std::string_view Bytes);
+  /// Returns a check of trailers, which have no status line.
+  static ResponseHeadCheck ofTrailers();
+
+  /// Removes the bytes of the head from the front of \p Bytes. Returns false as
+  /// soon as the head is malformed.
+  bool feed(std::string_view &Bytes);
 
 private:
   bool addByte(char C);
--- a/packages/transport/src/http1.cpp
+++ b/packages/transport/src/http1.cpp
@@ -75,6 +75,7 @@
                                                              : HTTP_RESPONSE);
   Parser.data = this;
   HeadCheck = {};
+  Chunks = {};
   Head = HttpHead{};
   HeaderBytes = 0;
   Started = HeadComplete = MessageComplete = NoBody = InValue =
@@ -100,8 +101,31 @@
 ParseOutcome Http1Parser::feed(std::string_view &Bytes) {
   if (MessageComplete)
     return ParseOutcome::Complete;
-  if (Type == HttpMessageType::Response && !HeadCheck.feed(Bytes))
+  if (Type == HttpMessageType::Response && !HeadComplete) {
+    const ParseOutcome Outcome = feedHead(Bytes);
+    if (Outcome != ParseOutcome::Incomplete || Bytes.empty())
+      return Outcome;
+  }
+  const bool ChecksChunks =
+      Type == HttpMessageType::Response && Head.Framing == BodyFraming::Chunked;
+  if (ChecksChunks && !Chunks.feed(Bytes))
+    return ParseOutcome::Invalid;
+  return parse(Bytes);
+}
+
+/// Consumes the bytes of a response's head, which tells how its body is
+/// checked.
+ParseOutcome Http1Parser::feedHead(std::string_view &Bytes) {
+  std::string_view Body = Bytes;
+  if (!HeadCheck.feed(Body) || Body.size() == Bytes.size())
     return ParseOutcome::Invalid;
+  std::string_view HeadBytes = Bytes.substr(0, Bytes.size() - Body.size());
+  const ParseOutcome Outcome = parse(HeadBytes);
+  Bytes = Body;
+  return Outcome;
+}
+
+ParseOutcome Http1Parser::parse(std::string_view &Bytes) {
   const std::size_t Consumed =
       http_parser_execute(&Parser, &callbacks(), Bytes.data(), Bytes.size());
   if (MessageComplete) { // onComplete() pauses before the next message
--- a/packages/transport/src/response_head_check.cpp
+++ b/packages/transport/src/response_head_check.cpp
@@ -28,7 +28,8 @@
          (Line.size() < CheckedBytes || Line[CheckedBytes - 1] == ' ');
 }
 
-/// Whether a head may have \p C within a line (RFC 9110, 5.5).
+} // namespace
+
 bool isLineByte(char C) {
   constexpr unsigned char FirstPrintable = 0x20;
   constexpr unsigned char Delete = 0x7f;
@@ -36,14 +37,18 @@
   return C == '\t' || (Byte >= FirstPrintable && Byte != Delete);
 }
 
-} // namespace
+ResponseHeadCheck ResponseHeadCheck::ofTrailers() {
+  ResponseHeadCheck Check;
+  Check.StatusLineComplete = true;
+  return Check;
+}
 
-bool ResponseHeadCheck::feed(std::string_view Bytes) {
-  for (const char C : Bytes) {
-    if (Complete)
-      return true;
+bool ResponseHeadCheck::feed(std::string_view &Bytes) {
+  while (!Complete && !Bytes.empty()) {
+    const char C = Bytes.front();
     if (!(C == '\n' ? endLine() : addByte(C)))
       return false;
+    Bytes.remove_prefix(1);
   }
   return true;
 }
--- a/packages/transport/tests/cut_response_test.cpp
+++ b/packages/transport/tests/cut_response_test.cpp
@@ -72,6 +72,18 @@
   }
 };
 
+/// Whether a response is complete at its last byte if each byte arrives alone.
+bool completesByteByByte(std::string_view Bytes) {
+  Http1Parser Parser(HttpMessageType::Response);
+  ParseOutcome Outcome = ParseOutcome::Incomplete;
+  std::size_t At = 0;
+  for (; At < Bytes.size() && Outcome == ParseOutcome::Incomplete; ++At) {
+    std::string_view Byte = Bytes.substr(At, 1);
+    Outcome = Parser.feed(Byte);
+  }
+  return Outcome == ParseOutcome::Complete && At == Bytes.size();
+}
+
 } // namespace
 
 // Guards against a list of objects, or an answer, that is cut and taken as
@@ -189,4 +201,37 @@
   }
 }
 
+// Guards against callers that get a body whose chunks have other lengths than
+// their target's.
+TEST_CASE_FIXTURE(CutFixture, "a response with malformed chunks") {
+  using namespace std::string_view_literals;
+  const std::string Head =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const bool UsePlain : {false, true}) {
+    CAPTURE(UsePlain);
+    for (const std::string_view Chunks :
+         {"3\r\nabcXX0\r\n\r\n"sv, "3\r\nabc\rX0\r\n\r\n"sv,
+          "3\r\nabcX\n0\r\n\r\n"sv, "3\rXabc\r\n0\r\n\r\n"sv,
+          "3\r\nabc\r\n0\rX\r\n"sv, "3\r\nabc\r\n0\r\n\rX"sv,
+          "3\r\nabc\r\n0\rX\rX"sv, "3;a\rXabc\r\n0\r\n\r\n"sv,
+          "3 4\r\nabc\r\n0\r\n\r\n"sv, "3x\r\nabc\r\n0\r\n\r\n"sv,
+          "+3\r\nabc\r\n0\r\n\r\n"sv, "0x3\r\nabc\r\n0\r\n\r\n"sv,
+          "-3\r\nabc\r\n0\r\n\r\n"sv, "\r\n3\r\nabc\r\n0\r\n\r\n"sv,
+          "10000000000000003\r\nabc\r\n0\r\n\r\n"sv,
+          "3\r\nabc\r\n0\r\nX\rY: 1\r\n\r\n"sv}) {
+      CAPTURE(Chunks);
+      const std::string Bytes = Head + std::string(Chunks);
+      CHECK_FALSE(completes(UsePlain, Bytes, Ending::HalfClosed));
+      CHECK_FALSE(completesByteByByte(Bytes));
+    }
+    for (const std::string_view Chunks :
+         {"3\r\nabc\r\n0\r\n\r\n"sv, "3;a=\"b\"\r\nabc\r\n0\r\nX: y\r\n\r\n"sv,
+          "003  \r\nabc\r\n00\r\n\r\n"sv}) {
+      const std::string Bytes = Head + std::string(Chunks);
+      CHECK(completes(UsePlain, Bytes, Ending::HalfClosed));
+      CHECK(completesByteByByte(Bytes));
+    }
+  }
+}
+
 } // namespace marjorambay
--- a/tests/system/broken_answer_test.py
+++ b/tests/system/broken_answer_test.py
@@ -115,6 +115,18 @@
                 self.assertEqual(got.status, status, dump(got))
                 self.assertNotEqual(got.headers.get("Content-Length"), "9")
 
+    # Guards against a body of another length than the worker's.
+    def test_an_answer_with_malformed_chunks_is_not_passed_on(self):
+        for chunks in (b"9\r\nmalformedXX0\r\n\r\n", b"9\rXmalformed\r\n0\r\n\r\n"):
+            self.break_answers(lambda run: (
+                b"HTTP/1.1 200 X\r\n" + identity(run) + CHUNKED + chunks))
+            for path in ("/safe/a", "/once/a"):
+                with self.subTest(chunks=chunks, path=path):
+                    got = self.call(path)
+                    self.assertEqual(got.status, 200 if path == "/safe/a" else 502,
+                                     dump(got))
+                    self.assertNotIn(b"malformed", got.body)
+
     # Guards against a part of an answer that looks complete, as the connection
     # was reset while the upload was still being written.
     def test_an_early_answer_that_is_reset_is_not_complete(self):
