A folded header without a colon is a value again

RFC 9112, 5.2, lets a gateway reject a folded line or replace the break with blanks, which http_parser does; only a line with a colon may be a header whose name begins with a blank, and callers got that one as a part of the header before it. Change: ResponseHeadCheck rejects a folded line with a colon.

--- a/packages/transport/marjorambay/transport/response_head_check.h
+++ b/packages/transport/marjorambay/transport/response_head_check.h
@@ -13,7 +13,9 @@
 /// Follows the head of one response beside http_parser, which accepts any
 /// status up to 999, ignores leading zeros, takes a carriage return with any
 /// byte after it for the end of a line, and appends a line that begins with a
-/// blank to the header before it (RFC 9112, 5.2, lets a gateway reject that).
+/// blank to the header before it (folding; RFC 9112, 5.2, allows a gateway to
+/// do so). A folded line with a colon is rejected, as it may be a header whose
+/// name begins with a blank.
 class ResponseHeadCheck {
 public:
   /// Returns a check of trailers, which have no status line.
@@ -30,6 +32,7 @@
   std::string StatusLine{}; ///< its first bytes
   bool StatusLineComplete = false;
   bool LineEmpty = true; ///< the line that is being read
+  bool Folded = false;   ///< it continues the header before it
   bool AfterReturn = false;
   bool Complete = false;
 };
--- a/packages/transport/src/response_head_check.cpp
+++ b/packages/transport/src/response_head_check.cpp
@@ -60,7 +60,9 @@
   AfterReturn = IsReturn;
   if (IsReturn)
     return true;
-  if (LineEmpty && StatusLineComplete && (C == ' ' || C == '\t'))
+  if (LineEmpty)
+    Folded = StatusLineComplete && (C == ' ' || C == '\t');
+  if (Folded && C == ':')
     return false;
   LineEmpty = false;
   if (!StatusLineComplete && StatusLine.size() < CheckedBytes)
