Http1Parser: plainer names and comments in what reads a response's head

Cause: a comment of relayStream() spoke of a buffer that it no longer gets, and feedHead() compared sizes without saying when they are equal. Change: names and comments; nothing else.

--- a/apps/marjorambayd/components.h
+++ b/apps/marjorambayd/components.h
@@ -12,8 +12,7 @@
 
 // caller_api and responses: callers' requests and the responses to them.
 Result<Done> startCallerApi(Daemon &D);
-/// Relays bytes of a streamed response to the caller; moves them out of \p
-/// Bytes.
+/// Relays bytes of a streamed response to the caller.
 void relayStream(Daemon &D, CallerCall &Call, std::string_view Bytes);
 
 // load_reports: load reports of the targets that this host's arbiters grant.
--- a/packages/transport/marjorambay/transport/http1.h
+++ b/packages/transport/marjorambay/transport/http1.h
@@ -61,7 +61,7 @@
   Incomplete, ///< all bytes were consumed; the message is not complete
   Complete,   ///< the message is complete; bytes may be left over
   TooLarge,   ///< the headers exceed the limit
-  Invalid,    ///< not HTTP/1.x, a status that is none, or ambiguous framing
+  Invalid,    ///< not HTTP/1.x, malformed, or ambiguous framing
 };
 
 enum class HttpMessageType : std::uint8_t { Request, Response };
--- a/packages/transport/src/http1.cpp
+++ b/packages/transport/src/http1.cpp
@@ -113,15 +113,17 @@
   return parse(Bytes);
 }
 
-/// Consumes the bytes of a response's head, which tells how its body is
-/// checked.
+/// Consumes the bytes of a response's head; the framing that it states decides
+/// how the rest is checked.
 ParseOutcome Http1Parser::feedHead(std::string_view &Bytes) {
-  std::string_view Body = Bytes;
-  if (!HeadCheck.feed(Body) || Body.size() == Bytes.size())
+  std::string_view Rest = Bytes;
+  if (!HeadCheck.feed(Rest))
+    return ParseOutcome::Invalid;
+  std::string_view HeadBytes = Bytes.substr(0, Bytes.size() - Rest.size());
+  if (HeadBytes.empty()) // the head has ended for the check alone
     return ParseOutcome::Invalid;
-  std::string_view HeadBytes = Bytes.substr(0, Bytes.size() - Body.size());
   const ParseOutcome Outcome = parse(HeadBytes);
-  Bytes = Body;
+  Bytes = Rest;
   return Outcome;
 }
 
