--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -266,6 +266,7 @@
 struct ObjectPull {
   CallId Call{};
   bool InFlight = false;
+  SocketAddress Hub{}; ///< that was asked last
   /// Since when a hub has had newer objects; 0 if none has.
   TimePoint BehindSince{};
   std::uint32_t Failures = 0; ///< consecutive
@@ -511,8 +512,10 @@
 // ---- For adapters -----------------------------------------------------------
 
 Result<Done> startForwarding(ForwardHost &H);
-/// Applies objects from the platform or from a host that watches it.
-void applyFeed(ForwardHost &H, ObjectKind Kind, const ObjectFeed &Feed);
+/// Applies objects from the platform or from a host that watches it. \p Sender
+/// is "store" or the address of that host, for the log.
+void applyFeed(ForwardHost &H, ObjectKind Kind, const ObjectFeed &Feed,
+               std::string_view Sender);
 /// Records that the platform has responded to a call.
 void recordPlatformResponse(ForwardHost &H);
 /// Puts a configuration in force, unless that version or a newer one is.
--- a/apps/marjorambayd/forward_objects.cpp
+++ b/apps/marjorambayd/forward_objects.cpp
@@ -9,6 +9,7 @@
 
 #include "marjorambay/coordination/rendezvous.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace marjorambay {
@@ -43,6 +44,25 @@
   return H.Pulls[static_cast<std::size_t>(Kind)];
 }
 
+/// Logs which host, or the store, has said that objects are gone. One that is
+/// dropped wrongly may not change again, and so not return.
+void logRemovals(ObjectKind Kind, const ObjectFeed &Feed,
+                 std::string_view Sender, StorePosition Known,
+                 const std::vector<ObjectRecord> &Changes) {
+  const auto Removed =
+      std::count_if(Changes.begin(), Changes.end(),
+                    [](const ObjectRecord &Change) { return Change.Removed; });
+  if (Removed == 0)
+    return;
+  LogLine("objects_removed")
+      .with("kind", nameOf(Kind))
+      .with("objects", static_cast<std::int64_t>(Removed))
+      .with("from", Sender)
+      .with("by", Feed.IsSnapshot ? "snapshot" : "change")
+      .with("revision", static_cast<std::int64_t>(Feed.At.Revision))
+      .with("known", static_cast<std::int64_t>(Known.Revision));
+}
+
 void handlePullEnd(ForwardHost &H, ObjectKind Kind, KeepAliveOutcome Outcome) {
   ObjectPull &Pull = pullOf(H, Kind);
   Pull.InFlight = false;
@@ -52,7 +72,7 @@
   if (Complete && ok(Feed)) {
     Pull.Failures = 0;
     Pull.BehindSince = TimePoint{};
-    return applyFeed(H, Kind, value(Feed));
+    return applyFeed(H, Kind, value(Feed), formatAddress(Pull.Hub));
   }
   LogLine("feed_failed", LogLevel::Warning)
       .with("kind", nameOf(Kind))
@@ -67,6 +87,7 @@
 void startPull(ForwardHost &H, const ForwardPeer &Hub, ObjectKind Kind) {
   ObjectPull &Pull = pullOf(H, Kind);
   Pull.InFlight = true;
+  Pull.Hub = Hub.Address;
   Pull.Status = 0;
   Pull.Body.clear();
   KeepAliveCall Request;
@@ -206,7 +227,8 @@
   H.Stats.add(HostCounter::PlatformReads);
 }
 
-void applyFeed(ForwardHost &H, ObjectKind Kind, const ObjectFeed &Feed) {
+void applyFeed(ForwardHost &H, ObjectKind Kind, const ObjectFeed &Feed,
+               std::string_view Sender) {
   const TimePoint Now = H.Loop.now();
   if (Feed.SettlingTime.count() > 0)
     H.Directory.settleUntil(Now + Feed.SettlingTime);
@@ -214,6 +236,7 @@
   const bool First = !Mirror.initialized();
   const StorePosition Before = Mirror.position();
   const std::vector<ObjectRecord> Changes = Mirror.apply(Feed, Now);
+  logRemovals(Kind, Feed, Sender, Before, Changes);
   // A hub that still has newer changes says so in its next digest. Without
   // this, a host whose own watch was faster than the pull would count as behind
   // until the next change, and would not give retained objects up meanwhile.
