--- /dev/null
+++ b/tests/system/store_view_test.py
@@ -0,0 +1,54 @@
+"""What hosts know of the store's objects while it turns some of them away."""
+
+import time
+import unittest
+
+from fleet import wait_until
+from platform_fleet import PlatformFleet, dump, pace
+
+
+class PartialOutageTest(unittest.TestCase):
+    def fleet(self, **options):
+        fleet = PlatformFleet(proxied=True, **options)
+        self.addCleanup(fleet.close)
+        time.sleep(1)  # until hosts have chosen hubs
+        return fleet
+
+    def hubs(self, fleet):
+        return [host for host in fleet.hosts
+                if not host.lines("platform_source", **{"from": "hubs"})]
+
+    def turn_away(self, fleet, host):
+        fleet.proxies[host.name].mode = "refuse"
+        fleet.proxies[host.name].cut()
+        wait_until(lambda: host.lines("store_lost", kind="servers"),
+                   f"the store turns {host.name} away", 5)
+
+    def serve_again(self, fleet, host):
+        fleet.proxies[host.name].mode = "pass"
+        wait_until(lambda: host.lines("store_regained", kind="servers"),
+                   f"the store serves {host.name} again", 8)
+
+    # Guards against hosts that drop workers for good: a hub that was away for
+    # longer passed a removal on as later than the creation that followed it.
+    def test_hosts_keep_workers_that_were_listed_again_while_a_hub_was_away(self):
+        fleet = self.fleet(hosts=4)
+        away = self.hubs(fleet)[0]
+        self.turn_away(fleet, away)
+        for worker in fleet.of("pool"):
+            fleet.store.delete("servers", worker.name)
+            worker.register("ready")
+        time.sleep(0.5)  # shorter outages are not reported
+        # The response to the hub is of a later revision than the other hosts'.
+        fleet.configure(8)
+        self.serve_again(fleet, away)
+        time.sleep(3)  # missing entries are kept for two seconds
+        for place, host in enumerate(fleet.hosts):
+            with self.subTest(host=host.name):
+                for answer in pace(
+                        0.5, lambda at=place: fleet.call("/stream/a", host=at)):
+                    self.assertEqual(answer.status, 200, dump(answer))
+
+
+if __name__ == "__main__":
+    unittest.main()
