--- a/packages/coordination/marjorambay/coordination/object_mirror.h
+++ b/packages/coordination/marjorambay/coordination/object_mirror.h
@@ -82,7 +82,8 @@
   std::vector<ObjectRecord> expireRetained(TimePoint HeardAt);
 
   /// Returns the changes after \p Known, or a snapshot if the log does not
-  /// reach back that far or \p Known is of another era.
+  /// reach back that far, lacks changes after \p Known, or \p Known is of
+  /// another era.
   ObjectFeed since(StorePosition Known) const;
 
   StorePosition position() const { return Current; }
@@ -112,6 +113,7 @@
                                        TimePoint Now);
   void retainProvisional(const ObjectFeed &Feed, TimePoint Now);
   void store(const ObjectRecord &Change);
+  void recordGap(StorePosition Until);
   void startLog(const ObjectFeed &Feed);
   void appendToLog(const ObjectRecord &Change);
 
@@ -121,6 +123,9 @@
   std::deque<ObjectRecord> Log{};                  ///< oldest first
   std::size_t LogBytes = 0;
   StorePosition LogStart{}; ///< the log is complete after this position
+  /// But for objects that were created and removed between these positions.
+  StorePosition GapStart{};
+  StorePosition GapEnd{};
   StorePosition Current{};
   StorePosition LastChange{};
 };
--- a/packages/coordination/src/object_mirror.cpp
+++ b/packages/coordination/src/object_mirror.cpp
@@ -138,12 +138,23 @@
     for (const ObjectRecord &Removal : removalsOf(Feed, Restored, Now))
       Apply(Removal);
   retainProvisional(Feed, Now);
+  if (Feed.IsSnapshot && !IsFirstFeed && !NewEra)
+    recordGap(Feed.At);
   Current = std::max(Current, Feed.At);
   if (IsFirstFeed || NewEra)
     startLog(Feed);
   return Changes;
 }
 
+/// Records that changes up to \p Until are known by a snapshot only.
+void ObjectMirror::recordGap(StorePosition Until) {
+  if (Until == Current)
+    return;
+  if (GapEnd <= LogStart)
+    GapStart = Current;
+  GapEnd = Until; // one gap for all snapshots in the log
+}
+
 /// Starts the log at \p Feed. Entries of an earlier era remain, for removals
 /// that a restore undoes.
 void ObjectMirror::startLog(const ObjectFeed &Feed) {
@@ -171,8 +182,10 @@
 ObjectFeed ObjectMirror::since(StorePosition Known) const {
   ObjectFeed Feed;
   Feed.At = Current;
-  Feed.IsSnapshot =
-      Known.Revision == 0 || Known.Era != Current.Era || Known < LogStart;
+  // The host may have objects that were created and removed within the gap.
+  const bool WithinGap = Known > GapStart && Known < GapEnd;
+  Feed.IsSnapshot = Known.Revision == 0 || Known.Era != Current.Era ||
+                    Known < LogStart || WithinGap;
   if (Feed.IsSnapshot) {
     for (const auto &[Name, Record] : Objects)
       Feed.Records.push_back(Record);
