Peers are judged by what they acknowledge, not by the kernel's time-out

Cause: TCP_USER_TIMEOUT, 60 s for callers and 3 s for targets, may count from the first closed window of a connection, although all has been read since. Evidence: bare sockets with the option end with ETIMEDOUT at the second pause, with 0 they go on; caller_dropped is not logged. TCP_INFO shows a peer that is gone by retransmissions or probes, also after a closed window. Change: the option is set only where the system has no TCP_INFO. KeepAliveClient compares the silence of its peers with the same time each 250 ms, as CallerServer did already, and logs peer_unreachable. A connection that is closed gets the option back, so that the kernel gives up what was given up.

--- a/packages/transport/marjorambay/transport/keep_alive_client.h
+++ b/packages/transport/marjorambay/transport/keep_alive_client.h
@@ -125,9 +125,9 @@
   /// Stops or resumes reading the response to a call, which applies
   /// backpressure to its target. Does nothing once the call has ended.
   void pauseReading(CallId Id, bool Pause);
-  /// Ends calls one of whose timeouts has passed, and closes
-  /// connections that were idle for too long. Must be called every few dozen
-  /// milliseconds.
+  /// Ends calls one of whose timeouts has passed or whose peer no longer
+  /// responds, and closes connections that were idle for too long. Must be
+  /// called every few dozen milliseconds.
   void expire(TimePoint Now);
   /// Closes the idle connections to an address that is no longer used.
   void closeIdleConnections(const SocketAddress &Address);
@@ -156,6 +156,7 @@
   void finishResponse(Connection &Conn, bool TrailingBytes);
   void handleClose(Connection &Conn, SocketCloseReason Reason);
   void endCall(Connection &Conn, KeepAliveOutcome Outcome);
+  void endUnreachable();
   void removeFromIdle(Connection &Conn);
   void retire(Connection &Conn);
 
@@ -170,6 +171,7 @@
   std::map<SocketAddress, std::vector<ConnectionId>> Idle{};
   CarriedIds Carried{};
   std::set<std::pair<TimePoint, ConnectionId>> Expiries{};
+  TimePoint SilenceCheckAt{};
 };
 
 } // namespace marjorambay
--- a/packages/transport/marjorambay/transport/stream_socket.h
+++ b/packages/transport/marjorambay/transport/stream_socket.h
@@ -34,11 +34,11 @@
   NoResource, ///< this process has no descriptor, local port or memory for it
 };
 
-/// Times after which the kernel closes a connection whose peer does not
-/// respond.
+/// Times after which a connection ends whose peer does not respond.
 struct SocketTimeouts {
-  /// For sent bytes to be acknowledged. Ends a peer that does not read, too:
-  /// one that may read slowly needs a longer time, and peerSilence().
+  /// For sent bytes to be acknowledged. The owner compares it with
+  /// peerSilence(); only where the system does not tell that, the kernel ends
+  /// the connection, also if its peer just reads slowly.
   Duration Unacknowledged = seconds(2);
   Duration ProbeAfter{}; ///< idle time before the first keep-alive probe; 0: no
                          ///< probes
@@ -89,6 +89,9 @@
   /// Shuts down the sending direction; reading continues.
   void shutdownWrite();
   void close();
+  /// Closes; the kernel gives up bytes that the peer does not acknowledge in
+  /// \p Time. Without a limit, a cut that ends may deliver them a minute later.
+  void closeWithin(Duration Time);
   /// Closes with a reset; bytes that have not arrived are discarded.
   void reset();
 
--- a/packages/transport/src/caller_server.cpp
+++ b/packages/transport/src/caller_server.cpp
@@ -33,7 +33,8 @@
 /// A caller that acknowledges nothing for this long is unreachable. One that
 /// acknowledges may read as slowly as it likes, as long as it reads.
 constexpr Duration MaxCallerSilence = seconds(2);
-/// Above the idle timeout, after which a caller that reads nothing is closed.
+/// Where the system does not tell silence. Above the idle timeout, after which
+/// a caller that reads nothing is closed.
 constexpr SocketTimeouts CallerTimeouts{seconds(60)};
 /// What the kernel may hold of a caller's bytes that are not read. A connection
 /// that waits for memory fills it.
--- a/packages/transport/src/keep_alive_client.cpp
+++ b/packages/transport/src/keep_alive_client.cpp
@@ -1,6 +1,8 @@
 /// Keep-alive connections to targets and to the platform.
 #include "marjorambay/transport/keep_alive_client.h"
 
+#include "marjorambay/transport/log.h"
+
 #include <algorithm>
 #include <charconv>
 
@@ -17,6 +19,9 @@
 /// Bytes that a target may send before the head of the response to the call:
 /// interim responses, and responses to other calls, which are discarded.
 constexpr std::size_t MaxBytesBeforeHead = 1 << 20;
+/// How often connections that carry a call are asked whether their peer is
+/// silent.
+constexpr Duration SilenceCheckInterval = milliseconds(250);
 /// Added to the time of a call, after which its request is not sent once more.
 constexpr Duration CarriedMargin = seconds(30);
 
@@ -54,7 +59,8 @@
   std::size_t BytesBeforeHead = 0;
   std::size_t BodyBytes = 0; ///< of the response to the call
   bool CloseAfterCall = false;
-  bool Reserved = false; ///< see KeepAliveCall
+  bool Reserved = false;     ///< see KeepAliveCall
+  Duration Unacknowledged{}; ///< SocketTimeouts of the current or last call
   TimePoint IdleSince{};
   TimePoint Deadline{};  ///< of the head, then of the last byte
   TimePoint ExpiresAt{}; ///< key of the entry in Expiries
@@ -174,6 +180,7 @@
   if (!Call.CorrelationId.empty())
     Carried.record(Conn->Id, Call.CorrelationId,
                    Now + Call.HeadTimeout + CarriedMargin);
+  Conn->Unacknowledged = Call.Timeouts.Unacknowledged;
   writeRequest(*Conn, Call);
   Conn->Call = std::move(Call);
   Conn->Call.Body = {};
@@ -345,8 +352,36 @@
     Connections.at(Found->second).Socket.pauseReading(Pause);
 }
 
+/// Ends calls whose peer has acknowledged nothing for too long.
+void KeepAliveClient::endUnreachable() {
+  std::vector<std::pair<CallId, Duration>> Unreachable;
+  for (const auto &[Id, ConnId] : Calls) {
+    Connection &Conn = Connections.at(ConnId);
+    const Duration Silence = Conn.Socket.peerSilence();
+    if (Silence > Conn.Unacknowledged)
+      Unreachable.emplace_back(Id, Silence);
+  }
+  for (const auto &[Id, Silence] : Unreachable) {
+    const auto Found = Calls.find(Id);
+    if (Found == Calls.end())
+      continue; // ended with another one
+    Connection &Conn = Connections.at(Found->second);
+    LogLine("peer_unreachable", LogLevel::Warning)
+        .with("address", formatAddress(Conn.Address))
+        .with("silent_ms",
+              std::chrono::duration_cast<milliseconds>(Silence).count())
+        .with("unsent", static_cast<std::int64_t>(Conn.Socket.unsent()));
+    Conn.Socket.reset();
+    handleClose(Conn, SocketCloseReason::Reset);
+  }
+}
+
 void KeepAliveClient::expire(TimePoint Now) {
   Carried.expire(Now);
+  if (Now >= SilenceCheckAt) {
+    SilenceCheckAt = Now + SilenceCheckInterval;
+    endUnreachable();
+  }
   while (!Expiries.empty() && Expiries.begin()->first <= Now) {
     Connection &Due = Connections.at(Expiries.begin()->second);
     Expiries.erase(Expiries.begin());
@@ -387,7 +422,7 @@
   Calls.erase(Conn.CurrentCall);
   Conn.CurrentCall = CallId{};
   removeFromIdle(Conn);
-  Conn.Socket.close();
+  Conn.Socket.closeWithin(Conn.Unacknowledged);
   ReservedConnections -= Conn.Reserved ? 1 : 0;
   Conn.Reserved = false; // it may be retired again
   Connections.retire(Conn.Id);
--- a/packages/transport/src/stream_socket.cpp
+++ b/packages/transport/src/stream_socket.cpp
@@ -10,6 +10,7 @@
 #include <cstring>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <optional>
 #include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -40,12 +41,27 @@
       1, static_cast<int>(std::chrono::duration_cast<seconds>(Time).count()));
 }
 
+void limitUnacknowledged(int Descriptor, Duration Time) {
+  const auto Limit = std::chrono::duration_cast<milliseconds>(Time);
+  setIntOption(Descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
+               static_cast<int>(Limit.count()));
+}
+
+/// Returns nullopt if the system does not tell.
+std::optional<tcp_info> tcpInfoOf(int Descriptor) {
+  tcp_info Info{};
+  socklen_t Size = sizeof Info;
+  if (getsockopt(Descriptor, IPPROTO_TCP, TCP_INFO, &Info, &Size) != 0)
+    return std::nullopt;
+  return Info;
+}
+
 void configure(int Descriptor, const SocketTimeouts &Timeouts) {
   setIntOption(Descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
-  const auto Unacknowledged =
-      std::chrono::duration_cast<milliseconds>(Timeouts.Unacknowledged);
-  setIntOption(Descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
-               static_cast<int>(Unacknowledged.count()));
+  // The kernel may count from the first closed window of the connection on,
+  // however much its peer has read since.
+  if (!tcpInfoOf(Descriptor))
+    limitUnacknowledged(Descriptor, Timeouts.Unacknowledged);
   if (Timeouts.ProbeAfter.count() == 0)
     return;
   setIntOption(Descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
@@ -251,12 +267,11 @@
 Duration StreamSocket::peerSilence() {
   if (!connected())
     return Duration(0);
-  tcp_info Info{};
-  socklen_t Size = sizeof Info;
-  if (getsockopt(Descriptor, IPPROTO_TCP, TCP_INFO, &Info, &Size) != 0)
+  const std::optional<tcp_info> Info = tcpInfoOf(Descriptor);
+  if (!Info)
     return Duration(0);
-  return Silence.observe({Info.tcpi_retransmits != 0 || Info.tcpi_probes != 0,
-                          milliseconds(Info.tcpi_last_ack_recv)},
+  return Silence.observe({Info->tcpi_retransmits != 0 || Info->tcpi_probes != 0,
+                          milliseconds(Info->tcpi_last_ack_recv)},
                          Loop.now());
 }
 
@@ -320,6 +335,12 @@
   SharedUnsent = 0;
 }
 
+void StreamSocket::closeWithin(Duration Time) {
+  if (connected())
+    limitUnacknowledged(Descriptor, Time);
+  close();
+}
+
 void StreamSocket::reset() {
   const linger Discard{1, 0};
   if (open())
--- a/packages/transport/tests/raw_peer.h
+++ b/packages/transport/tests/raw_peer.h
@@ -9,6 +9,7 @@
 #include <cerrno>
 #include <cstdint>
 #include <fcntl.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <string>
 #include <string_view>
@@ -84,6 +85,18 @@
     received();
     return Reset;
   }
+  /// Loses all packets that arrive from now on, as if the host were gone.
+  void loseArrivals() const {
+    sock_filter Drop{BPF_RET, 0, 0, 0};
+    const sock_fprog Program{1, &Drop};
+    REQUIRE(setsockopt(Descriptor, SOL_SOCKET, SO_ATTACH_FILTER, &Program,
+                       sizeof(Program)) == 0);
+  }
+  void stopLosingArrivals() const {
+    int Unused = 0;
+    REQUIRE(setsockopt(Descriptor, SOL_SOCKET, SO_DETACH_FILTER, &Unused,
+                       sizeof(Unused)) == 0);
+  }
   /// Announces the end of the sent bytes.
   void shutdownWrite() const { shutdown(Descriptor, SHUT_WR); }
   void close() {
