A host that was cut off takes no removed object back

Cause: the host's watch goes on from where it was before the cut and returns older states of objects, of whose removal hubs have told the host meanwhile. ObjectMirror keeps nothing of a removed object and took such a state for a new one. Evidence: target_left twice for one target, with store_regained kind=servers between the two; objects_removed first from a hub, then from the store. Change: a mirror has all objects that exist at its position, so a change up to it of an object that it lacks is from before a removal.

--- a/packages/coordination/marjorambay/coordination/object_mirror.h
+++ b/packages/coordination/marjorambay/coordination/object_mirror.h
@@ -108,6 +108,7 @@
   bool isOutdated(const ObjectRecord &Restored) const;
   bool isRetained(const ObjectRecord &Record) const;
   void retain(const ObjectRecord &Restored, TimePoint Now);
+  bool precedesRemoval(const ObjectRecord &Record) const;
   bool isChange(const ObjectRecord &Record, bool Restored, TimePoint Now);
   std::vector<ObjectRecord> removalsOf(const ObjectFeed &Feed, bool Restored,
                                        TimePoint Now);
--- a/packages/coordination/src/object_mirror.cpp
+++ b/packages/coordination/src/object_mirror.cpp
@@ -46,6 +46,13 @@
   Retained.insert_or_assign(Restored.Name, RestoredState{Restored, Until});
 }
 
+/// Returns whether \p Record is a state of an object that has been removed
+/// since: a copy has all objects that exist at its position.
+bool ObjectMirror::precedesRemoval(const ObjectRecord &Record) const {
+  return !Record.Removed && Record.At <= Current &&
+         Objects.count(Record.Name) == 0;
+}
+
 /// Returns whether \p Record changes this copy. \p Restored: it belongs to the
 /// first snapshot after a restore.
 bool ObjectMirror::isChange(const ObjectRecord &Record, bool Restored,
@@ -132,7 +139,8 @@
   };
   // One by one: a feed may hold the creation and the removal of an object.
   for (const ObjectRecord &Record : Feed.Records)
-    if (!Record.Provisional && isChange(Record, Restored, Now))
+    if (!Record.Provisional && (Feed.IsSnapshot || !precedesRemoval(Record)) &&
+        isChange(Record, Restored, Now))
       Apply(Record);
   if (Feed.IsSnapshot)
     for (const ObjectRecord &Removal : removalsOf(Feed, Restored, Now))
--- a/tests/system/store_view_test.py
+++ b/tests/system/store_view_test.py
@@ -49,6 +49,22 @@
                         0.5, lambda at=place: fleet.call("/stream/a", host=at)):
                     self.assertEqual(answer.status, 200, dump(answer))
 
+    # Guards against requests to workers that have left: the watch of a host that
+    # was away returned their older states after it had heard of their removal.
+    def test_a_host_that_was_away_takes_no_worker_back_that_has_left(self):
+        fleet = self.fleet(hosts=4)
+        away = self.hubs(fleet)[0]
+        left = fleet.of("desk")[0]
+        self.turn_away(fleet, away)
+        fleet.store.put("servers", left.name, {**left.entry("ready"), "seq": 9})
+        fleet.store.delete("servers", left.name)
+        wait_until(lambda: away.lines("target_left", target=left.name),
+                   "the removal, from another host", 3)
+        self.serve_again(fleet, away)
+        time.sleep(3)  # missing entries are kept for two seconds
+        # A worker that is taken back leaves a second time.
+        self.assertEqual(len(away.lines("target_left", target=left.name)), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
