Missing targets are kept only if the store was away from all hosts

Cause: a host that regains the store keeps missing targets for two seconds, as entries may lapse in an outage, and hands that time on. It can't tell an outage from a cut of its own. Another 250 ms passed until it looked. Change: digests of hubs say for how long the store has responded to them without an outage. Missing targets are kept until two seconds after the earliest contact of a fresh hub or of the own watch; if all lost the store, that is as before. They are dropped when the time ends.

--- a/apps/marjorambayd/forward_fleet.cpp
+++ b/apps/marjorambayd/forward_fleet.cpp
@@ -104,6 +104,7 @@
       H.Warmups.nextNotices(WarmupNoticesInDigest, H.Loop.now());
   Digest.KnowsColdTargets = knowsColdTargets(H);
   Digest.WatchHealthy = isWatchHealthy(H);
+  Digest.PlatformContact = platformContact(H);
   if (!H.Table)
     return Digest;
   Digest.ConfigVersion = H.Table->version();
@@ -190,6 +191,10 @@
   }
   const bool Fresh = Digest.WatchHealthy && knowsLatestEra(H, Digest);
   Peer.FreshAt = Fresh ? H.Loop.now() : TimePoint{};
+  Peer.PlatformContactSince = Fresh && Digest.PlatformContact > Duration(0)
+                                  ? H.Loop.now() - Digest.PlatformContact
+                                  : TimePoint{};
+  limitSettling(H);
   applyDigest(H, Digest);
   pullFromHub(H, From.Id, Digest);
   if (H.Source != ObjectSource::Hubs)
--- a/apps/marjorambayd/forward_host.h
+++ b/apps/marjorambayd/forward_host.h
@@ -350,8 +350,11 @@
   TimePoint AnsweredAt{}; ///< when the last digest with Ready arrived
   TimePoint
       HeartbeatAt{}; ///< when the last heartbeat to this host as a hub arrived
-  TimePoint FreshAt{};    ///< when the last digest arrived, if it had
-                          ///< WatchHealthy; else 0
+  TimePoint FreshAt{}; ///< when the last digest arrived, if it had
+                       ///< WatchHealthy; else 0
+  /// Since when the platform has responded to it without an outage, if its last
+  /// digest had WatchHealthy; 0 if unknown.
+  TimePoint PlatformContactSince{};
   TimePoint DrainingAt{}; ///< when the last heartbeat with Draining arrived; 0
                           ///< if none has
   TimePoint ZoneBeatAnsweredAt{}; ///< when the last reply to a ZoneBeat with
@@ -487,6 +490,9 @@
   std::array<ObjectPull, ObjectKindCount> Pulls{};
   ObjectSource Source = ObjectSource::Platform;
   TimePoint PlatformRespondedAt{}; ///< when the platform last responded
+  /// Since when it has responded without an outage; 0 before the first
+  /// response.
+  TimePoint PlatformContactSince{};
   TimePoint WatchUntil{}; ///< until then this host watches the platform,
                           ///< because pulls from hubs failed
   bool DigestDue = false;
@@ -518,6 +524,8 @@
                std::string_view Sender);
 /// Records that the platform has responded to a call.
 void recordPlatformResponse(ForwardHost &H);
+/// Records that the platform responds again after an outage.
+void recordPlatformReturn(ForwardHost &H);
 /// Puts a configuration in force, unless that version or a newer one is.
 void applyConfig(ForwardHost &H, ForwardConfig Config);
 /// Applies a change of the target directory.
@@ -859,6 +867,12 @@
 /// Whether the sender of \p Digest knows the store's latest era.
 bool knowsLatestEra(const ForwardHost &H, const FleetDigest &Digest);
 bool isWatchHealthy(const ForwardHost &H);
+/// Returns for how long the platform has responded to this host without an
+/// outage; 0 if its watch is not healthy.
+Duration platformContact(const ForwardHost &H);
+/// Ends the time for which missing targets are kept if another host had contact
+/// with the platform meanwhile: entries lapse while it is away from all only.
+void limitSettling(ForwardHost &H);
 
 // forward_versions.cpp
 /// Whether the target runs the serving version of its pool, or none is known.
--- a/apps/marjorambayd/forward_lifecycle.cpp
+++ b/apps/marjorambayd/forward_lifecycle.cpp
@@ -180,7 +180,11 @@
   const auto AddTimer = [&H](Duration Interval, sigc::slot<void()> Work) {
     H.Subscriptions.push_back(H.Timers.every(Interval, std::move(Work)));
   };
-  AddTimer(CallTick, [&H]() { checkTimeouts(H); });
+  AddTimer(CallTick, [&H]() {
+    checkTimeouts(H);
+    if (H.Directory.expireMissing(H.Loop.now()))
+      applyTargets(H);
+  });
   AddTimer(ArbiterTick, [&H]() {
     tickWarmups(H);
     tickArbiters(H);
@@ -188,8 +192,6 @@
   AddTimer(VersionTick, [&H]() {
     tickVersions(H);
     expireRetainedObjects(H);
-    if (H.Directory.expireMissing(H.Loop.now()))
-      applyTargets(H);
   });
   AddTimer(ConfirmInterval, [&H]() {
     confirmSlots(H);
--- a/apps/marjorambayd/forward_objects.cpp
+++ b/apps/marjorambayd/forward_objects.cpp
@@ -222,16 +222,44 @@
          H.Loop.now() - H.PlatformRespondedAt < PlatformTimeout;
 }
 
+Duration platformContact(const ForwardHost &H) {
+  if (!isWatchHealthy(H))
+    return Duration(0);
+  // A suspended process doesn't notice an outage.
+  return H.Loop.now() - std::max(H.PlatformContactSince, H.Loop.resumedAt());
+}
+
+void limitSettling(ForwardHost &H) {
+  const TimePoint Now = H.Loop.now();
+  if (isWatchHealthy(H))
+    H.Directory.platformRespondedSince(Now - platformContact(H));
+  for (const auto &[Id, Peer] : H.Fleet)
+    if (Peer.PlatformContactSince != TimePoint{} &&
+        Now - Peer.FreshAt < WatchReportTimeout)
+      H.Directory.platformRespondedSince(Peer.PlatformContactSince);
+  if (H.Directory.expireMissing(Now))
+    applyTargets(H);
+}
+
 void recordPlatformResponse(ForwardHost &H) {
+  if (H.PlatformRespondedAt == TimePoint{} ||
+      H.Loop.now() - H.PlatformRespondedAt >= PlatformTimeout)
+    H.PlatformContactSince = H.Loop.now();
   H.PlatformRespondedAt = H.Loop.now();
   H.Stats.add(HostCounter::PlatformReads);
 }
 
+void recordPlatformReturn(ForwardHost &H) {
+  H.PlatformContactSince = H.Loop.now();
+}
+
 void applyFeed(ForwardHost &H, ObjectKind Kind, const ObjectFeed &Feed,
                std::string_view Sender) {
   const TimePoint Now = H.Loop.now();
-  if (Feed.SettlingTime.count() > 0)
+  if (Feed.SettlingTime.count() > 0) {
     H.Directory.settleUntil(Now + Feed.SettlingTime);
+    limitSettling(H);
+  }
   ObjectMirror &Mirror = mirrorOf(H, Kind);
   const bool First = !Mirror.initialized();
   const StorePosition Before = Mirror.position();
--- a/apps/marjorambayd/peer_codec.cpp
+++ b/apps/marjorambayd/peer_codec.cpp
@@ -184,6 +184,7 @@
   Body->set_config_version(Digest.ConfigVersion);
   Body->set_ready(Digest.Ready);
   Body->set_fresh(Digest.WatchHealthy);
+  Body->set_platform_contact_us(Digest.PlatformContact.count());
   for (std::size_t Kind = 0; Kind < ObjectKindCount; ++Kind) {
     const StorePosition &Position = Digest.FeedPositions[Kind];
     const bool Optional =
@@ -374,6 +375,7 @@
   Digest.ConfigVersion = In.config_version();
   Digest.Ready = In.ready();
   Digest.WatchHealthy = In.fresh();
+  Digest.PlatformContact = Duration(In.platform_contact_us());
   const auto Known = std::min<int>(In.positions_size(), ObjectKindCount);
   for (int Kind = 0; Kind < Known; ++Kind)
     Digest.FeedPositions[static_cast<std::size_t>(Kind)] = {
--- a/packages/coordination/marjorambay/coordination/fleet_heartbeat.h
+++ b/packages/coordination/marjorambay/coordination/fleet_heartbeat.h
@@ -81,6 +81,8 @@
   /// Position of the last change, by object kind.
   std::array<StorePosition, ObjectKindCount> FeedPositions{};
   bool WatchHealthy = false; ///< the sender's platform watch is responding
+  /// Time for which it has responded without an outage; 0 if unknown.
+  Duration PlatformContact{};
   std::vector<PoolCrashHold> CrashHolds{};
   std::vector<TargetLimitNotice> TargetLimits{};   ///< some of those it knows
   std::vector<TargetWarmupNotice> TargetWarmups{}; ///< likewise
--- a/packages/coordination/marjorambay/coordination/target_directory.h
+++ b/packages/coordination/marjorambay/coordination/target_directory.h
@@ -69,6 +69,10 @@
   /// Like platformReturned(), as reported by a host that has observed the end
   /// of the outage.
   void settleUntil(TimePoint Then) { SettledAt = std::max(SettledAt, Then); }
+  /// The platform has responded to some host without an outage since \p Since.
+  /// An entry that is missing later than the settle time after that is gone,
+  /// however long another host has been cut off.
+  void platformRespondedSince(TimePoint Since);
   /// Remaining time for which missing entries are kept.
   Duration settlingTime(TimePoint Now) const {
     return std::max(Duration(0), SettledAt - Now);
--- a/packages/coordination/src/target_directory.cpp
+++ b/packages/coordination/src/target_directory.cpp
@@ -59,6 +59,13 @@
   ++Changes;
 }
 
+void TargetDirectory::platformRespondedSince(TimePoint Since) {
+  const TimePoint Settled = Since + Settings.SettleTime;
+  SettledAt = std::min(SettledAt, Settled);
+  for (auto &[Name, Until] : MissingUntil)
+    Until = std::min(Until, Settled);
+}
+
 void TargetDirectory::replaceAll(const std::vector<ListedTarget> &Listed,
                                  TimePoint Now) {
   std::set<std::string> Names;
--- a/packages/coordination/tests/target_directory_test.cpp
+++ b/packages/coordination/tests/target_directory_test.cpp
@@ -16,6 +16,36 @@
   return Entry;
 }
 
+// Guards against targets that get requests seconds after they have left: the
+// removal counted as a lapse at hosts that were cut off, and at hosts that
+// these told of an outage.
+TEST_CASE("a host that was cut off while the platform was not away") {
+  TargetDirectory Directory;
+  Directory.replaceAll({target("left"), target("leaves"), target("stays")},
+                       at(seconds(0)));
+  Directory.platformReturned(at(seconds(10)));
+  Directory.remove("left", at(seconds(10)));
+  REQUIRE(Directory.targets().size() == 3);
+
+  SUBCASE("learns from another host that it was in order all the time") {
+    Directory.platformRespondedSince(at(seconds(1)));
+    CHECK(Directory.expireMissing(at(milliseconds(10'100))));
+    Directory.remove("leaves", at(milliseconds(10'200)));
+    CHECK(Directory.targets().size() == 1);
+    CHECK(Directory.settlingTime(at(milliseconds(10'200))) == Duration(0));
+  }
+  SUBCASE("learns that it was away from all until shortly before") {
+    Directory.platformRespondedSince(at(seconds(9)));
+    CHECK_FALSE(Directory.expireMissing(at(milliseconds(10'900))));
+    CHECK(Directory.expireMissing(at(seconds(11))));
+  }
+  SUBCASE("learns of a later contact, which says nothing") {
+    Directory.platformRespondedSince(at(milliseconds(10'500)));
+    CHECK_FALSE(Directory.expireMissing(at(milliseconds(11'900))));
+    CHECK(Directory.expireMissing(at(seconds(12))));
+  }
+}
+
 TEST_CASE("a directory of two targets") {
   TargetDirectory Directory;
   Directory.replaceAll({target("a"), target("b")}, at(seconds(0)));
--- a/tests/system/store_view_test.py
+++ b/tests/system/store_view_test.py
@@ -65,6 +65,22 @@
         # A worker that is taken back leaves a second time.
         self.assertEqual(len(away.lines("target_left", target=left.name)), 1)
 
+    # Guards against removals that are put off although the store was away from
+    # one host only: that is no time in which entries lapse.
+    def test_a_worker_that_leaves_after_a_host_was_away_gets_nothing_more(self):
+        fleet = self.fleet(hosts=4)
+        away = self.hubs(fleet)[0]
+        self.turn_away(fleet, away)
+        time.sleep(2)
+        self.serve_again(fleet, away)
+        time.sleep(0.5)  # two heartbeats
+        leaves = fleet.of("desk")[0]
+        fleet.store.delete("servers", leaves.name)
+        for host in fleet.hosts:
+            wait_until(lambda at=host: at.lines("target_left",
+                                                target=leaves.name),
+                       f"{host.name} drops the worker", 0.8)
+
 
 if __name__ == "__main__":
     unittest.main()
